--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+BENCH ?= all
+
+.PHONY: try test lint bench clean
+
+$(VENV)/ready: requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+try: $(VENV)/ready
+	$(BIN)/python -m foxtrestle.trial examples/receita-continua.toml
+
+test: $(VENV)/ready
+	$(BIN)/python -m pytest
+
+lint: $(VENV)/ready
+	$(BIN)/ruff format --check src tests benches
+	$(BIN)/ruff check src tests benches
+	$(BIN)/mypy
+
+bench: $(VENV)/ready
+	@$(BIN)/python -m benches $(BENCH)
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Benches: seeded measurements, one JSON object a line."""
--- /dev/null
+++ b/src/foxtrestle/cli.py
@@ -0,0 +1,391 @@
+"""The operators' tool: asks any daemon's administration API and prints tables or JSON."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+import time
+from pathlib import Path  # noqa: TC003 - cyclopts reads the annotations
+from typing import TYPE_CHECKING, Annotated, Any, Final
+
+import aiohttp
+import cyclopts
+from cyclopts import Parameter
+
+from foxtrestle import VERSION
+from foxtrestle.errors import FoxtrestleError
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+EXIT_OK: Final = 0
+EXIT_FAULT: Final = 1
+"""The daemon answered that it could not do it; nothing was done."""
+EXIT_USAGE: Final = 2
+"""The command line, or the file given, is wrong."""
+EXIT_CONFLICT: Final = 3
+"""Somebody else applied a file meanwhile."""
+EXIT_UNREACHABLE: Final = 4
+"""No daemon answered."""
+EXIT_UNKNOWN: Final = 5
+"""Not known whether it was done; asking again tells."""
+TIMEOUT_S: Final = 30.0
+
+app = cyclopts.App(
+    name="foxtrestle",
+    version=VERSION,
+    help="Operate a fleet run by foxtrestle. The daemon is found by --server or "
+    "FOXTRESTLE_SERVER, the token by FOXTRESTLE_TOKEN.",
+)
+config_app = cyclopts.App(name="config", help="The configuration in force.")
+app.command(config_app)
+
+Server = Annotated[str, Parameter(env_var="FOXTRESTLE_SERVER", help="Address of any daemon.")]
+Json = Annotated[bool, Parameter(name="--json", negative="", help="Print JSON for programs.")]
+DEFAULT_SERVER: Final = "http://127.0.0.1:8081"
+
+
+class CallFailed(FoxtrestleError):
+    """A daemon did not do what it was asked."""
+
+    def __init__(self, reason: str, *, status: int, peer: str, faults: Sequence[Any] = ()) -> None:
+        """Create the error from the answer's status (0 for none) and faults."""
+        super().__init__(reason, step="cli.call", peer=peer)
+        self.status = status
+        """HTTP status; 0 if there was no answer."""
+        self.faults = faults
+        """Faults of a refused file."""
+
+
+def call(
+    server: str,
+    method: str,
+    path: str,
+    *,
+    body: bytes | None = None,
+    params: Mapping[str, str] | None = None,
+) -> Any:
+    """Call the administration API.
+
+    Raises:
+        CallFailed: No answer, or one that says no.
+    """
+    return asyncio.run(_call(server, method, path, body, params))
+
+
+async def _call(
+    server: str, method: str, path: str, body: bytes | None, params: Mapping[str, str] | None
+) -> Any:
+    headers = {"Authorization": f"Bearer {os.environ.get('FOXTRESTLE_TOKEN', '')}"}
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    try:
+        async with (
+            aiohttp.ClientSession(headers=headers, timeout=timeout) as session,
+            session.request(method, f"{server}{path}", data=body, params=params) as response,
+        ):
+            text = await response.text()
+            status = response.status
+    except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        reason = str(error) or type(error).__name__
+        raise CallFailed(reason, status=0, peer=server) from error
+    try:
+        answer = json.loads(text)
+    except ValueError:
+        answer = {"error": text[:200]}
+    if status != 200:
+        faults = answer.get("faults", [])
+        raise CallFailed(answer.get("error", text), status=status, peer=server, faults=faults)
+    return answer
+
+
+def print_table(rows: Sequence[Mapping[str, Any]]) -> None:
+    """Print rows as a table for people."""
+    if not rows:
+        print("none")
+        return
+    columns = list(rows[0])
+    cells = [[_format(column, row.get(column, "")) for column in columns] for row in rows]
+    widths = [
+        max(len(column), *(len(line[index]) for line in cells))
+        for index, column in enumerate(columns)
+    ]
+    for line in [columns, *cells]:
+        print(
+            "  ".join(f"{cell:<{width}}" for cell, width in zip(line, widths, strict=True)).rstrip()
+        )
+
+
+def _format(column: str, value: object) -> str:
+    if column in ("since", "started", "applied") and isinstance(value, int | float):
+        return time.strftime("%m-%d %H:%M:%S", time.gmtime(value)) if value else "-"
+    if isinstance(value, float):
+        return f"{value:.1f}"
+    if isinstance(value, list):
+        return " ".join(map(str, value)) or "-"
+    return str(value) if value != "" else "-"
+
+
+def _show(answer: Any, *, as_json: bool) -> None:
+    if as_json:
+        print(json.dumps(answer))
+    else:
+        print_table(answer)
+
+
+@app.command
+def apply(
+    file: Path,
+    /,
+    *,
+    base: int | None = None,
+    force: bool = False,
+    server: Server = DEFAULT_SERVER,
+    json: Json = False,
+) -> None:
+    """Make FILE the configuration in force, as a whole.
+
+    Args:
+        file: Declarative file.
+        base: Version the file was made from; the one in force now if left out.
+        force: Apply over whatever stands.
+        server: Address of any daemon.
+        json: Print JSON for programs.
+    """
+    text = file.read_bytes()
+    params = {}
+    if not force:
+        if base is None:
+            base = call(server, "GET", "/v1/configuration")["version"]
+        params["base"] = str(base)
+    answer = call(server, "POST", "/v1/apply", body=text, params=params)
+    _show(answer if json else [answer], as_json=json)
+
+
+@app.command
+def plan(file: Path, /, *, server: Server = DEFAULT_SERVER, json: Json = False) -> None:
+    """Show what FILE would change, without doing it."""
+    answer = call(server, "POST", "/v1/plan", body=file.read_bytes())
+    if json:
+        _show(answer, as_json=True)
+        return
+    print(f"from version {answer['base']}")
+    for region in answer["regions"]:
+        total = sum(region["moves"].values())
+        print(
+            f"region {region['region']}: {total} hosts join pools, {region['spare']} held "
+            f"spare, a wave over all hosts takes {region['batches']} batches at best"
+        )
+        for pool, number in sorted(region["moves"].items()):
+            print(f"  pool {pool}: {number} hosts join")
+        for pool, reason in sorted(region["shortages"].items()):
+            print(f"  pool {pool} would be short: {reason}")
+
+
+@app.command
+def status(*, server: Server = DEFAULT_SERVER, json: Json = False) -> None:
+    """Show the daemons alive and what they hold."""
+    answer = call(server, "GET", "/v1/status")
+    if json:
+        _show(answer, as_json=True)
+        return
+    store = "answers" if answer["store_current"] else "does not answer"
+    print(
+        f"configuration {answer['configuration']}; the store {store}; "
+        f"violations {answer['violations']}"
+    )
+    print_table(answer["members"])
+
+
+def _define_listing(name: str, path: str, summary: str) -> None:
+    def listing(*, server: Server = DEFAULT_SERVER, json: Json = False) -> None:
+        _show(call(server, "GET", path), as_json=json)
+
+    listing.__doc__ = summary
+    app.command(listing, name=name)
+
+
+_define_listing("pools", "/v1/pools", "Show the pools with what they want and have.")
+_define_listing("hosts", "/v1/hosts", "Show the hosts with their pool and state.")
+_define_listing("waves", "/v1/waves", "Show the maintenance waves.")
+
+
+@app.command
+def jobs(
+    action: str = "list",
+    names: list[str] | None = None,
+    /,
+    *,
+    pool: str = "",
+    team: str = "",
+    cores: float = 1.0,
+    memory_gb: float = 1.0,
+    accelerators: int = 0,
+    urgent: bool = False,
+    family: str = "",
+    command: str = "",
+    server: Server = DEFAULT_SERVER,
+    json: Json = False,
+) -> None:
+    """Show jobs, `submit NAME` one, or `cancel NAME...` some of one pool."""
+    if action == "list":
+        _show(call(server, "GET", "/v1/jobs"), as_json=json)
+        return
+    if action == "submit" and names:
+        order = {
+            "id": names[0],
+            "team": team,
+            "pool": pool,
+            "cores": cores,
+            "memory_gb": memory_gb,
+            "accelerators": accelerators,
+            "urgent": urgent,
+            "family": family,
+            "command": command,
+        }
+        answer = call(server, "POST", "/v1/jobs", body=_encode(order))
+    elif action == "cancel" and names:
+        order = {"pool": pool, "jobs": names}
+        answer = call(server, "POST", "/v1/jobs/cancel", body=_encode(order))
+    else:
+        raise CallFailed("expected list, submit NAME or cancel NAME...", status=400, peer=server)
+    _show(answer if json else [answer], as_json=json)
+
+
+def _encode(order: Mapping[str, object]) -> bytes:
+    return json.dumps(order).encode()
+
+
+@app.command
+def why(kind: str, name: str, /, *, server: Server = DEFAULT_SERVER, json: Json = False) -> None:
+    """Explain why a host, job or pool is as it is."""
+    answer = call(server, "GET", f"/v1/why/{kind}/{name}")
+    _show(answer, as_json=True) if json else print("\n".join(answer))
+
+
+@app.command
+def events(
+    *,
+    since: float = 600.0,
+    subject: str = "",
+    follow: bool = False,
+    server: Server = DEFAULT_SERVER,
+    json: Json = False,
+) -> None:
+    """Show the events of all daemons in one order.
+
+    Args:
+        since: Seconds to look back.
+        subject: Only events of this host, pool, wave, job or shard.
+        follow: Go on until interrupted.
+        server: Address of any daemon.
+        json: Print JSON for programs, one event a line.
+    """
+    since_ms = int((time.time() - since) * 1000)
+    seen: set[tuple[str, int]] = set()
+    while True:
+        for event in gather_events(server, since_ms, subject):
+            identity = (event["process"], event["sequence"])
+            if identity not in seen:
+                seen.add(identity)
+                _print_event(event, as_json=json)
+        if not follow:
+            return
+        time.sleep(1.0)
+
+
+def gather_events(server: str, since_ms: int, subject: str) -> list[dict[str, Any]]:
+    """Gather the events of all daemons alive, ordered by their clocks.
+
+    A daemon that does not answer is named on standard error; its events are missing.
+    """
+    members = call(server, "GET", "/v1/status")["members"]
+    scheme = server.partition("://")[0]
+    params = {"since_ms": str(since_ms), "subject": subject}
+    events: list[dict[str, Any]] = []
+    for member in members:
+        try:
+            answer = call(f"{scheme}://{member['admin']}", "GET", "/v1/events", params=params)
+        except CallFailed as error:
+            print(f"no events of {member['name']}: {error}", file=sys.stderr)
+            continue
+        events.extend(answer["events"])
+    return sorted(
+        events,
+        key=lambda event: (
+            event["at"]["wall_ms"],
+            event["at"]["counter"],
+            event["process"],
+            event["sequence"],
+        ),
+    )
+
+
+def _print_event(event: Mapping[str, Any], *, as_json: bool) -> None:
+    if as_json:
+        print(json.dumps(event), flush=True)
+        return
+    at = event["at"]
+    clock = time.strftime("%H:%M:%S", time.gmtime(at["wall_ms"] / 1000))
+    print(
+        f"{clock}.{at['wall_ms'] % 1000:03d}+{at['counter']} {event['process']:<10} "
+        f"{event['kind']:<24} {event['subject']} {event['detail']}".rstrip(),
+        flush=True,
+    )
+
+
+@config_app.command(name="status")
+def config_status(*, server: Server = DEFAULT_SERVER, json: Json = False) -> None:
+    """Show which daemon has which version, and since when."""
+    answer = call(server, "GET", "/v1/configuration")
+    if json:
+        _show(answer, as_json=True)
+        return
+    applied = _format("applied", answer["applied"])
+    print(f"version {answer['version']}, applied by {answer['author'] or '-'} at {applied}")
+    print_table(
+        [
+            {
+                "daemon": row["daemon"],
+                "version": row["version"],
+                "checksum": row["checksum"],
+                "since": row.get("since", 0),
+            }
+            for row in answer["daemons"]
+        ]
+    )
+
+
+@config_app.command(name="show")
+def config_show(*, server: Server = DEFAULT_SERVER) -> None:
+    """Print the file in force."""
+    print(call(server, "GET", "/v1/configuration")["text"], end="")
+
+
+_EXIT_BY_STATUS: Final = {
+    0: EXIT_UNREACHABLE,
+    400: EXIT_USAGE,
+    404: EXIT_USAGE,
+    409: EXIT_CONFLICT,
+    504: EXIT_UNKNOWN,
+}
+
+
+def main() -> None:
+    """Run the tool and turn errors into exit codes."""
+    try:
+        app()
+    except CallFailed as error:
+        for fault in error.faults:
+            print(f"{fault['place']}: {fault['reason']}", file=sys.stderr)
+        if not error.faults:
+            print(f"foxtrestle: {error.reason} ({error.peer})", file=sys.stderr)
+        sys.exit(_EXIT_BY_STATUS.get(error.status, EXIT_FAULT))
+    except OSError as error:
+        print(f"foxtrestle: {error}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/foxtrestle/configuration.py
@@ -0,0 +1,154 @@
+"""The configuration in force: whole versions, accepted by one swap, never going back."""
+
+from __future__ import annotations
+
+import hashlib
+import time
+import uuid
+from typing import TYPE_CHECKING, Final
+
+from returns.result import Failure
+
+from foxtrestle._fields import Fault
+from foxtrestle.declaration import Declaration, Faults, parse_declaration
+from foxtrestle.errors import FoxtrestleError
+from foxtrestle.records import CONFIGURATION, ConfigurationRecord, decode_record, encode_record
+from foxtrestle.store import ABSENT, swap_surely
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from foxtrestle.store import Store
+
+MAX_RECORD_BYTES: Final = 1 << 20
+"""Largest compressed record the store takes, bytes."""
+
+
+class Conflict(FoxtrestleError):
+    """Somebody else applied a file since the version the operator started from."""
+
+    def __init__(self, current: ConfigurationRecord) -> None:
+        """Create the error from the version that is in the way."""
+        at = time.strftime("%Y-%m-%d %H:%M:%S UTC", time.gmtime(current.at))
+        reason = f"version {current.version} was applied by {current.author} at {at}"
+        super().__init__(reason, step="configuration.apply")
+        self.current = current
+        """The version that is in the way."""
+
+
+class Configuration:
+    """The newest configuration this daemon knows and has installed."""
+
+    def __init__(self) -> None:
+        """Create a configuration that knows nothing yet."""
+        self.record: ConfigurationRecord | None = None
+        """The record installed; None before the first."""
+        self.declaration = Declaration()
+        """The declaration installed."""
+        self.installed_at = 0.0
+        """Wall time of the installation, seconds."""
+        self.certain = False
+        """Whether the store, not only a peer, has confirmed the version."""
+        self.rejected = 0
+        """Records that were not installed: damaged, older, or another text under one version."""
+        self.encoded = b""
+        """The record as it stands in the store."""
+
+    @property
+    def version(self) -> int:
+        """Version installed; 0 before the first."""
+        return self.record.version if self.record else 0
+
+    @property
+    def checksum(self) -> str:
+        """Checksum of the text installed; empty before the first."""
+        return self.record.checksum if self.record else ""
+
+    def install(self, encoded: bytes, *, certain: bool) -> bool:
+        """Install a record whole if it is newer than what stands; keep what stands otherwise.
+
+        Args:
+            encoded: The record as it stands in the store.
+            certain: Whether it comes from the store itself.
+
+        Returns:
+            Whether a newer version was installed.
+        """
+        try:
+            record = decode_record(encoded, ConfigurationRecord, CONFIGURATION)
+        except FoxtrestleError:
+            self.rejected += 1
+            return False
+        if record.version == self.version and record.checksum == self.checksum:
+            self.certain = self.certain or certain
+            return False
+        if record.version <= self.version or compute_checksum(record.text) != record.checksum:
+            self.rejected += 1
+            return False
+        result = parse_declaration(record.text)
+        if isinstance(result, Failure):
+            self.rejected += 1
+            return False
+        self.declaration = result.unwrap()
+        self.record, self.encoded = record, encoded
+        self.installed_at, self.certain = time.time(), certain
+        return True
+
+
+def compute_checksum(text: str) -> str:
+    """Compute the checksum of a file's text, SHA-256 in hexadecimal."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def check_text(text: str) -> Declaration:
+    """Check a file.
+
+    Raises:
+        Faults: The file is refused; every fault is listed.
+    """
+    result = parse_declaration(text)
+    if isinstance(result, Failure):
+        raise Faults(result.failure())
+    return result.unwrap()
+
+
+async def apply(
+    store: Store, text: str, author: str, base: int | None, wall: Callable[[], float] = time.time
+) -> ConfigurationRecord:
+    """Make a file the configuration in force, as one swap of one record.
+
+    Args:
+        store: The platform's store.
+        text: The file.
+        author: Operator who applies it.
+        base: Version the operator started from; None to take whatever stands.
+        wall: Wall clock, seconds.
+
+    Returns:
+        The record accepted; the one in force if it has the same text already.
+
+    Raises:
+        Faults: The file is refused.
+        Conflict: Another version has been applied since `base`.
+        StoreError: The store cannot be asked; nothing was applied.
+        OutcomeUnknown: Not known whether it was applied; asking again with the same base tells.
+    """
+    check_text(text)
+    held = await store.get(CONFIGURATION)
+    current = decode_record(held.value, ConfigurationRecord) if held else None
+    checksum = compute_checksum(text)
+    if current is not None and current.checksum == checksum:
+        return current
+    if base is not None and base != (current.version if current else 0):
+        raise Conflict(current) if current else Faults([Fault("base", "nothing is applied yet")])
+    version = current.version + 1 if current else 1
+    record = ConfigurationRecord(version, author, wall(), checksum, text, uuid.uuid4().hex)
+    value = encode_record(record)
+    if len(value) > MAX_RECORD_BYTES:
+        reason = f"{len(value)} bytes compressed, at most {MAX_RECORD_BYTES}"
+        raise Faults([Fault("file", reason)])
+    swap = await swap_surely(store, CONFIGURATION, value, held.revision if held else ABSENT)
+    if swap.done:
+        return record
+    assert swap.record is not None
+    raise Conflict(decode_record(swap.record.value, ConfigurationRecord))
--- /dev/null
+++ b/src/foxtrestle/daemon.py
@@ -0,0 +1,580 @@
+"""The daemon: assembles all parts for one entry host; every daemon is alike."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import sys
+import time
+import uuid
+from collections import Counter
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
+from functools import partial
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final
+
+import aiohttp
+import eliot
+from returns.result import Failure
+
+from foxtrestle.configuration import Configuration
+from foxtrestle.dispatch import Dispatcher
+from foxtrestle.errors import FoxtrestleError
+from foxtrestle.events import Clock, Timeline
+from foxtrestle.fleet_shard import FleetContext, FleetShard
+from foxtrestle.http_store import HttpStore
+from foxtrestle.job_shard import JobShard
+from foxtrestle.listener import bind, listen
+from foxtrestle.membership import Membership
+from foxtrestle.messages import (
+    Claim,
+    ConfigurationReply,
+    ConfigurationRequest,
+    Holding,
+    Load,
+    Operation,
+    Seal,
+    Status,
+)
+from foxtrestle.metrics import Metrics, read_process
+from foxtrestle.once import RANGE_SHARD, Router
+from foxtrestle.operations import RANGES, Witness, WitnessMemory
+from foxtrestle.peers import Identity, PeerLinks, PeerServer
+from foxtrestle.platform import HostList, PlatformError, Workers
+from foxtrestle.proxy import Proxy
+from foxtrestle.ranges import Context, OwnedRange, answer_as_witness
+from foxtrestle.records import CONFIGURATION, FLEETS, ROOT, FleetRecord, MemberRecord, decode_record
+from foxtrestle.settings import read_settings
+from foxtrestle.shards import HolderRecord, ShardHolder
+from foxtrestle.store import Mirror, StoreError
+from foxtrestle.upstream import Upstream
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+    from foxtrestle.settings import Settings
+    from foxtrestle.shards import ShardWork
+
+STATUS_PERIOD_S: Final = 0.5
+"""Seconds between two statuses to the peers."""
+STATUS_FANOUT: Final = 8
+"""Peers told in one period."""
+STATUS_MAX_AGE_S: Final = 3.0
+"""Seconds after which a peer's status counts no more."""
+MAX_WITNESSES: Final = 5
+"""Witnesses of one operation range."""
+JOB_SHARD: Final = "jobs/"
+FLEET_SHARD: Final = "fleets/"
+
+
+class Daemon:
+    """Parts and state of one daemon."""
+
+    def __init__(self, settings: Settings) -> None:
+        """Create the parts that need no loop and no sockets."""
+        self.settings = settings
+        """The settings it was started with."""
+        self.incarnation = uuid.uuid4().hex[:16]
+        """Random identity of this run."""
+        self.started_at = time.time()
+        """Wall time of the start, seconds."""
+        self.stopping = False
+        """Whether a planned stop is under way."""
+        self.timeline = Timeline(settings.name, Clock())
+        """Events of this daemon."""
+        self.configuration = Configuration()
+        """Configuration installed."""
+        self.mirror = Mirror(ROOT, self.on_change)
+        """Mirror of the shared records."""
+        self.metrics = Metrics()
+        """Counters of all parts."""
+        self.counts: dict[str, Counter[str]] = {
+            name: Counter() for name in ("operations", "routing", "fleet", "jobs", "config")
+        }
+        """Counters by part."""
+        self.memory = WitnessMemory()
+        """Claims remembered for other daemons."""
+        self.statuses: dict[str, tuple[float, Status]] = {}
+        """Newest status of each peer, with the clock reading at which it came."""
+        self.fleets: dict[str, FleetRecord] = {}
+        """Newest fleet record of each region."""
+        self._sequence = 0
+        self._identity = Identity(settings.name, self.incarnation, settings.peer_token)
+        self.links = PeerLinks(self._identity, self.timeline.clock)
+        """Links to peers."""
+
+    # The parts below need sessions and are made by `connect`.
+    store: HttpStore
+    """Client of the platform's store."""
+    host_list: HostList
+    """Client of the platform's host list."""
+    membership: Membership
+    """This daemon's lease and the daemons alive."""
+    shards: ShardHolder
+    """Shards held."""
+    dispatcher: Dispatcher
+    """Sends requests to runners."""
+    proxy: Proxy
+    """The callers' side."""
+    router: Router
+    """Brings requests with a key to their owner."""
+
+    async def connect(self, stack: AsyncExitStack) -> None:
+        """Make the parts that need sessions; the stack closes them."""
+        settings = self.settings
+
+        def connector(**options: Any) -> aiohttp.TCPConnector:
+            return aiohttp.TCPConnector(limit=0, enable_cleanup_closed=False, **options)
+
+        async def open_session(**options: Any) -> aiohttp.ClientSession:
+            session = aiohttp.ClientSession(
+                connector=connector(**options),
+                auto_decompress=False,
+                cookie_jar=aiohttp.DummyCookieJar(),
+                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+            )
+            return await stack.enter_async_context(session)
+
+        platform = await stack.enter_async_context(aiohttp.ClientSession(connector=connector()))
+        self.store = HttpStore(
+            settings.platform, platform, settings.store_writes_per_s, settings.store_reads_per_s
+        )
+        self.host_list = HostList(settings.platform, platform)
+        me = MemberRecord(
+            name=settings.name,
+            incarnation=self.incarnation,
+            zone=settings.zone,
+            address=settings.address,
+            caller_port=settings.caller_port,
+            admin_port=settings.admin_port,
+            peer_port=settings.peer_port,
+        )
+        self.membership = Membership(me, self.store, self.mirror, settings.member_ttl_s)
+        holder = HolderRecord(self.incarnation, f"{settings.address}:{settings.peer_port}")
+        self.shards = ShardHolder(holder, self.store, self.mirror, self.timeline, self._make_work)
+        pooled = await open_session(keepalive_timeout=2.0)
+        single = await open_session(force_close=True)
+        self.dispatcher = Dispatcher(Upstream(pooled, single, settings.max_body_bytes))
+        self.router = Router(
+            self.incarnation,
+            self._find_owned,
+            lambda shard: self.shards.holders().get(shard),
+            self.links,
+            self._list_levels,
+            self.counts["routing"],
+        )
+        self.proxy = Proxy(settings, self.configuration, self.dispatcher, self.router.run)
+        self._workers = Workers(platform)
+        stack.push_async_callback(self.links.close)
+        self._add_metrics()
+
+    def _make_work(self, shard: str) -> ShardWork:
+        if shard.startswith(RANGE_SHARD):
+            return RangeWork(int(shard.removeprefix(RANGE_SHARD)), self._range_context())
+        if shard.startswith(JOB_SHARD):
+            return JobShard(shard.removeprefix(JOB_SHARD), self._fleet_context("jobs"))
+        return FleetShard(shard.removeprefix(FLEET_SHARD), self._fleet_context("fleet"))
+
+    def _range_context(self) -> Context:
+        return Context(
+            incarnation=self.incarnation,
+            store=self.store,
+            ask=self._ask,
+            execute=self.dispatcher.send,
+            list_witnesses=self._list_witnesses,
+            is_alive=lambda incarnation: incarnation in self.membership.members(),
+            memory=self.memory,
+            counts=self.counts["operations"],
+        )
+
+    def _fleet_context(self, part: str) -> FleetContext:
+        return FleetContext(
+            incarnation=self.incarnation,
+            store=self.store,
+            mirror=self.mirror,
+            configuration=self.configuration,
+            host_list=self.host_list,
+            workers=self._workers,
+            timeline=self.timeline,
+            counts=self.counts[part],
+            period_s=self.settings.control_period_s,
+            hears_majority=self.hears_majority,
+            settle_s=self.settings.drain_settle_s,
+        )
+
+    async def _ask(self, address: str, incarnation: str, message: object) -> object:
+        return await self.links.find(address, incarnation).ask(message, 1.0)
+
+    def _find_owned(self, number: int) -> OwnedRange | None:
+        work = self.shards.held.get(f"{RANGE_SHARD}{number}")
+        return work.range if isinstance(work, RangeWork) else None
+
+    def _list_levels(self) -> dict[str, int]:
+        return {team.name: team.level for team in self.configuration.declaration.teams}
+
+    def _list_witnesses(self) -> list[Witness]:
+        """Choose other daemons as witnesses, spread over availability zones."""
+        by_zone: dict[str, list[MemberRecord]] = {}
+        for peer in self.membership.peers().values():
+            by_zone.setdefault(peer.zone, []).append(peer)
+        for peers in by_zone.values():
+            peers.sort(key=lambda peer: peer.incarnation)
+        chosen: list[MemberRecord] = []
+        while len(chosen) < MAX_WITNESSES and any(by_zone.values()):
+            for zone in sorted(by_zone):
+                if by_zone[zone] and len(chosen) < MAX_WITNESSES:
+                    chosen.append(by_zone[zone].pop(0))
+        witnesses = [Witness(peer.incarnation, _peer_address(peer)) for peer in chosen]
+        return sorted(witnesses, key=lambda witness: witness.incarnation)
+
+    def hears_majority(self) -> bool:
+        """Tell whether most of the daemons last known have been heard of late."""
+        now = time.monotonic()
+        peers = self.membership.peers()
+        heard = sum(
+            now - self.statuses[peer][0] < STATUS_MAX_AGE_S
+            for peer in peers
+            if peer in self.statuses
+        )
+        return 2 * (heard + 1) > len(peers) + 1
+
+    def list_shards(self) -> list[str]:
+        """List every shard there is under the configuration installed."""
+        regions = {pool.region for pool in self.configuration.declaration.pools}
+        names = [f"{RANGE_SHARD}{number}" for number in range(RANGES)]
+        for region in sorted(regions):
+            names += [FLEET_SHARD + region, JOB_SHARD + region]
+        return names
+
+    async def handle(self, sender: str, message: Any) -> Any:
+        """Answer a peer's message."""
+        match message:
+            case Status():
+                await self._take_status(message)
+            case Operation():
+                return await self.router.receive(message)
+            case Claim() | Seal():
+                return answer_as_witness(self.memory, message)
+            case ConfigurationRequest():
+                newer = self.configuration.version > message.known
+                return ConfigurationReply(self.configuration.encoded if newer else b"")
+        return None
+
+    async def _take_status(self, status: Status) -> None:
+        held = self.statuses.get(status.incarnation)
+        if held is not None and held[1].sequence >= status.sequence:
+            return
+        self.statuses[status.incarnation] = (time.monotonic(), status)
+        if status.configuration <= self.configuration.version or self.mirror.current:
+            return
+        address = self._find_address(status.incarnation)
+        if address is None:
+            return
+        with suppress(FoxtrestleError):
+            request = ConfigurationRequest(self.configuration.version)
+            reply = await self.links.find(address).ask(request, 1.0)
+            if reply.value and self.configuration.install(reply.value, certain=False):
+                self._note_configuration("from a peer")
+
+    def _find_address(self, incarnation: str) -> str | None:
+        peer = self.membership.peers().get(incarnation)
+        return _peer_address(peer) if peer else None
+
+    def on_change(self, keys: set[str]) -> None:
+        """Take over changes of the mirrored records."""
+        held = self.mirror.records.get(CONFIGURATION)
+        if CONFIGURATION in keys and held and self.configuration.install(held.value, certain=True):
+            self._note_configuration("from the store")
+        for key in keys:
+            if key.startswith(FLEETS):
+                record = self.mirror.records.get(key)
+                if record is not None:
+                    region = key.removeprefix(FLEETS)
+                    self.fleets[region] = decode_record(record.value, FleetRecord, key)
+        if keys:
+            self.update_routes()
+
+    def _note_configuration(self, source: str) -> None:
+        version = str(self.configuration.version)
+        self.timeline.add("configuration.installed", version, source)
+        self.update_routes()
+
+    def list_leaving(self) -> set[str]:
+        """List hosts that must get no new requests, by the host list or a peer's word."""
+        leaving = {name for name, host in self.host_list.hosts.items() if host.status == "leaving"}
+        now = time.monotonic()
+        for at, status in self.statuses.values():
+            if now - at < STATUS_MAX_AGE_S:
+                leaving.update(status.leaving)
+        return leaving
+
+    def update_routes(self) -> None:
+        """Bring the balancers in line with the fleet, the host list and the configuration."""
+        leaving = self.list_leaving()
+        addresses: dict[str, dict[str, str]] = {}
+        for record in self.fleets.values():
+            for name, entry in record.hosts.items():
+                if entry.state == "up" and entry.pool and name not in leaving:
+                    addresses.setdefault(entry.pool, {})[name] = entry.address
+        services = {service.name: service for service in self.configuration.declaration.services}
+        for service in services.values():
+            hosts = addresses.get(service.pool, {})
+            runners = {name: f"{address}:{service.port}" for name, address in hosts.items()}
+            self.dispatcher.find(service.name).set_runners(runners, service.slots)
+        for name in self.dispatcher.balancers.keys() - services.keys():
+            self.dispatcher.balancers[name].set_runners({}, 1)
+
+    async def follow_hosts(self) -> None:
+        """Poll the host list."""
+        while True:
+            try:
+                if await self.host_list.poll():
+                    self.update_routes()
+            except PlatformError:
+                self.counts["fleet"]["host-list-failures"] += 1
+            await asyncio.sleep(self.settings.host_list_poll_s)
+
+    async def follow_peers(self) -> None:
+        """Tell peers this daemon's status, and take theirs into account."""
+        while True:
+            await self._tell_peers()
+            self._apply_loads()
+            await asyncio.sleep(STATUS_PERIOD_S)
+
+    async def _tell_peers(self) -> None:
+        self._sequence += 1
+        peers = list(self.membership.peers().values())
+        status = self._make_status()
+        first = (self._sequence * STATUS_FANOUT) % max(1, len(peers))
+        told = (peers[first:] + peers[:first])[:STATUS_FANOUT]
+        addresses = [_peer_address(peer) for peer in told]
+        if not peers:
+            addresses = self.settings.peers
+        await asyncio.gather(*(self._tell(address, status) for address in addresses))
+        wanted = {_peer_address(peer) for peer in peers} | set(self.settings.peers)
+        alive = {peer.incarnation for peer in peers} | {""}
+        await self.links.keep_only(
+            {(address, incarnation) for address in wanted for incarnation in alive}
+        )
+
+    async def _tell(self, address: str, status: Status) -> None:
+        with suppress(FoxtrestleError):
+            await self.links.find(address).tell(status)
+
+    def _make_status(self) -> Status:
+        loads = [
+            Load(f"{name}@{host}", number)
+            for name, balancer in self.dispatcher.balancers.items()
+            for host, number in balancer.loads().items()
+        ]
+        holdings = [
+            Holding(work.range.number, work.range.record.epoch)
+            for work in self.shards.held.values()
+            if isinstance(work, RangeWork)
+        ]
+        leaving = [name for name, host in self.host_list.hosts.items() if host.status == "leaving"]
+        return Status(
+            incarnation=self.incarnation,
+            sequence=self._sequence,
+            configuration=self.configuration.version,
+            checksum=self.configuration.checksum[:16],
+            loads=loads,
+            leaving=leaving,
+            holdings=holdings,
+            stopping=self.stopping,
+        )
+
+    def _apply_loads(self) -> None:
+        now = time.monotonic()
+        sums: dict[str, Counter[str]] = {}
+        for incarnation, (at, status) in list(self.statuses.items()):
+            if now - at >= STATUS_MAX_AGE_S:
+                if incarnation not in self.membership.members():
+                    del self.statuses[incarnation]
+                continue
+            for load in status.loads:
+                service, _, host = load.runner.partition("@")
+                sums.setdefault(service, Counter())[host] += load.in_flight
+        for name, balancer in self.dispatcher.balancers.items():
+            balancer.set_others(sums.get(name, Counter()))
+
+    async def follow_store(self) -> None:
+        """Keep the lease and the shards."""
+        while True:
+            try:
+                await self.membership.renew()
+                if self.mirror.current:
+                    await self._step_shards()
+            except StoreError:
+                self.counts["config"]["store-failures"] += 1
+            await asyncio.sleep(self.settings.control_period_s)
+
+    async def _step_shards(self) -> None:
+        members = [
+            member.incarnation
+            for member in self.membership.members().values()
+            if not member.stopping
+        ]
+        await self.shards.step(self.list_shards(), members, self.membership.lease)
+
+    async def stop(self) -> None:
+        """Prepare a planned stop: hand over shards and let the balancer look away."""
+        self.stopping = True
+        self.timeline.add("daemon.stopping", self.settings.name)
+        with suppress(StoreError):
+            await self.membership.announce_stop()
+        await self.shards.close()
+        self.proxy.closing = True
+        await asyncio.sleep(self.settings.look_away_s)
+
+    def _add_metrics(self) -> None:
+        add = self.metrics.add
+        add("process", "Processor seconds and peak memory.", read_process)
+        add("answers", "Answers to callers by outcome.", lambda: self.proxy.counts)
+        add("dispatch", "Requests and retries.", lambda: self.dispatcher.counts)
+        add("balancer", "Requests sent and refused, all services.", self._sum_balancers)
+        add("store_calls", "Calls to the platform's store.", lambda: self.store.calls)
+        for name, counter in self.counts.items():
+            add(name, f"Counters of {name}.", partial(_read_counter, counter))
+        add("state", "State of this daemon.", self._read_state)
+
+    def _sum_balancers(self) -> Counter[str]:
+        total: Counter[str] = Counter()
+        for balancer in self.dispatcher.balancers.values():
+            total.update(balancer.counts)
+        return total
+
+    def _read_state(self) -> dict[str, float]:
+        return {
+            "configuration_version": self.configuration.version,
+            "shards": len(self.shards.held),
+            "members": len(self.membership.members()),
+            "in_flight": self.proxy.in_flight,
+            "peer_bytes_sent": self.links.bytes_sent(),
+            "violations": self.count_violations(),
+        }
+
+    def count_violations(self) -> int:
+        """Return the number of promises found broken by this daemon's own checks."""
+        return sum(counter["violations"] for counter in self.counts.values())
+
+
+class RangeWork:
+    """Work of an operation range as a shard."""
+
+    def __init__(self, number: int, context: Context) -> None:
+        """Create the work for a range."""
+        self.range = OwnedRange(number, context)
+        """The range."""
+
+    async def run(self) -> None:
+        """Take the range over and serve it until it is lost."""
+        await self.range.take_over()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.range.serve())
+            group.create_task(self._refresh())
+
+    async def release(self) -> None:
+        """Give the range up in order."""
+        await self.range.release()
+
+    async def _refresh(self) -> None:
+        while True:
+            await asyncio.sleep(1.0)
+            with suppress(StoreError):
+                await self.range.refresh_witnesses()
+
+
+def _read_counter(counter: Counter[str]) -> Counter[str]:
+    return counter
+
+
+def _peer_address(peer: MemberRecord) -> str:
+    return f"{peer.address}:{peer.peer_port}"
+
+
+@asynccontextmanager
+async def open_daemon(settings: Settings) -> AsyncIterator[Daemon]:
+    """Run a daemon until the context ends, which is a planned stop."""
+    from foxtrestle.admin import build_admin  # noqa: PLC0415 - admin needs Daemon
+
+    daemon = Daemon(settings)
+    async with AsyncExitStack() as stack:
+        await daemon.connect(stack)
+        server = PeerServer(daemon._identity, daemon.timeline.clock, daemon.handle)
+        await server.start(bind(settings.address, settings.peer_port))
+        stack.push_async_callback(server.close)
+        stack.push_async_callback(_leave, daemon)
+        loops: list[Callable[[], Awaitable[None]]] = [
+            lambda: daemon.mirror.follow(daemon.store),
+            daemon.follow_store,
+            daemon.follow_hosts,
+            daemon.follow_peers,
+        ]
+        for loop in loops:
+            task = asyncio.create_task(_supervise(loop, daemon))
+            stack.push_async_callback(_cancel, task)
+        serve = partial(listen, certificate=settings.tls_certificate, key=settings.tls_key)
+        admin = bind(settings.address, settings.admin_port)
+        await stack.enter_async_context(serve(build_admin(daemon), [admin]))
+        callers = bind(settings.address, settings.caller_port)
+        await stack.enter_async_context(
+            serve(daemon.proxy, [callers], stop_limit_s=settings.stop_limit_s)
+        )
+        daemon.timeline.add("daemon.started", settings.name, daemon.incarnation)
+        try:
+            yield daemon
+        finally:
+            await daemon.stop()
+
+
+async def _supervise(loop: Callable[[], Awaitable[None]], daemon: Daemon) -> None:
+    """Run a loop again when it fails, and say so."""
+    while True:
+        try:
+            await loop()
+        except Exception as error:
+            daemon.counts["config"]["loop-failures"] += 1
+            daemon.timeline.add("daemon.loop-failed", daemon.settings.name, repr(error))
+        await asyncio.sleep(1.0)
+
+
+async def _leave(daemon: Daemon) -> None:
+    daemon.shards.abandon()
+    with suppress(StoreError):
+        await daemon.membership.leave()
+
+
+async def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+
+
+async def _run(settings: Settings) -> None:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    async with open_daemon(settings):
+        await stopped.wait()
+
+
+def main() -> None:
+    """Run `foxtrestled SETTINGS`."""
+    if len(sys.argv) != 2 or sys.argv[1] in ("-h", "--help"):
+        print("usage: foxtrestled SETTINGS.toml", file=sys.stderr)
+        sys.exit(2)
+    path = Path(sys.argv[1])
+    result = read_settings(path)
+    if isinstance(result, Failure):
+        for fault in result.failure():
+            print(f"{path}: {fault}", file=sys.stderr)
+        sys.exit(2)
+    eliot.to_file(sys.stdout)
+    asyncio.run(_run(result.unwrap()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/foxtrestle/draft.py
@@ -0,0 +1,378 @@
+"""A fleet record taken apart for decisions, and put together again for the store.
+
+Functions here observe (host list, workers' status) and advance waves. They read no clock and do
+no I/O; `foxtrestle.fleet_shard` feeds them and commits the outcome.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from foxtrestle.assignment import assign, compute_targets
+from foxtrestle.chart import load_chart
+from foxtrestle.fleet import IN_MAINTENANCE, SPARE, Fleet, Host, Shape
+from foxtrestle.maintenance import (
+    SpareChoice,
+    WaveLoad,
+    choose_hosts,
+    choose_spare,
+    compute_parallel,
+)
+from foxtrestle.records import FleetRecord, HostEntry, WaveEntry, replace
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from foxtrestle.declaration import Declaration, Wave
+    from foxtrestle.platform import ListedHost, WorkerStatus
+
+REPLACE_AFTER_S: Final = 30.0
+"""Seconds a lost host keeps its place in its pool."""
+FORGET_AFTER_S: Final = 3600.0
+"""Seconds after which a lost spare host is forgotten."""
+SETTLE_S: Final = 3.0
+"""Least seconds a host drains, so that every daemon has seen that it does."""
+
+
+class Note(msgspec.Struct, frozen=True):
+    """Something that happened in a draft, for the time line."""
+
+    kind: str
+    """What, for example `host.draining`."""
+    subject: str
+    """Host, pool or wave."""
+    detail: str = ""
+    """Anything else."""
+
+
+class Draft:
+    """Working copy of one region's fleet record."""
+
+    def __init__(self, region: str, record: FleetRecord, declaration: Declaration) -> None:
+        """Take a record apart under a declaration."""
+        self.region = region
+        """The region."""
+        self.record = record
+        """The record the draft began from."""
+        self.declaration = declaration
+        """The declaration followed."""
+        self.entries: dict[str, HostEntry] = dict(record.hosts)
+        """Host entries; pool and state here follow `fleet` when the record is put together."""
+        self.waves: dict[str, WaveEntry] = dict(record.waves)
+        """Wave entries."""
+        self.moves = record.moves
+        """Hosts that joined a pool since the record began."""
+        self.shortages: dict[str, str] = dict(record.shortages)
+        """Pools that are short, and why."""
+        self.touched: set[str] = set()
+        """Pools whose hosts have changed since they were last assigned."""
+        self.notes: list[Note] = []
+        """What happened."""
+        levels = {team.name: team.level for team in declaration.teams}
+        pools = [pool for pool in declaration.pools if pool.region == region]
+        self.fleet = Fleet(pools, levels)
+        for name, entry in record.hosts.items():
+            pool = entry.pool if entry.pool in self.fleet.pools else SPARE
+            self.fleet.add(_to_host(name, region, entry), entry.state, pool)
+        self.targets = compute_targets(self.fleet)
+        """Hosts each pool should have."""
+        self.spare = self._choose_spare()
+        """Spare hosts wanted, and how waves use them."""
+
+    def move_along(self, name: str, event: str, now: float, note: str = "") -> None:
+        """Move a host along its chart and note it."""
+        state = load_chart("host").move(self.fleet.states[name], event)
+        self.fleet.set_state(name, state)  # type: ignore[arg-type]
+        self.entries[name] = replace(self.entries[name], state=state, since=now, note=note)
+        self.touched.add(self.fleet.pool_of[name])
+        self.notes.append(Note(f"host.{state}", name, note))
+
+    def to_record(self, holder: str, epoch: int, configuration: int) -> FleetRecord:
+        """Put the record together; `sequence` grows by one."""
+        hosts = {
+            name: replace(entry, pool=self.fleet.pool_of[name], state=self.fleet.states[name])
+            for name, entry in self.entries.items()
+        }
+        return FleetRecord(
+            epoch=epoch,
+            holder=holder,
+            sequence=self.record.sequence + 1,
+            configuration=configuration,
+            hosts=hosts,
+            waves=self.waves,
+            moves=self.moves,
+            spare=self.spare.spare,
+            shortages=self.shortages,
+        )
+
+    def _choose_spare(self) -> SpareChoice:
+        racks = max(1, len(self.fleet.rack_zones))
+        zones = max(1, len(set(self.fleet.rack_zones.values())))
+        loads = []
+        for name, pool in self.fleet.pools.items():
+            domains = zones if pool.survive == "zone" else racks
+            target = self.targets[name]
+            loads.append(WaveLoad(target, compute_parallel(pool, target, domains)))
+        most = max(0, len(self.fleet.hosts) - sum(self.targets.values()))
+        choice = choose_spare(loads, self.declaration.weights, most=most)
+        if self.declaration.spare is None:
+            return choice
+        return msgspec.structs.replace(choice, spare=self.declaration.spare)
+
+
+def _to_host(name: str, region: str, entry: HostEntry) -> Host:
+    return Host(name, entry.address, entry.rack, entry.zone, region, Shape(*entry.shape))
+
+
+def observe_list(
+    draft: Draft, listed: dict[str, ListedHost], missing: frozenset[str], now: float
+) -> None:
+    """Take over the platform's host list.
+
+    Args:
+        draft: The draft.
+        listed: Hosts of the region in the list.
+        missing: Hosts that have been away from the list long enough to be believed.
+        now: Wall time, seconds.
+    """
+    chart = load_chart("host")
+    for name, host in listed.items():
+        if name not in draft.entries:
+            _add(draft, host, now)
+            continue
+        state = draft.fleet.states[name]
+        if host.status == "leaving" and chart.allows(state, "leave"):
+            draft.move_along(name, "leave", now)
+        elif host.status == "live" and state in ("lost", "leaving"):
+            draft.move_along(name, "back", now)
+    for name in sorted(missing & draft.entries.keys()):
+        state = draft.fleet.states[name]
+        if state != "rebooting" and chart.allows(state, "vanish"):
+            draft.move_along(name, "vanish", now)
+    _forget(draft, listed, now)
+
+
+def _add(draft: Draft, host: ListedHost, now: float) -> None:
+    shape = (host.accelerators, host.cores, host.memory_gb)
+    state = "leaving" if host.status == "leaving" else "up"
+    entry = HostEntry(SPARE, state, now, host.address, host.rack, host.zone, shape)  # type: ignore[arg-type]
+    draft.entries[host.name] = entry
+    draft.fleet.add(host.to_host(), state)  # type: ignore[arg-type]
+    draft.touched.update(draft.shortages)
+    draft.notes.append(Note("host.added", host.name, host.rack))
+
+
+def _forget(draft: Draft, listed: dict[str, ListedHost], now: float) -> None:
+    gone = [
+        name
+        for name, entry in draft.entries.items()
+        if name not in listed
+        and draft.fleet.states[name] == "lost"
+        and draft.fleet.pool_of[name] == SPARE
+        and now - entry.since > FORGET_AFTER_S
+    ]
+    for name in gone:
+        del draft.entries[name]
+        draft.fleet.remove(name)
+        draft.notes.append(Note("host.forgotten", name))
+
+
+def observe_workers(
+    draft: Draft, statuses: dict[str, WorkerStatus], now: float, settle_s: float = SETTLE_S
+) -> None:
+    """Take over what the workers in maintenance say of themselves.
+
+    A host that is empty goes on to its reboot, one with a new boot is back, and one that takes
+    too long is quarantined so that it holds up nobody.
+    """
+    waves = {wave.name: wave for wave in draft.declaration.waves}
+    for name, entry in list(draft.entries.items()):
+        state = draft.fleet.states[name]
+        if state not in IN_MAINTENANCE:
+            continue
+        wave = waves.get(entry.wave)
+        status = statuses.get(name)
+        waited = now - entry.since
+        if state == "draining" and wave is None:
+            _finish_host(draft, name, "cancel", now, "")
+        elif state == "draining" and status and waited >= settle_s and _is_empty(status):
+            draft.move_along(name, "emptied", now)
+            draft.entries[name] = replace(draft.entries[name], boot=status.boot)
+        elif state == "rebooting" and status and status.boot > entry.boot:
+            _finish_host(draft, name, "back", now, "")
+        elif waited > _limit(wave, state):
+            _finish_host(draft, name, "stuck", now, f"{state} for {waited:.0f} s")
+
+
+def _is_empty(status: WorkerStatus) -> bool:
+    running = any(task.state == "running" for task in status.tasks)
+    return status.draining and status.in_flight == 0 and not running
+
+
+def _limit(wave: Wave | None, state: str) -> float:
+    if wave is None:
+        return 900.0
+    return wave.drain_limit_s if state == "draining" else wave.reboot_limit_s
+
+
+def _finish_host(draft: Draft, name: str, event: str, now: float, note: str) -> None:
+    """End a host's maintenance and enter it in its wave."""
+    wave = draft.entries[name].wave
+    draft.move_along(name, event, now, note)
+    draft.entries[name] = replace(draft.entries[name], wave="")
+    held = draft.waves.get(wave)
+    if held is None or event == "cancel":
+        return
+    if event == "back":
+        draft.waves[wave] = replace(held, maintained=[*held.maintained, name])
+    else:
+        draft.waves[wave] = replace(held, failed=[*held.failed, name])
+
+
+def assign_touched(draft: Draft, now: float) -> None:
+    """Fill the pools whose hosts have changed, and those that were short."""
+    ripe = _find_ripe(draft, now)
+    touched = (draft.touched | {draft.fleet.pool_of[name] for name in ripe}) - {SPARE}
+    touched = (touched | draft.shortages.keys()) & draft.fleet.pools.keys()
+    draft.touched = set()
+    outcome = assign(draft.fleet, draft.targets, touched, ripe)
+    for move in outcome.moves:
+        draft.moves += move.target != SPARE
+        draft.notes.append(Note(f"move.{move.cause}", move.host, f"{move.source}>{move.target}"))
+    for pool in touched:
+        draft.shortages.pop(pool, None)
+    for shortage in outcome.shortages:
+        draft.shortages[shortage.pool] = f"{shortage.hosts} short: {shortage.reason}"
+    for pool in draft.shortages.keys() - draft.fleet.pools.keys():
+        del draft.shortages[pool]
+
+
+def _find_ripe(draft: Draft, now: float) -> frozenset[str]:
+    """Find hosts that are away for so long, or for good, that their pool replaces them."""
+    ripe = set()
+    for name, entry in draft.entries.items():
+        state = draft.fleet.states[name]
+        if draft.fleet.pool_of[name] == SPARE or state not in ("lost", "leaving"):
+            continue
+        if state == "leaving" or now - entry.since >= REPLACE_AFTER_S:
+            ripe.add(name)
+    return frozenset(ripe)
+
+
+def advance_waves(draft: Draft, now: float) -> None:
+    """Begin, continue, pause and finish the waves of the declaration, urgent ones first."""
+    declared = sorted(draft.declaration.waves, key=lambda wave: not wave.urgent)
+    names = {wave.name for wave in declared}
+    for name in [name for name in draft.waves if name not in names]:
+        _withdraw(draft, name, now)
+    for wave in declared:
+        held = draft.waves.get(wave.name)
+        if held is None:
+            _begin(draft, wave, now)
+        elif held.state in ("running", "paused"):
+            _continue(draft, wave, now)
+
+
+def _begin(draft: Draft, wave: Wave, now: float) -> None:
+    wanted = set(wave.pools)
+    pending = sorted(
+        name for name, pool in draft.fleet.pool_of.items() if not wanted or pool in wanted
+    )
+    if not pending:
+        return
+    chart = load_chart("wave")
+    draft.waves[wave.name] = WaveEntry(chart.move(chart.start, "begin"), now, pending=pending)
+    draft.notes.append(Note("wave.running", wave.name, f"{len(pending)} hosts"))
+    _continue(draft, wave, now)
+
+
+def _withdraw(draft: Draft, name: str, now: float) -> None:
+    held = draft.waves[name]
+    if load_chart("wave").allows(held.state, "withdraw"):
+        draft.waves[name] = replace(held, state="withdrawn", ended=now, pending=[])
+        draft.notes.append(Note("wave.withdrawn", name))
+
+
+def _continue(draft: Draft, wave: Wave, now: float) -> None:
+    held = draft.waves[wave.name]
+    start = choose_hosts(
+        draft.fleet, held.pending, frozenset(held.maintained), eager=draft.spare.eager
+    )
+    for move in start.moves:
+        draft.moves += move.target != SPARE
+        draft.notes.append(Note("move.swap", move.host, f"{move.source}>{move.target}"))
+    for name in start.hosts:
+        draft.entries[name] = replace(
+            draft.entries[name], state="draining", since=now, wave=wave.name
+        )
+        draft.notes.append(Note("host.draining", name, wave.name))
+    pending = [name for name in held.pending if name not in set(start.hosts)]
+    gone = [name for name in pending if _is_gone(draft, name, wave, now)]
+    pending = [name for name in pending if name not in gone]
+    active = any(entry.wave == wave.name for entry in draft.entries.values())
+    held = replace(held, pending=pending, failed=[*held.failed, *gone])
+    draft.waves[wave.name] = _step_wave(draft, wave.name, held, now, active=active)
+
+
+def _step_wave(draft: Draft, name: str, held: WaveEntry, now: float, *, active: bool) -> WaveEntry:
+    """Move a wave along its chart: finished, held up by lost hosts, or going on."""
+    event = ""
+    if not held.pending and not active:
+        event = "finish"
+    elif held.state == "running" and not active:
+        event = "hold"
+    elif held.state == "paused" and active:
+        event = "resume"
+    if not event:
+        return held
+    state = load_chart("wave").move(held.state, event)
+    draft.notes.append(Note(f"wave.{state}", name, f"{len(held.pending)} hosts to go"))
+    return replace(held, state=state, ended=now if event == "finish" else 0.0)
+
+
+def _is_gone(draft: Draft, name: str, wave: Wave, now: float) -> bool:
+    """Tell whether a host waits for nothing: not there, or away for as long as a reboot may be."""
+    entry = draft.entries.get(name)
+    if entry is None:
+        return True
+    state = draft.fleet.states[name]
+    if state in ("quarantined", "leaving"):
+        return True
+    return state == "lost" and now - entry.since > wave.reboot_limit_s
+
+
+def find_violations(draft: Draft) -> list[Note]:
+    """Check a draft before it is committed: what it newly takes down must leave budgets whole.
+
+    Returns:
+        A note for each pool that the draft itself, and not a failure, takes below its floor, and
+        for each host that stands in more than one pool.
+    """
+    taken: Counter[str] = Counter()
+    for name, former in draft.record.hosts.items():
+        if former.state == "up" and draft.fleet.states.get(name) == "draining":
+            taken[former.pool] += 1
+    violations = [
+        Note("violation.budget", pool, f"{number} hosts taken down below the floor")
+        for pool, number in taken.items()
+        if pool in draft.fleet.pools and draft.fleet.missing(pool)
+    ]
+    owners: Counter[str] = Counter()
+    for count in draft.fleet.counts.values():
+        owners.update(count.members)
+    violations.extend(
+        Note("violation.one-pool", host) for host, number in owners.items() if number > 1
+    )
+    return violations
+
+
+def list_in_maintenance(draft: Draft) -> Iterable[tuple[str, HostEntry]]:
+    """List the hosts whose workers have to be asked."""
+    return [
+        (name, entry)
+        for name, entry in draft.entries.items()
+        if draft.fleet.states[name] in IN_MAINTENANCE
+    ]
--- /dev/null
+++ b/src/foxtrestle/fleet.py
@@ -0,0 +1,223 @@
+"""Hosts, the pools they are in, and the counts on which decisions rest, kept incrementally."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, Final, Literal
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from foxtrestle.declaration import Pool
+
+HostState = Literal["up", "draining", "rebooting", "lost", "leaving", "quarantined"]
+"""States of `charts/host.toml`."""
+SPARE: Final = ""
+"""Name that stands for no pool: the host is spare."""
+IN_MAINTENANCE: Final = frozenset({"draining", "rebooting"})
+"""States of a host that a wave has taken and that is expected back."""
+
+
+class Shape(msgspec.Struct, frozen=True, order=True):
+    """Resources of a host; ordered so that the scarcest resource compares first."""
+
+    accelerators: int
+    """Accelerators."""
+    cores: int
+    """Processor cores."""
+    memory_gb: int
+    """Memory, GB."""
+
+    def fits(self, pool: Pool) -> bool:
+        """Tell whether a host of this shape may serve a pool."""
+        return (
+            self.accelerators >= pool.min_accelerators
+            and self.cores >= pool.min_cores
+            and self.memory_gb >= pool.min_memory_gb
+        )
+
+
+class Host(msgspec.Struct, frozen=True):
+    """What does not change about a host."""
+
+    name: str
+    """Unique name."""
+    address: str
+    """IP address."""
+    rack: str
+    """Rack, unique over the fleet."""
+    zone: str
+    """Availability zone."""
+    region: str
+    """Region."""
+    shape: Shape
+    """Resources."""
+
+
+class PoolCount:
+    """Counts of one pool's hosts, kept up to date by `Fleet`."""
+
+    __slots__ = ("members", "racks", "returning", "up", "zones")
+
+    def __init__(self) -> None:
+        self.members: set[str] = set()
+        """Hosts in the pool, whatever their state."""
+        self.up = 0
+        """Members that are up."""
+        self.returning = 0
+        """Members in maintenance."""
+        self.racks: Counter[str] = Counter()
+        """Members up, by rack."""
+        self.zones: Counter[str] = Counter()
+        """Members up, by availability zone."""
+
+
+class Fleet:
+    """Hosts of one region with their state and pool; each host is in exactly one pool or spare."""
+
+    def __init__(self, pools: Iterable[Pool] = (), levels: dict[str, int] | None = None) -> None:
+        """Create a fleet without hosts.
+
+        Args:
+            pools: The region's pools.
+            levels: Priority level of each team.
+        """
+        self.hosts: dict[str, Host] = {}
+        """Hosts by name."""
+        self.states: dict[str, HostState] = {}
+        """State of each host."""
+        self.pool_of: dict[str, str] = {}
+        """Pool of each host; `SPARE` for none."""
+        self.pools: dict[str, Pool] = {}
+        """Pools by name."""
+        self.counts: dict[str, PoolCount] = {}
+        """Counts by pool."""
+        self.spare: dict[Shape, dict[str, set[str]]] = {}
+        """Spare hosts that are up, by shape and rack."""
+        self.spare_up = 0
+        """Number of spare hosts that are up."""
+        self.rack_zones: dict[str, str] = {}
+        """Availability zone of each rack."""
+        self._levels: dict[str, int] = {}
+        self._ascending: list[str] = []
+        self.set_pools(pools, levels or {})
+
+    def set_pools(self, pools: Iterable[Pool], levels: dict[str, int]) -> None:
+        """Take over a new set of pools; hosts of pools that are gone become spare."""
+        self.pools = {pool.name: pool for pool in pools}
+        for name in [name for name in self.counts if name not in self.pools]:
+            for host in sorted(self.counts[name].members):
+                self.move(host, SPARE)
+            del self.counts[name]
+        for name in self.pools:
+            self.counts.setdefault(name, PoolCount())
+        self._levels = {pool.name: levels.get(pool.team, 0) for pool in self.pools.values()}
+        self._ascending = sorted(self.pools, key=lambda name: (self._levels[name], name))
+
+    def level(self, pool: str) -> int:
+        """Return the priority level of a pool's team."""
+        return self._levels[pool]
+
+    def pools_by_level(self) -> list[str]:
+        """Return the pools, lowest level first; equal levels by name."""
+        return self._ascending
+
+    def add(self, host: Host, state: HostState = "up", pool: str = SPARE) -> None:
+        """Add a host."""
+        self.hosts[host.name] = host
+        self.states[host.name] = state
+        self.pool_of[host.name] = pool
+        self.rack_zones[host.rack] = host.zone
+        self._count(host.name, +1)
+
+    def remove(self, name: str) -> None:
+        """Remove a host."""
+        self._count(name, -1)
+        del self.hosts[name], self.states[name], self.pool_of[name]
+
+    def set_state(self, name: str, state: HostState) -> None:
+        """Change the state of a host."""
+        self._count(name, -1)
+        self.states[name] = state
+        self._count(name, +1)
+
+    def move(self, name: str, pool: str) -> None:
+        """Put a host into a pool, out of the one it was in."""
+        self._count(name, -1)
+        self.pool_of[name] = pool
+        self._count(name, +1)
+
+    def worst_loss(self, pool: str) -> int:
+        """Return how many hosts a pool loses with the largest domain it must survive."""
+        count = self.counts[pool]
+        survive = self.pools[pool].survive
+        if survive == "host":
+            return min(1, count.up)
+        domains = count.racks if survive == "rack" else count.zones
+        return max(domains.values(), default=0)
+
+    def slack(self, pool: str) -> int:
+        """Return how many hosts a pool could lose beside its worst domain and keep its budget.
+
+        Negative: the loss of one domain would break the budget now.
+        """
+        return self.counts[pool].up - self.worst_loss(pool) - self.pools[pool].floor
+
+    def slack_without(self, pool: str, names: Iterable[str]) -> int:
+        """Return the slack a pool would have with some of its hosts that are up taken down."""
+        count = self.counts[pool]
+        taken = [self.hosts[name] for name in names]
+        survive = self.pools[pool].survive
+        up = count.up - len(taken)
+        if survive == "host":
+            return up - min(1, up) - self.pools[pool].floor
+        domains = count.racks if survive == "rack" else count.zones
+        lost = Counter(host.rack if survive == "rack" else host.zone for host in taken)
+        worst = max((number - lost[domain] for domain, number in domains.items()), default=0)
+        return up - worst - self.pools[pool].floor
+
+    def missing(self, pool: str) -> int:
+        """Return how many hosts a pool is below its floor; 0 when its budget holds."""
+        return max(0, self.pools[pool].floor - self.counts[pool].up)
+
+    def spare_hosts(self) -> Iterator[str]:
+        """Iterate over spare hosts that are up."""
+        for racks in self.spare.values():
+            for names in racks.values():
+                yield from names
+
+    def _count(self, name: str, sign: int) -> None:
+        host, state, pool = self.hosts[name], self.states[name], self.pool_of[name]
+        if pool == SPARE:
+            if state == "up":
+                self._count_spare(host, sign)
+            return
+        count = self.counts.setdefault(pool, PoolCount())
+        if sign > 0:
+            count.members.add(name)
+        else:
+            count.members.discard(name)
+        if state == "up":
+            count.up += sign
+            _add(count.racks, host.rack, sign)
+            _add(count.zones, host.zone, sign)
+        elif state in IN_MAINTENANCE:
+            count.returning += sign
+
+    def _count_spare(self, host: Host, sign: int) -> None:
+        self.spare_up += sign
+        racks = self.spare.setdefault(host.shape, {})
+        if sign > 0:
+            racks.setdefault(host.rack, set()).add(host.name)
+            return
+        racks[host.rack].discard(host.name)
+        if not racks[host.rack]:
+            del racks[host.rack]
+
+
+def _add(counter: Counter[str], key: str, number: int) -> None:
+    counter[key] += number
+    if not counter[key]:
+        del counter[key]
--- /dev/null
+++ b/src/foxtrestle/fleet_shard.py
@@ -0,0 +1,255 @@
+"""Work of a region's fleet shard: observe, decide, commit by one swap, and only then order."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from foxtrestle.draft import (
+    SETTLE_S,
+    Draft,
+    Note,
+    advance_waves,
+    assign_touched,
+    find_violations,
+    list_in_maintenance,
+    observe_list,
+    observe_workers,
+)
+from foxtrestle.errors import FoxtrestleError
+from foxtrestle.records import FLEETS, FleetRecord, decode_record, encode_record, replace
+from foxtrestle.store import ABSENT, StoreError, swap_surely
+
+if TYPE_CHECKING:
+    from collections import Counter
+    from collections.abc import Awaitable, Callable
+
+    from foxtrestle.configuration import Configuration
+    from foxtrestle.events import Timeline
+    from foxtrestle.platform import HostList, Workers, WorkerStatus
+    from foxtrestle.records import HostEntry
+    from foxtrestle.store import Mirror, Store
+
+BELIEVE_ABSENCE_S: Final = 3.0
+"""Seconds a host must be away from the list before it counts as lost."""
+LIST_MAX_AGE_S: Final = 10.0
+"""Seconds after the last read of the host list beyond which absence means nothing."""
+
+
+class ShardLost(FoxtrestleError):
+    """Another daemon holds the shard now."""
+
+
+class FleetContext(msgspec.Struct, frozen=True):
+    """What the work on fleets needs of its daemon."""
+
+    incarnation: str
+    """This daemon's incarnation."""
+    store: Store
+    """The platform's store."""
+    mirror: Mirror
+    """Mirror of the shared records."""
+    configuration: Configuration
+    """The configuration installed."""
+    host_list: HostList
+    """The platform's host list, polled by the daemon."""
+    workers: Workers
+    """Orders to workers."""
+    timeline: Timeline
+    """Where changes are noted."""
+    counts: Counter[str]
+    """Counters: `rounds`, `commits`, `conflicts`, `violations`, `orders`, `order-failures`."""
+    period_s: float
+    """Seconds between two rounds."""
+    hears_majority: Callable[[], bool]
+    """Tells whether most of the daemons last known have been heard of late."""
+    settle_s: float = SETTLE_S
+    """Least seconds a host drains."""
+    wall: Callable[[], float] = time.time
+    """Wall clock, seconds."""
+
+
+class FleetShard:
+    """Holder's work on one region."""
+
+    def __init__(self, region: str, context: FleetContext) -> None:
+        """Create the work for a region."""
+        self.region = region
+        """The region."""
+        self._context = context
+        self._key = FLEETS + region
+        self._record = FleetRecord()
+        self._revision = ABSENT
+        self._draft: Draft | None = None
+        self._seen: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Work until cancelled.
+
+        Raises:
+            ShardLost: Another daemon holds the shard now.
+        """
+        await self._take_over()
+        while True:
+            try:
+                await self._step()
+            except StoreError as error:
+                # Nothing is taken down or moved while the store does not answer.
+                self._draft = None
+                self._context.timeline.add("fleet.store-away", self.region, error.reason)
+            await asyncio.sleep(self._context.period_s)
+
+    async def release(self) -> None:
+        """Nothing to hand over: the record in the store is all there is."""
+
+    async def _take_over(self) -> None:
+        """Raise the epoch, so that orders and writes of a former holder are refused."""
+        held = await self._context.store.get(self._key)
+        former = decode_record(held.value, FleetRecord, self._key) if held else FleetRecord()
+        self._revision = held.revision if held else ABSENT
+        record = replace(
+            former,
+            epoch=former.epoch + 1,
+            holder=self._context.incarnation,
+            sequence=former.sequence + 1,
+        )
+        await self._commit(record)
+
+    async def _step(self) -> None:
+        context = self._context
+        context.counts["rounds"] += 1
+        if not context.mirror.current or not context.configuration.version:
+            return
+        now = context.wall()
+        draft = self._prepare()
+        statuses = await self._read_statuses(draft)
+        listed = {
+            name: host
+            for name, host in context.host_list.hosts.items()
+            if host.region == self.region
+        }
+        observe_list(draft, listed, self._find_missing(draft, set(listed), now), now)
+        observe_workers(draft, statuses, now, context.settle_s)
+        assign_touched(draft, now)
+        advance_waves(draft, now)
+        violations = find_violations(draft)
+        if violations:
+            self._report(violations)
+            return
+        record = draft.to_record(
+            context.incarnation, self._record.epoch, context.configuration.version
+        )
+        if replace(record, sequence=self._record.sequence) != self._record:
+            await self._commit(record)
+            draft.record = record
+            for note in draft.notes:
+                context.timeline.add(note.kind, note.subject, note.detail)
+        notes, draft.notes = draft.notes, []
+        await self._order(draft, statuses, notes)
+
+    def _prepare(self) -> Draft:
+        """Return the draft of the last round, or a new one after a change of configuration."""
+        declaration = self._context.configuration.declaration
+        if self._draft is None or self._draft.declaration is not declaration:
+            draft = Draft(self.region, self._record, declaration)
+            draft.touched.update(draft.fleet.pools)
+            self._draft = draft
+        return self._draft
+
+    def _find_missing(self, draft: Draft, listed: set[str], now: float) -> frozenset[str]:
+        """Find hosts that have been away from a fresh list long enough to be believed."""
+        if now - self._context.host_list.read_at > LIST_MAX_AGE_S:
+            return frozenset()
+        for name in listed:
+            self._seen[name] = now
+        missing = set()
+        for name in draft.entries.keys() - listed:
+            if now - self._seen.setdefault(name, now) >= BELIEVE_ABSENCE_S:
+                missing.add(name)
+        return frozenset(missing)
+
+    async def _read_statuses(self, draft: Draft) -> dict[str, WorkerStatus]:
+        """Ask every worker in maintenance for its status; silent ones are left out."""
+        wanted = list(list_in_maintenance(draft))
+
+        async def read(entry: HostEntry) -> WorkerStatus | None:
+            try:
+                return await self._context.workers.read_status(entry.address)
+            except FoxtrestleError:
+                return None
+
+        statuses = await asyncio.gather(*(read(entry) for _, entry in wanted))
+        return {
+            name: status
+            for (name, _), status in zip(wanted, statuses, strict=True)
+            if status is not None
+        }
+
+    async def _commit(self, record: FleetRecord) -> None:
+        try:
+            swap = await swap_surely(
+                self._context.store, self._key, encode_record(record), self._revision
+            )
+        except StoreError:
+            await self._recover()
+            raise
+        if not swap.done:
+            self._context.counts["conflicts"] += 1
+            raise ShardLost("another daemon wrote the record", step="fleet.commit", peer=self._key)
+        assert swap.record is not None
+        self._context.counts["commits"] += 1
+        self._revision, self._record = swap.record.revision, record
+        self._context.mirror.note(swap.record)
+
+    async def _recover(self) -> None:
+        """After a write of unknown outcome: drop the draft and go on from what the store holds."""
+        self._draft = None
+        held = await self._context.store.get(self._key)
+        if held is None:
+            return
+        record = decode_record(held.value, FleetRecord, self._key)
+        if record.holder not in ("", self._context.incarnation):
+            raise ShardLost("another daemon holds it", step="fleet.commit", peer=self._key)
+        self._revision, self._record = held.revision, record
+
+    async def _order(
+        self, draft: Draft, statuses: dict[str, WorkerStatus], notes: list[Note]
+    ) -> None:
+        """Give the orders that the committed states call for; each may be given again."""
+        orders: list[Awaitable[None]] = []
+        for name, entry in list_in_maintenance(draft):
+            state, status = draft.fleet.states[name], statuses.get(name)
+            if state == "draining" and (status is None or not status.draining):
+                orders.append(self._drain(entry))
+            elif state == "rebooting" and status is not None and status.boot == entry.boot:
+                orders.append(self._reboot(entry))
+        orders.extend(
+            self._resume(draft.entries[note.subject]) for note in notes if note.kind == "host.up"
+        )
+        await asyncio.gather(*(self._try(order) for order in orders))
+
+    async def _drain(self, entry: HostEntry) -> None:
+        await self._context.workers.drain(entry.address, self._key, self._record.epoch)
+
+    async def _reboot(self, entry: HostEntry) -> None:
+        await self._context.workers.reboot(entry.address, self._key, self._record.epoch, entry.boot)
+
+    async def _resume(self, entry: HostEntry) -> None:
+        await self._context.workers.resume(entry.address, self._key, self._record.epoch)
+
+    async def _try(self, order: Awaitable[None]) -> None:
+        self._context.counts["orders"] += 1
+        try:
+            await order
+        except FoxtrestleError:
+            self._context.counts["order-failures"] += 1
+
+    def _report(self, violations: list[Note]) -> None:
+        """Count and log violations, and drop the draft: nothing of it is done."""
+        self._context.counts["violations"] += len(violations)
+        for note in violations:
+            self._context.timeline.add(note.kind, note.subject, note.detail)
+        self._draft = None
--- /dev/null
+++ b/src/foxtrestle/peers.py
@@ -0,0 +1,274 @@
+"""Connections between daemons: frames over TCP, with requests, replies and plain messages."""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+import itertools
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack, suppress
+from typing import TYPE_CHECKING, Any, Final
+
+import msgspec
+
+from foxtrestle.errors import FoxtrestleError
+from foxtrestle.messages import (
+    MAX_FRAME_BYTES,
+    Envelope,
+    Hello,
+    MessageError,
+    decode_envelope,
+    encode_envelope,
+)
+
+if TYPE_CHECKING:
+    import socket
+
+    from foxtrestle.events import Clock
+
+CONNECT_TIMEOUT_S: Final = 1.0
+"""Seconds to wait for a connection."""
+HELLO_TIMEOUT_S: Final = 5.0
+"""Seconds a new connection has to say who it is."""
+MAX_HELLO_BYTES: Final = 4096
+"""Longest first frame accepted, bytes; nothing larger is read before the token is checked."""
+
+Handler = Callable[[str, Any], Awaitable[Any]]
+"""Called with the sender's incarnation and a message; returns the reply or None."""
+
+
+class PeerUnreachable(FoxtrestleError):
+    """No connection to the peer; no byte of the message was sent."""
+
+
+class PeerSilent(FoxtrestleError):
+    """The message was sent and no reply came; the peer may have acted on it."""
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """Who this daemon is to its peers."""
+
+    name: str
+    """Name from the settings."""
+    incarnation: str
+    """Random identity of this run."""
+    token: str
+    """Token shared by the daemons."""
+
+
+class PeerServer:
+    """Accepts peers' connections and hands their messages to a handler."""
+
+    def __init__(self, identity: Identity, clock: Clock, handler: Handler) -> None:
+        """Create a server that is not yet listening."""
+        self.bytes_read = 0
+        """Bytes read from peers."""
+        self._identity = identity
+        self._clock = clock
+        self._handler = handler
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, bound: socket.socket) -> None:
+        """Listen on a bound socket."""
+        self._server = await asyncio.start_server(self._serve, sock=bound)
+
+    async def close(self) -> None:
+        """Stop listening and drop every connection."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        replies: set[asyncio.Task[None]] = set()
+        try:
+            sender = await self._greet(reader)
+            while True:
+                envelope = await self._read(reader, MAX_FRAME_BYTES)
+                reply = asyncio.create_task(self._reply(sender, envelope, writer))
+                replies.add(reply)
+                reply.add_done_callback(replies.discard)
+        except (OSError, EOFError, MessageError, TimeoutError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            for reply in replies:
+                reply.cancel()
+            writer.close()
+
+    async def _greet(self, reader: asyncio.StreamReader) -> str:
+        async with asyncio.timeout(HELLO_TIMEOUT_S):
+            hello = (await self._read(reader, MAX_HELLO_BYTES)).message
+        if not isinstance(hello, Hello):
+            raise MessageError("expected a hello", step="peers.greet")
+        if not hmac.compare_digest(hello.token.encode(), self._identity.token.encode()):
+            raise MessageError("wrong token", step="peers.greet", peer=hello.name)
+        if hello.wanted not in ("", self._identity.incarnation):
+            raise MessageError("another incarnation is wanted", step="peers.greet", peer=hello.name)
+        return hello.incarnation
+
+    async def _read(self, reader: asyncio.StreamReader, limit: int) -> Envelope:
+        envelope, size = await _read_envelope(reader, limit)
+        self.bytes_read += size
+        self._clock.observe(envelope.at)
+        return envelope
+
+    async def _reply(self, sender: str, envelope: Envelope, writer: asyncio.StreamWriter) -> None:
+        message = await self._handler(sender, envelope.message)
+        if message is None or envelope.id == 0:
+            return
+        writer.write(encode_envelope(Envelope(envelope.id, self._clock.read(), message)))
+        with suppress(OSError):
+            await writer.drain()
+
+
+class PeerLink:
+    """One connection to a peer, opened when needed."""
+
+    def __init__(self, identity: Identity, clock: Clock, address: str, wanted: str = "") -> None:
+        """Create a link that is not yet connected.
+
+        Args:
+            identity: Who this daemon is.
+            clock: Clock to stamp messages with.
+            address: Peer's `ip:port`.
+            wanted: Incarnation to reach; empty for any.
+        """
+        self.address = address
+        """Peer's `ip:port`."""
+        self.bytes_sent = 0
+        """Bytes sent."""
+        self._identity = identity
+        self._clock = clock
+        self._wanted = wanted
+        self._writer: asyncio.StreamWriter | None = None
+        self._reading: asyncio.Task[None] | None = None
+        self._ids = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[Any]] = {}
+        self._lock = asyncio.Lock()
+
+    async def tell(self, message: Any) -> None:
+        """Send a message that has no reply.
+
+        Raises:
+            PeerUnreachable: No connection.
+        """
+        await self._send(0, message)
+
+    async def ask(self, message: Any, timeout_s: float) -> Any:
+        """Send a message and wait for its reply.
+
+        Raises:
+            PeerUnreachable: No connection; no byte was sent.
+            PeerSilent: Sent, but no reply in time.
+        """
+        number = next(self._ids)
+        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._waiting[number] = future
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._send(number, message)
+                return await future
+        except (TimeoutError, EOFError) as error:
+            raise PeerSilent("no reply", step="peers.ask", peer=self.address) from error
+        finally:
+            self._waiting.pop(number, None)
+
+    async def close(self) -> None:
+        """Drop the connection."""
+        if self._reading is not None:
+            self._reading.cancel()
+            await asyncio.gather(self._reading, return_exceptions=True)
+        if self._writer is not None:
+            self._writer.close()
+            self._writer = None
+
+    async def _send(self, number: int, message: Any) -> None:
+        writer = await self._connect()
+        frame = encode_envelope(Envelope(number, self._clock.read(), message))
+        self.bytes_sent += len(frame)
+        writer.write(frame)
+        with suppress(OSError):
+            await writer.drain()
+
+    async def _connect(self) -> asyncio.StreamWriter:
+        async with self._lock:
+            if self._writer is not None and not self._writer.is_closing():
+                return self._writer
+            host, _, port = self.address.rpartition(":")
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    reader, writer = await asyncio.open_connection(host, int(port))
+            except (OSError, TimeoutError) as error:
+                raise PeerUnreachable(
+                    str(error) or "timed out", step="peers.connect", peer=self.address
+                ) from error
+            identity = self._identity
+            hello = Hello(identity.token, identity.name, identity.incarnation, self._wanted)
+            writer.write(encode_envelope(Envelope(0, self._clock.read(), hello)))
+            self._writer = writer
+            self._reading = asyncio.create_task(self._read(reader, writer))
+            return writer
+
+    async def _read(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                envelope, _ = await _read_envelope(reader, MAX_FRAME_BYTES)
+                self._clock.observe(envelope.at)
+                future = self._waiting.pop(envelope.id, None)
+                if future is not None and not future.done():
+                    future.set_result(envelope.message)
+        except (OSError, EOFError, MessageError) as error:
+            for future in self._waiting.values():
+                if not future.done():
+                    future.set_exception(EOFError(str(error)))
+        finally:
+            writer.close()
+            if self._writer is writer:
+                self._writer = None
+
+
+class PeerLinks:
+    """Links to all peers, by incarnation or by address."""
+
+    def __init__(self, identity: Identity, clock: Clock) -> None:
+        """Create an empty set of links."""
+        self._identity = identity
+        self._clock = clock
+        self._links: dict[tuple[str, str], PeerLink] = {}
+
+    def find(self, address: str, wanted: str = "") -> PeerLink:
+        """Return the link to an address, made if there is none."""
+        key = (address, wanted)
+        if key not in self._links:
+            self._links[key] = PeerLink(self._identity, self._clock, address, wanted)
+        return self._links[key]
+
+    def bytes_sent(self) -> int:
+        """Return the bytes sent over all links alive."""
+        return sum(link.bytes_sent for link in self._links.values())
+
+    async def keep_only(self, wanted: set[tuple[str, str]]) -> None:
+        """Close every link that is not among the wanted ones."""
+        for key in [key for key in self._links if key not in wanted]:
+            await self._links.pop(key).close()
+
+    async def close(self) -> None:
+        """Close every link."""
+        async with AsyncExitStack() as stack:
+            for link in self._links.values():
+                stack.push_async_callback(link.close)
+        self._links.clear()
+
+
+async def _read_envelope(reader: asyncio.StreamReader, limit: int) -> tuple[Envelope, int]:
+    head = await reader.readexactly(4)
+    size = int.from_bytes(head, "little")
+    if size > limit:
+        raise MessageError(f"frame of {size} bytes", step="peers.read")
+    return decode_envelope(await reader.readexactly(size)), size + 4
--- /dev/null
+++ b/src/foxtrestle/preview.py
@@ -0,0 +1,107 @@
+"""What a file would change, and why something is as it is: answers for operators, without doing."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from foxtrestle.draft import Draft, assign_touched
+from foxtrestle.records import FleetRecord
+
+if TYPE_CHECKING:
+    from foxtrestle.declaration import Declaration
+
+
+class RegionPreview(msgspec.Struct, frozen=True):
+    """What a file would change in one region."""
+
+    region: str
+    """The region."""
+    moves: dict[str, int]
+    """Hosts that would join each pool."""
+    spare: int
+    """Hosts that would be held spare."""
+    batches: int
+    """Batches a wave over all the region's hosts would take at best."""
+    shortages: dict[str, str]
+    """Pools that would be short, and why."""
+
+
+def preview(declaration: Declaration, fleets: dict[str, FleetRecord]) -> list[RegionPreview]:
+    """Work out what a declaration would change."""
+    regions = {pool.region for pool in declaration.pools} | fleets.keys()
+    return [
+        _preview_region(declaration, region, fleets.get(region, FleetRecord()))
+        for region in sorted(regions)
+    ]
+
+
+def _preview_region(declaration: Declaration, region: str, record: FleetRecord) -> RegionPreview:
+    draft = Draft(region, record, declaration)
+    draft.touched.update(draft.fleet.pools)
+    assign_touched(draft, time.time())
+    moves: dict[str, int] = {}
+    for name, pool in draft.fleet.pool_of.items():
+        if pool and record.hosts[name].pool != pool:
+            moves[pool] = moves.get(pool, 0) + 1
+    return RegionPreview(region, moves, draft.spare.spare, draft.spare.batches, draft.shortages)
+
+
+def explain_host(name: str, declaration: Declaration, fleets: dict[str, FleetRecord]) -> list[str]:
+    """Explain where a host is and what holds it there."""
+    for region, record in fleets.items():
+        entry = record.hosts.get(name)
+        if entry is None:
+            continue
+        lines = [f"host {name} is {entry.state} in {entry.pool or 'no pool (spare)'}, {region}"]
+        if entry.note:
+            lines.append(f"because: {entry.note}")
+        lines += _explain_waves(name, declaration, region, record)
+        return lines
+    return [f"no host named {name} is known; the platform's host list may lag"]
+
+
+def _explain_waves(
+    name: str, declaration: Declaration, region: str, record: FleetRecord
+) -> list[str]:
+    draft = Draft(region, record, declaration)
+    lines = []
+    for wave, held in record.waves.items():
+        if name in held.maintained:
+            lines.append(f"wave {wave} has maintained it")
+        if name not in held.pending:
+            continue
+        pool = draft.fleet.pool_of[name]
+        if not pool:
+            lines.append(f"wave {wave} will take it when another spare host is up")
+            continue
+        slack = draft.fleet.slack_without(pool, [name])
+        lines.append(
+            f"wave {wave} waits: without it pool {pool} would have a slack of {slack} hosts "
+            f"({draft.fleet.counts[pool].up} up, floor {draft.fleet.pools[pool].floor}, "
+            f"{draft.fleet.worst_loss(pool)} in its worst {draft.fleet.pools[pool].survive})"
+        )
+    return lines
+
+
+def explain_pool(name: str, declaration: Declaration, fleets: dict[str, FleetRecord]) -> list[str]:
+    """Explain what a pool has and lacks."""
+    pool = next((pool for pool in declaration.pools if pool.name == name), None)
+    if pool is None:
+        return [f"no pool named {name} is in the configuration in force"]
+    record = fleets.get(pool.region)
+    if record is None:
+        return [f"region {pool.region} has no fleet record yet: no daemon has taken its shard"]
+    draft = Draft(pool.region, record, declaration)
+    count = draft.fleet.counts[name]
+    lines = [
+        f"pool {name} wants {pool.hosts} hosts and at least {pool.floor} up; "
+        f"to survive the loss of a {pool.survive} it is given {draft.targets[name]}",
+        f"it has {len(count.members)}: {count.up} up, {count.returning} in maintenance, "
+        f"{len(count.members) - count.up - count.returning} away; slack {draft.fleet.slack(name)}",
+    ]
+    if name in record.shortages:
+        lines.append(f"short: {record.shortages[name]}")
+    return lines
--- /dev/null
+++ b/src/foxtrestle/proxy.py
@@ -0,0 +1,208 @@
+"""The callers' side: an ASGI application that takes a request whole and gives a whole answer."""
+
+from __future__ import annotations
+
+import hmac
+import time
+from collections import Counter
+from typing import TYPE_CHECKING, Any, Final
+
+import msgspec
+
+from foxtrestle.dispatch import SAFE_METHODS
+from foxtrestle.errors import FoxtrestleError
+from foxtrestle.upstream import Request, make_refusal, select_headers
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from foxtrestle.configuration import Configuration
+    from foxtrestle.declaration import Service
+    from foxtrestle.dispatch import Dispatcher
+    from foxtrestle.messages import Answer
+    from foxtrestle.settings import Settings
+
+KEY_HEADER: Final = b"idempotency-key"
+"""Header with the caller's key (IETF draft-ietf-httpapi-idempotency-key-header)."""
+DEADLINE_HEADER: Final = b"foxtrestle-deadline-ms"
+"""Header with the milliseconds the caller will wait."""
+OUTCOME_HEADER: Final = b"foxtrestle-outcome"
+"""Header of every answer: `ran`, `not-run` or `may-have-run`."""
+MAX_KEY_BYTES: Final = 256
+"""Longest key accepted."""
+BODY_TIMEOUT_S: Final = 30.0
+"""Seconds a caller has to send its body."""
+DROPPED: Final = frozenset(("authorization", "foxtrestle-deadline-ms"))
+"""Caller's headers that are not carried to the runner."""
+
+
+class BadRequest(FoxtrestleError):
+    """A caller's request that is refused before anything is done with it."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        """Create the error with the HTTP status to answer."""
+        super().__init__(reason, step="proxy.read")
+        self.status = status
+        """HTTP status to answer."""
+
+
+class Caller(msgspec.Struct, frozen=True):
+    """Who sent a request."""
+
+    team: str
+    """Team; empty when callers are not told apart."""
+    level: int
+    """Priority level."""
+
+
+class Proxy:
+    """State of the callers' side."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        configuration: Configuration,
+        dispatcher: Dispatcher,
+        run_once: Callable[[Request], Awaitable[Answer]],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Create the callers' side.
+
+        Args:
+            settings: The daemon's settings.
+            configuration: The configuration installed.
+            dispatcher: Sends requests that carry no key.
+            run_once: Runs a request that carries a key.
+            clock: Monotonic clock, seconds.
+        """
+        self.counts: Counter[str] = Counter()
+        """Answers by outcome, and `bad` requests."""
+        self.in_flight = 0
+        """Requests being worked on."""
+        self.closing = False
+        """Whether connections are closed after the answer under way."""
+        self._settings = settings
+        self._configuration = configuration
+        self._dispatcher = dispatcher
+        self._run_once = run_once
+        self._clock = clock
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve one request (ASGI)."""
+        if scope["type"] != "http":
+            return
+        self.in_flight += 1
+        try:
+            answer = await self._answer(scope, receive)
+        except BadRequest as error:
+            self.counts["bad"] += 1
+            answer = make_refusal(error.status, "not-run", error.reason)
+        finally:
+            self.in_flight -= 1
+        self.counts[answer.outcome] += 1
+        await _send_answer(send, answer, close=self.closing)
+
+    async def _answer(self, scope: Any, receive: Any) -> Answer:
+        headers = dict(scope["headers"])
+        caller = self._identify(headers)
+        if self.in_flight > self._settings.max_requests:
+            return make_refusal(
+                503, "not-run", "the daemon has too many requests", retry_after_s=0.5
+            )
+        service = self._find_service(scope["path"])
+        body = await self._read_body(headers, receive)
+        request = self._make_request(scope, headers, caller, service, body)
+        if request.key:
+            return await self._run_once(request)
+        return await self._dispatcher.send(request)
+
+    def _identify(self, headers: dict[bytes, bytes]) -> Caller:
+        """Tell the caller's team from its token; every known token is compared."""
+        tokens = self._settings.team_tokens
+        if not tokens:
+            return Caller("", 0)
+        sent = headers.get(b"authorization", b"").removeprefix(b"Bearer ")
+        found = ""
+        for team, token in tokens.items():
+            if hmac.compare_digest(sent, token.encode()):
+                found = team
+        if not found:
+            raise BadRequest(401, "no team has this token")
+        levels = {team.name: team.level for team in self._configuration.declaration.teams}
+        return Caller(found, levels.get(found, 0))
+
+    def _find_service(self, path: str) -> Service:
+        name = path.split("/", 2)[1] if path.startswith("/") else ""
+        for service in self._configuration.declaration.services:
+            if service.name == name:
+                return service
+        raise BadRequest(404, f"no service named {name[:64]!r}")
+
+    async def _read_body(self, headers: dict[bytes, bytes], receive: Any) -> bytes:
+        limit = self._settings.max_body_bytes
+        if int(headers.get(b"content-length", b"0") or b"0") > limit:
+            raise BadRequest(413, f"the body is over {limit} bytes")
+        body = bytearray()
+        ends = self._clock() + BODY_TIMEOUT_S
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                raise BadRequest(400, "the caller went away")
+            body += message.get("body", b"")
+            if len(body) > limit:
+                raise BadRequest(413, f"the body is over {limit} bytes")
+            if not message.get("more_body"):
+                return bytes(body)
+            if self._clock() > ends:
+                raise BadRequest(408, "the body came too slowly")
+
+    def _make_request(
+        self,
+        scope: Any,
+        headers: dict[bytes, bytes],
+        caller: Caller,
+        service: Service,
+        body: bytes,
+    ) -> Request:
+        method = scope["method"]
+        key = headers.get(KEY_HEADER, b"").decode("latin-1")
+        if len(key) > MAX_KEY_BYTES:
+            raise BadRequest(400, f"the key is over {MAX_KEY_BYTES} bytes")
+        rest = scope["raw_path"].decode("latin-1")[len(service.name) + 1 :] or "/"
+        query = scope["query_string"].decode("latin-1")
+        return Request(
+            service=service.name,
+            method=method,
+            path=f"{rest}?{query}" if query else rest,
+            headers=select_headers(scope["headers"], DROPPED),
+            body=body,
+            team=caller.team,
+            level=caller.level,
+            deadline=self._clock() + _read_deadline(headers, service.timeout_s),
+            key="" if method in SAFE_METHODS else key,
+        )
+
+
+def _read_deadline(headers: dict[bytes, bytes], longest_s: float) -> float:
+    raw = headers.get(DEADLINE_HEADER)
+    if raw is None:
+        return longest_s
+    if not raw.isdigit() or int(raw) == 0:
+        raise BadRequest(400, "foxtrestle-deadline-ms: expected a whole number above 0")
+    return min(longest_s, int(raw) / 1000)
+
+
+async def _send_answer(send: Any, answer: Answer, *, close: bool) -> None:
+    headers = [
+        (header.name.encode("latin-1"), header.value.encode("latin-1"))
+        for header in answer.headers
+        if header.name != "content-length"
+    ]
+    headers.append((b"content-length", str(len(answer.body)).encode()))
+    headers.append((OUTCOME_HEADER, answer.outcome.encode()))
+    if answer.retry_after_s:
+        headers.append((b"retry-after", str(max(1, round(answer.retry_after_s))).encode()))
+    if close:
+        headers.append((b"connection", b"close"))
+    await send({"type": "http.response.start", "status": answer.status, "headers": headers})
+    await send({"type": "http.response.body", "body": answer.body})
--- /dev/null
+++ b/src/foxtrestle/ranges.py
@@ -0,0 +1,475 @@
+"""The owner's side of operation ranges: claims in the store or with witnesses, and takeover.
+
+Only the pair of incarnation and epoch gives the right to write a range's record, by
+compare-and-swap, so a paused owner that wakes finds its claims refused. No clock decides.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import random
+import time
+from typing import TYPE_CHECKING, Final, Protocol
+
+import msgspec
+
+from foxtrestle.errors import FoxtrestleError
+from foxtrestle.messages import Claim, ClaimReply, Seal, SealReply
+from foxtrestle.operations import (
+    SEGMENT_KEYS,
+    Entry,
+    Ledger,
+    RangeRecord,
+    SegmentRecord,
+    Witness,
+    count_witnesses,
+    pack_keys,
+    unpack_keys,
+)
+from foxtrestle.records import OPERATIONS, decode_record, encode_record, replace
+from foxtrestle.store import ABSENT, OutcomeUnknown, StoreError, compute_pause, swap_surely
+from foxtrestle.upstream import make_refusal
+
+if TYPE_CHECKING:
+    from collections import Counter
+    from collections.abc import Awaitable, Callable, Iterable
+
+    from foxtrestle.messages import Answer
+    from foxtrestle.operations import WitnessMemory
+    from foxtrestle.store import Store
+    from foxtrestle.upstream import Request
+
+RETENTION_S: Final = 86_400.0
+"""Seconds for which a key is remembered; a caller must not send it again after that."""
+PEER_TIMEOUT_S: Final = 1.0
+"""Seconds a witness has to answer."""
+PATIENCE_S: Final = 0.5
+"""Seconds a claim waits for the store before witnesses are asked."""
+STORE_ATTEMPTS: Final = 2
+"""Attempts to write claims before witnesses are asked instead."""
+
+
+class Asker(Protocol):
+    """Sends a message to a daemon of a given incarnation and returns its reply."""
+
+    async def __call__(self, address: str, incarnation: str, message: object) -> object:
+        """Ask; raises `FoxtrestleError` if there is no reply."""
+        ...
+
+
+class RangeLost(FoxtrestleError):
+    """Another daemon owns the range now."""
+
+
+class Context(msgspec.Struct, frozen=True):
+    """What every range of a daemon shares."""
+
+    incarnation: str
+    """This daemon's incarnation."""
+    store: Store
+    """The platform's store."""
+    ask: Asker
+    """Sends messages to peers."""
+    execute: Callable[[Request], Awaitable[Answer]]
+    """Runs a request once at a runner."""
+    list_witnesses: Callable[[], list[Witness]]
+    """Lists the other daemons alive that may remember claims."""
+    is_alive: Callable[[str], bool]
+    """Tells whether an incarnation's lease stands, as far as the store has told."""
+    memory: WitnessMemory
+    """Claims this daemon remembers for others."""
+    counts: Counter[str]
+    """Counters: `claimed`, `witnessed`, `fenced`, `replayed`, `doubted`, `violations`."""
+    wall: Callable[[], float] = time.time
+    """Wall clock, seconds; used only for retention."""
+
+
+class OwnedRange:
+    """One range owned by this daemon."""
+
+    def __init__(self, number: int, context: Context) -> None:
+        """Create a range that is not yet taken over."""
+        self.number = number
+        """Number of the range."""
+        self.record = RangeRecord()
+        """Head as this owner last wrote it."""
+        self.ledger = Ledger()
+        """What is known of its keys."""
+        self.open = False
+        """Whether operations may run."""
+        self._context = context
+        self._key = f"{OPERATIONS}{number}/head"
+        self._revision = ABSENT
+        self._batch: dict[int, asyncio.Future[None]] = {}
+        self._wake = asyncio.Event()
+        self._witnessed: set[int] = set()
+        self._away = False
+        self._failures = 0
+        self._writing: asyncio.Task[None] | None = None
+        self._lock = asyncio.Lock()
+        self._uncertain_witnesses = False
+        self._rng = random.Random()
+        self._running = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    async def take_over(self) -> None:
+        """Become the owner: fence the former one, learn its claims, then open.
+
+        Raises:
+            RangeLost: Another daemon was faster.
+            StoreError: The store cannot be asked.
+        """
+        held = await self._context.store.get(self._key)
+        former = decode_record(held.value, RangeRecord, self._key) if held else RangeRecord()
+        self._revision = held.revision if held else ABSENT
+        self.record = replace(former, epoch=former.epoch + 1, holder=self._context.incarnation)
+        await self._write(sealing=bool(former.witnesses))
+        await self._load_segments()
+        self.ledger.tail = set(unpack_keys(self.record.tail))
+        doubtful = await self._seal() if self.record.sealing else False
+        doubt_until = self.record.doubt_until
+        if doubtful:
+            self._context.counts["doubted"] += 1
+            doubt_until = self._context.wall() + RETENTION_S
+        await self._write(
+            sealing=False,
+            tail=pack_keys(self.ledger.tail),
+            witnesses=self._context.list_witnesses(),
+            doubt_until=doubt_until,
+        )
+        self.open = True
+
+    async def submit(self, key: int, request: Request) -> Answer:
+        """Run an operation unless its key may have run; answer what is known of it otherwise."""
+        fingerprint = hashlib.sha256(
+            f"{request.method} {request.path}\n".encode() + request.body
+        ).digest()
+        entry = self.ledger.entries.get(key)
+        if entry is not None and entry.fingerprint != fingerprint:
+            return make_refusal(422, "not-run", "the key was used for another request")
+        if entry is not None and entry.state not in ("released", "refused"):
+            return await self._repeat(entry, request)
+        if entry is None and self.ledger.is_claimed(key):
+            return make_refusal(409, "may-have-run", "may have run; was not run again")
+        if entry is None and self._context.wall() < self.record.doubt_until:
+            reason = "may have run before daemons were lost; was not run again"
+            return make_refusal(409, "may-have-run", reason)
+        if not self.open:
+            return make_refusal(
+                503, "may-have-run", "the range is changing hands", retry_after_s=0.5
+            )
+        return await self._run(key, fingerprint, request)
+
+    async def serve(self) -> None:
+        """Write claims in batches until the range is lost or the task is cancelled.
+
+        Raises:
+            RangeLost: Another daemon owns the range now.
+        """
+        try:
+            while True:
+                await self._wait_for_work()
+                batch, self._batch = self._batch, {}
+                try:
+                    await self._claim(batch)
+                finally:
+                    self._withdraw(batch)
+                if self._away:
+                    await self._flush()
+        finally:
+            self.open = False
+            self._withdraw(self._batch)
+            if self._writing is not None:
+                self._writing.cancel()
+                await asyncio.gather(self._writing, return_exceptions=True)
+
+    async def refresh_witnesses(self) -> None:
+        """Write the present witnesses into the record if they have changed and the store answers.
+
+        Raises:
+            RangeLost: Another daemon owns the range now.
+        """
+        witnesses = self._context.list_witnesses()
+        if not self.open or self._away or witnesses == self.record.witnesses:
+            return
+        async with self._lock:
+            self._uncertain_witnesses = True
+            tail = pack_keys(self.ledger.tail)
+            await self._write(witnesses=witnesses, tail=tail)
+
+    async def release(self) -> None:
+        """Give the range up in order: nothing runs any more and the record says so."""
+        self.open = False
+        await self._idle.wait()
+        async with self._lock:
+            tail = pack_keys(self.ledger.tail)
+            await self._write(holder="", witnesses=[], sealing=False, tail=tail)
+
+    async def _run(self, key: int, fingerprint: bytes, request: Request) -> Answer:
+        loop = asyncio.get_running_loop()
+        entry = self.ledger.entries.get(key)
+        claimed = entry is not None and entry.state == "released"
+        if entry is None or entry.state == "refused":
+            entry = Entry(fingerprint, loop.create_future())
+            self.ledger.entries[key] = entry
+        else:
+            entry.done = loop.create_future()
+        self._running += 1
+        self._idle.clear()
+        work = loop.create_task(self._work(key, entry, request, claimed=claimed))
+        work.add_done_callback(lambda _: self._finish())
+        return await asyncio.shield(entry.done)
+
+    async def _work(self, key: int, entry: Entry, request: Request, *, claimed: bool) -> None:
+        """Claim, run and answer; runs to its end even if the caller has gone."""
+        entry.advance("claim")
+        if not claimed:
+            try:
+                await self._enqueue(key)
+            except FoxtrestleError as error:
+                entry.advance("withdrawn")
+                refusal = make_refusal(
+                    503, "not-run", f"not claimed: {error.reason}", retry_after_s=1.0
+                )
+                entry.done.set_result(refusal)
+                return
+            entry.advance("claimed")
+        if entry.state != "running" or not self.ledger.is_claimed(key):
+            self._context.counts["violations"] += 1
+            entry.done.set_result(make_refusal(500, "not-run", "run without a claim; stopped"))
+            return
+        try:
+            answer = await self._context.execute(request)
+        except Exception as error:
+            answer = make_refusal(500, "may-have-run", f"the exchange failed: {error}")
+        if answer.outcome == "not-run":
+            entry.advance("refused_upstream")
+        elif answer.outcome == "ran":
+            entry.advance("answer")
+            self.ledger.keep_answer(entry, answer)
+        else:
+            entry.advance("doubt")
+        entry.done.set_result(answer)
+
+    def _finish(self) -> None:
+        self._running -= 1
+        if not self._running:
+            self._idle.set()
+
+    async def _repeat(self, entry: Entry, request: Request) -> Answer:
+        """Answer a caller that sends a key again."""
+        self._context.counts["replayed"] += 1
+        if entry.state == "unknown":
+            return make_refusal(409, "may-have-run", "may have run; was not run again")
+        if entry.state == "answered" and entry.answer is None:
+            return make_refusal(409, "ran", "it ran; its answer is no longer kept")
+        if entry.answer is not None:
+            return entry.answer
+        try:
+            async with asyncio.timeout(max(0.0, request.deadline - time.monotonic())):
+                return await asyncio.shield(entry.done)
+        except TimeoutError:
+            return make_refusal(504, "may-have-run", "still under way", retry_after_s=1.0)
+
+    async def _enqueue(self, key: int) -> None:
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._batch[key] = future
+        self._wake.set()
+        await future
+
+    async def _wait_for_work(self) -> None:
+        """Wait for claims to write; while the store is away, no longer than until the next try."""
+        if self._away:
+            pause = compute_pause(self._failures, self._rng)
+            try:
+                async with asyncio.timeout(pause):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+        else:
+            await self._wake.wait()
+        self._wake.clear()
+
+    async def _claim(self, batch: dict[int, asyncio.Future[None]]) -> None:
+        """Claim a batch in the store, or with witnesses while the store is away."""
+        if not self._away and await self._claim_in_store(batch.keys()):
+            self._confirm(batch, "claimed")
+        elif batch and await self._ask_witnesses(batch.keys()):
+            self._confirm(batch, "witnessed")
+
+    async def _claim_in_store(self, keys: Iterable[int]) -> bool:
+        """Write claims, without waiting long for a store that does not answer."""
+        writing = asyncio.create_task(self._write_claims(keys))
+        await asyncio.wait({writing}, timeout=PATIENCE_S)
+        if not writing.done():
+            self._away, self._writing = True, writing
+            return False
+        try:
+            writing.result()
+        except StoreError:
+            self._away = True
+            return False
+        return True
+
+    async def _flush(self) -> None:
+        """Bring the claims made with witnesses into the store; one write at a time."""
+        if self._writing is None:
+            self._writing = asyncio.create_task(self._write_claims(()))
+            await asyncio.wait({self._writing}, timeout=0.01)
+        if not self._writing.done():
+            return
+        writing, self._writing = self._writing, None
+        try:
+            writing.result()
+        except StoreError:
+            self._failures += 1
+            return
+        self._away, self._failures = False, 0
+        released = self._witnessed & set(unpack_keys(self.record.tail))
+        self._witnessed -= released
+        if self._witnessed:
+            self._away = True
+        message = Claim(self.number, self.record.epoch, sorted(released), release=True)
+        if released:
+            await asyncio.gather(
+                *(self._ask(witness, message) for witness in self.record.witnesses)
+            )
+
+    async def _write_claims(self, keys: Iterable[int]) -> None:
+        wanted = set(keys)
+        async with self._lock:
+            await self._write(tail=pack_keys(self.ledger.tail | wanted))
+            self.ledger.tail |= wanted
+            if len(self.ledger.tail) >= SEGMENT_KEYS and not self._witnessed:
+                await self._close_segment()
+
+    async def _close_segment(self) -> None:
+        """Move the tail into a segment: first the segment stands, then the head names it."""
+        number, keys = self.record.segments, self.ledger.close_segment()
+        segment = SegmentRecord(self._context.wall(), keys.tobytes())
+        path = f"{OPERATIONS}{self.number}/segments/{number:08d}"
+        value = encode_record(segment)
+        found = await self._context.store.get(path)
+        await swap_surely(self._context.store, path, value, found.revision if found else ABSENT)
+        left = self.ledger.tail - set(keys)
+        await self._write(segments=number + 1, tail=pack_keys(left))
+        self.ledger.add_segment(number, keys)
+        self.ledger.tail -= set(keys)
+
+    async def _load_segments(self) -> None:
+        listing = await self._context.store.scan(f"{OPERATIONS}{self.number}/segments/")
+        oldest = self._context.wall() - RETENTION_S
+        for held in listing.records:
+            number = int(held.key.rpartition("/")[2])
+            segment = decode_record(held.value, SegmentRecord, held.key)
+            if segment.closed_at >= oldest:
+                self.ledger.add_segment(number, unpack_keys(segment.keys))
+            else:
+                await self._context.store.swap(held.key, None, held.revision)
+
+    async def _write(self, **changes: object) -> None:
+        """Write the head with some fields changed; the caller holds the lock.
+
+        Raises:
+            RangeLost: The head is another owner's.
+            StoreError: Not written, or not known whether it was.
+        """
+        record = replace(self.record, sequence=self.record.sequence + 1, **changes)
+        value = encode_record(record)
+        for _ in range(STORE_ATTEMPTS):
+            swap = await swap_surely(
+                self._context.store, self._key, value, self._revision, attempts=STORE_ATTEMPTS
+            )
+            if swap.done and swap.record is not None:
+                self._revision, self.record = swap.record.revision, record
+                self._uncertain_witnesses = False
+                return
+            if swap.record is None:
+                raise RangeLost("the record is gone", step="ranges.write", peer=self._key)
+            found = decode_record(swap.record.value, RangeRecord, self._key)
+            if (found.holder, found.epoch) != (self._context.incarnation, self.record.epoch):
+                self._context.counts["fenced"] += 1
+                raise RangeLost("another daemon owns it", step="ranges.write", peer=self._key)
+            # An earlier write of ours whose answer was lost: go on from it, above its sequence.
+            self._revision = swap.record.revision
+            record = replace(record, sequence=max(record.sequence, found.sequence) + 1)
+            value = encode_record(record)
+        raise OutcomeUnknown("the record keeps changing", step="ranges.write", peer=self._key)
+
+    async def _ask_witnesses(self, keys: Iterable[int]) -> bool:
+        """Have enough witnesses remember keys before they run."""
+        wanted = list(keys)
+        witnesses = self.record.witnesses
+        if not witnesses or self._uncertain_witnesses or self.record.sealing:
+            return False
+        needed, _ = count_witnesses(len(witnesses))
+        message = Claim(self.number, self.record.epoch, wanted)
+        accepted = 0
+        asking = [asyncio.create_task(self._ask(witness, message)) for witness in witnesses]
+        for reply in asyncio.as_completed(asking):
+            answer = await reply
+            accepted += isinstance(answer, ClaimReply) and answer.accepted
+            if accepted >= needed:
+                break
+        if accepted < needed:
+            return False
+        self._witnessed.update(wanted)
+        self.ledger.tail |= set(wanted)
+        return True
+
+    async def _seal(self) -> bool:
+        """Ask the former owner's witnesses for claims the store has not seen.
+
+        Returns:
+            True if so many witnesses are gone for good that claims may be forgotten.
+        """
+        witnesses = self.record.witnesses
+        _, needed = count_witnesses(len(witnesses))
+        message = Seal(self.number, self.record.epoch)
+        attempt = 0
+        while True:
+            replies = await asyncio.gather(*(self._ask(witness, message) for witness in witnesses))
+            sealed = [reply for reply in replies if isinstance(reply, SealReply) and reply.accepted]
+            for reply in sealed:
+                self.ledger.tail.update(reply.keys)
+            if len(sealed) >= needed:
+                return False
+            alive = sum(self._context.is_alive(witness.incarnation) for witness in witnesses)
+            if alive < needed:
+                return True
+            attempt += 1
+            await asyncio.sleep(compute_pause(attempt, self._rng))
+
+    async def _ask(self, witness: Witness, message: Claim | Seal) -> object:
+        if witness.incarnation == self._context.incarnation:
+            return answer_as_witness(self._context.memory, message)
+        try:
+            return await self._context.ask(witness.address, witness.incarnation, message)
+        except FoxtrestleError:
+            return None
+
+    def _confirm(self, batch: dict[int, asyncio.Future[None]], counter: str) -> None:
+        for future in batch.values():
+            self._context.counts[counter] += 1
+            if not future.done():
+                future.set_result(None)
+
+    def _withdraw(self, batch: dict[int, asyncio.Future[None]]) -> None:
+        """Give up what of a batch has not been confirmed."""
+        error = StoreError("the store is away and too few witnesses answer", step="ranges.claim")
+        for future in batch.values():
+            if not future.done():
+                future.set_exception(error)
+
+
+def answer_as_witness(memory: WitnessMemory, message: Claim | Seal) -> ClaimReply | SealReply:
+    """Answer an owner's claim or a new owner's seal."""
+    if isinstance(message, Seal):
+        keys = memory.seal(message.range, message.epoch)
+        return SealReply(keys is not None, keys or [])
+    if message.release:
+        memory.release(message.range, message.epoch, message.keys)
+        return ClaimReply(True)
+    return ClaimReply(memory.claim(message.range, message.epoch, message.keys))
--- /dev/null
+++ b/src/foxtrestle/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, its workers and the upstreams, for tests and the trial."""
--- /dev/null
+++ b/src/foxtrestle/standins/hosts.py
@@ -0,0 +1,330 @@
+"""Stand-in of the platform's hosts: the lagging host list, workers' agents and upstream runners.
+
+All hosts of one stand-in share one HTTP application; a host is told by the address a request
+came to. A host that is down leaves its callers without an answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import random
+import time
+from collections import Counter
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any, Final
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.middleware.gzip import GZipMiddleware
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from foxtrestle.listener import bind, listen
+from foxtrestle.platform import WORKER_PORT, ListedHost, TaskReport, WorkerStatus
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable, Iterable
+
+    from starlette.requests import Request
+
+    from foxtrestle.standins.keyvalue import Engine
+
+REFUSED_HEADER: Final = "runner-refused"
+"""Header by which a runner says that it did not start a request."""
+
+
+class FakeTask:
+    """A task on a stand-in worker."""
+
+    def __init__(self, order: dict[str, Any], ends: float, lease_ends: float) -> None:
+        """Create a running task that ends by itself at `ends`."""
+        self.order = order
+        """What was ordered."""
+        self.ends = ends
+        """Clock reading at which it is done."""
+        self.lease_ends = lease_ends
+        """Clock reading at which the worker stops it unless renewed."""
+        self.state = "running"
+        """State of `TaskReport`."""
+
+
+class FakeHost:
+    """One stand-in host with its agent and its runners."""
+
+    def __init__(self, listed: ListedHost, slots: int = 8) -> None:
+        """Create a host that is up."""
+        self.listed = listed
+        """Its line in the host list."""
+        self.slots = slots
+        """Requests worked on at once."""
+        self.down = False
+        """Whether it answers nothing."""
+        self.boot = 1
+        """Number of the present boot."""
+        self.draining = False
+        """Whether it takes no new work."""
+        self.in_flight = 0
+        """Requests being worked on."""
+        self.delay_s = 0.0
+        """Seconds a request takes beyond the usual."""
+        self.failing = False
+        """Whether every request and task fails at once."""
+        self.epochs: dict[str, int] = {}
+        """Newest epoch seen of each shard."""
+        self.tasks: dict[str, FakeTask] = {}
+        """Tasks by id."""
+        self.cut = 0
+        """Requests in flight when the host went down."""
+
+    def accept_epoch(self, shard: str, epoch: int) -> bool:
+        """Take note of an order's epoch; False if a newer one has been seen."""
+        if epoch < self.epochs.get(shard, 0):
+            return False
+        self.epochs[shard] = epoch
+        return True
+
+    def fail(self) -> None:
+        """Take the host down; what was in flight or running is lost."""
+        self.down = True
+        self.cut += self.in_flight
+        self.in_flight = 0
+        self.tasks.clear()
+
+    def recover(self) -> None:
+        """Bring the host back with a new boot."""
+        self.down = False
+        self.draining = False
+        self.boot += 1
+        self.in_flight = 0
+
+
+class FakeFleet:
+    """Stand-in hosts and their list."""
+
+    def __init__(
+        self,
+        hosts: Iterable[ListedHost],
+        *,
+        lag_s: float = 1.0,
+        reboot_s: float = 0.5,
+        service_s: float = 0.005,
+        seed: int = 0,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Create hosts that are all up.
+
+        Args:
+            hosts: Lines of the host list.
+            lag_s: Seconds the list is behind.
+            reboot_s: Seconds a reboot takes.
+            service_s: Mean seconds a request takes.
+            seed: Seed of the request times.
+            clock: Monotonic clock, seconds.
+        """
+        self.hosts = {host.name: FakeHost(host) for host in hosts}
+        """Hosts by name."""
+        self.executions: Counter[str] = Counter()
+        """How often each operation key was executed."""
+        self.served = 0
+        """Requests answered."""
+        self._by_address = {host.listed.address: host for host in self.hosts.values()}
+        self._lag_s = lag_s
+        self._reboot_s = reboot_s
+        self._service_s = service_s
+        self._rng = random.Random(seed)
+        self._clock = clock
+        self._history: list[tuple[float, list[ListedHost]]] = []
+        self._reboots: set[asyncio.Task[None]] = set()
+
+    def list_hosts(self) -> list[ListedHost]:
+        """Return the list as it was `lag_s` ago."""
+        now = self._clock()
+        live = [host.listed for host in self.hosts.values() if not host.down]
+        self._history.append((now, live))
+        while len(self._history) > 1 and self._history[1][0] <= now - self._lag_s:
+            self._history.pop(0)
+        return self._history[0][1]
+
+    def set_leaving(self, name: str) -> None:
+        """Mark a host as leaving in the list."""
+        host = self.hosts[name]
+        host.listed = msgspec.structs.replace(host.listed, status="leaving")
+
+    def fail_rack(self, rack: str) -> list[FakeHost]:
+        """Take every host of a rack down."""
+        hit = [host for host in self.hosts.values() if host.listed.rack == rack]
+        for host in hit:
+            host.fail()
+        return hit
+
+    def build_platform(self, engine: Engine) -> Starlette:
+        """Build the platform's face: key-value service and host list."""
+        from foxtrestle.standins.keyvalue import build_routes  # noqa: PLC0415
+
+        async def hosts(request: Request) -> Response:
+            body = msgspec.json.encode(self.list_hosts())
+            tag = hashlib.sha256(body).hexdigest()[:16]
+            if request.headers.get("if-none-match") == tag:
+                return Response(status_code=304)
+            return Response(body, media_type="application/json", headers={"ETag": tag})
+
+        app = Starlette(routes=[Route("/hosts", hosts), *build_routes(engine)])
+        app.add_middleware(GZipMiddleware)
+        return app
+
+    def build_workers(self) -> Starlette:
+        """Build the face of the workers' agents."""
+        return Starlette(
+            routes=[
+                Route("/status", self._status),
+                Route("/drain", self._order(self._drain), methods=["POST"]),
+                Route("/resume", self._order(self._resume), methods=["POST"]),
+                Route("/reboot", self._order(self._reboot), methods=["POST"]),
+                Route("/tasks/{task:path}/stop", self._order(self._stop), methods=["POST"]),
+                Route("/tasks/{task:path}", self._order(self._start), methods=["PUT"]),
+            ]
+        )
+
+    async def run_request(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve one request as the runner of the host it came to (an ASGI application)."""
+        host = self._by_address[scope["server"][0]]
+        body = await _read_body(receive)
+        if host.down:
+            await asyncio.sleep(3600)
+        headers = dict(scope["headers"])
+        if host.draining or host.in_flight >= host.slots:
+            reason = b"draining" if host.draining else b"slots"
+            await _answer(send, 503, b"refused", [(REFUSED_HEADER.encode(), reason)])
+            return
+        key = headers.get(b"idempotency-key", b"").decode()
+        if key:
+            self.executions[key] += 1
+        if host.failing:
+            await _answer(send, 500, b"failed", [])
+            return
+        boot = host.boot
+        host.in_flight += 1
+        try:
+            await asyncio.sleep(self._rng.expovariate(1 / self._service_s) + host.delay_s)
+        finally:
+            if host.boot == boot and not host.down:
+                host.in_flight -= 1
+        if host.down or host.boot != boot:
+            await asyncio.sleep(3600)
+        self.served += 1
+        path = scope["path"].encode()
+        answer = b"%s %s %s" % (host.listed.name.encode(), path, body[:200])
+        await _answer(send, 200, answer, [])
+
+    async def _status(self, request: Request) -> Response:
+        host = await self._find(request)
+        self._expire_tasks(host)
+        tasks = [
+            TaskReport(name, task.state, task.order["cores"] * 0.5, task.order["memory_gb"] * 0.5)  # type: ignore[arg-type]
+            for name, task in host.tasks.items()
+        ]
+        status = WorkerStatus(host.boot, host.draining, host.in_flight, tasks)
+        return Response(msgspec.json.encode(status), media_type="application/json")
+
+    def _order(self, act: Callable[[FakeHost, dict[str, Any], str], None]) -> Any:
+        async def handle(request: Request) -> Response:
+            host = await self._find(request)
+            order = msgspec.json.decode(await request.body())
+            if not host.accept_epoch(order["shard"], order["epoch"]):
+                return JSONResponse({"error": "older epoch"}, status_code=409)
+            act(host, order, request.path_params.get("task", ""))
+            return JSONResponse({})
+
+        return handle
+
+    def _drain(self, host: FakeHost, order: dict[str, Any], task: str) -> None:
+        host.draining = True
+
+    def _resume(self, host: FakeHost, order: dict[str, Any], task: str) -> None:
+        host.draining = False
+
+    def _reboot(self, host: FakeHost, order: dict[str, Any], task: str) -> None:
+        if order["boot"] == host.boot and not host.down:
+            host.fail()
+            running = asyncio.create_task(self._come_back(host))
+            self._reboots.add(running)
+            running.add_done_callback(self._reboots.discard)
+
+    async def _come_back(self, host: FakeHost) -> None:
+        await asyncio.sleep(self._reboot_s)
+        host.recover()
+
+    def _start(self, host: FakeHost, order: dict[str, Any], task: str) -> None:
+        now = self._clock()
+        held = host.tasks.get(task)
+        if held is not None:
+            held.lease_ends = now + order["lease_s"]
+            return
+        if host.failing:
+            host.tasks[task] = FakeTask(order, now, now)
+            host.tasks[task].state = "failed"
+            return
+        seconds = float(order["command"].removeprefix("sleep ") or 1)
+        host.tasks[task] = FakeTask(order, now + seconds, now + order["lease_s"])
+
+    def _stop(self, host: FakeHost, order: dict[str, Any], task: str) -> None:
+        held = host.tasks.get(task)
+        if held is not None and held.state == "running":
+            held.state = "stopped"
+
+    def _expire_tasks(self, host: FakeHost) -> None:
+        now = self._clock()
+        for task in host.tasks.values():
+            if task.state == "running" and now >= task.lease_ends:
+                task.state = "stopped"
+            elif task.state == "running" and now >= task.ends:
+                task.state = "done"
+
+    async def _find(self, request: Request) -> FakeHost:
+        host = self._by_address[request.scope["server"][0]]
+        if host.down:
+            await asyncio.sleep(3600)
+        return host
+
+    @asynccontextmanager
+    async def serve(self, runner_ports: Iterable[int]) -> AsyncIterator[None]:
+        """Listen as every worker and as every runner until the context ends."""
+        addresses = list(self._by_address)
+        agents = [bind(address, WORKER_PORT) for address in addresses]
+        runners = [bind(address, port) for address in addresses for port in runner_ports]
+        async with listen(self.build_workers(), agents), listen(self.run_request, runners):
+            yield
+        for task in self._reboots:
+            task.cancel()
+
+
+async def _read_body(receive: Any) -> bytes:
+    parts = []
+    while True:
+        message = await receive()
+        parts.append(message.get("body", b""))
+        if not message.get("more_body"):
+            return b"".join(parts)
+
+
+async def _answer(send: Any, status: int, body: bytes, headers: list[tuple[bytes, bytes]]) -> None:
+    length = (b"content-length", str(len(body)).encode())
+    start = {"type": "http.response.start", "status": status, "headers": [length, *headers]}
+    await send(start)
+    await send({"type": "http.response.body", "body": body})
+
+
+def make_hosts(
+    number: int, *, zones: list[str], per_rack: int = 4, cores: int = 32, memory_gb: int = 128
+) -> list[ListedHost]:
+    """Make the lines of a host list: racks of equal size, spread over zones in turn."""
+    hosts = []
+    for index in range(number):
+        rack = index // per_rack
+        zone = zones[rack % len(zones)]
+        address = f"127.0.{1 + index // 200}.{1 + index % 200}"
+        hosts.append(
+            ListedHost(f"h{index:04d}", address, f"r{rack:03d}", zone, "main", cores, memory_gb)
+        )
+    return hosts
--- /dev/null
+++ b/src/foxtrestle/standins/keyvalue.py
@@ -0,0 +1,347 @@
+"""Stand-in of the platform's key-value service: engine with faults, HTTP face, direct face."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import random
+import time
+from collections import Counter
+from typing import TYPE_CHECKING, Any, Final, TypeVar
+
+import msgspec
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from foxtrestle.store import Change, Listing, OutcomeUnknown, RateExceeded, Record, StoreError, Swap
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from starlette.requests import Request
+
+T = TypeVar("T")
+
+LARGEST_VALUE: Final = 1 << 20
+"""Largest value accepted, bytes."""
+WATCH_BACKLOG: Final = 10_000
+"""Changes kept for watches that start in the past."""
+
+
+class Faults:
+    """What is wrong with the service right now; set by tests."""
+
+    def __init__(self) -> None:
+        """Create faults that are all off."""
+        self.down = False
+        """Whether every call fails."""
+        self.slow_s = 0.0
+        """Seconds added to every call."""
+        self.lost_answers = 0.0
+        """Share of calls that take effect and whose answer is lost."""
+
+
+class Engine:
+    """Keys, leases and watches in memory, with the service's call rates counted and enforced."""
+
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        *,
+        writes_per_s: float = 100.0,
+        reads_per_s: float = 2000.0,
+        seed: int = 0,
+    ) -> None:
+        """Create an empty engine; rates are calls per second, 0 for no limit."""
+        self.faults = Faults()
+        """What is wrong right now."""
+        self.calls: Counter[str] = Counter()
+        """Calls counted by kind: `read`, `write`, `watch`, `refused`."""
+        self.revision = 1
+        """Store-wide revision of the newest write."""
+        self._clock = clock
+        self._rates = {"write": writes_per_s, "read": reads_per_s}
+        self._windows: dict[str, tuple[int, int]] = {}
+        self._rng = random.Random(seed)
+        self._records: dict[str, Record] = {}
+        self._lease_of: dict[str, int] = {}
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._changes: list[Change] = []
+        self._watches: set[asyncio.Event] = set()
+
+    def admit(self, kind: str) -> None:
+        """Count one call and refuse it when the service is down or over its rate."""
+        if self.faults.down:
+            raise StoreError("the service is down", step="standin.admit")
+        self.calls[kind] += 1
+        rate = self._rates.get("read" if kind == "watch" else kind, 0.0)
+        second = int(self._clock())
+        at, count = self._windows.get(kind, (second, 0))
+        count = count + 1 if at == second else 1
+        self._windows[kind] = (second, count)
+        if rate and count > rate:
+            self.calls["refused"] += 1
+            raise RateExceeded("over the call rate", step="standin.admit")
+
+    def loses_answer(self) -> bool:
+        """Decide whether the answer to the present call is lost."""
+        return self._rng.random() < self.faults.lost_answers
+
+    def get(self, key: str) -> Record | None:
+        """Read one key."""
+        self._expire()
+        return self._records.get(key)
+
+    def scan(self, prefix: str) -> Listing:
+        """Read every key under a prefix."""
+        self._expire()
+        records = [self._records[key] for key in sorted(self._records) if key.startswith(prefix)]
+        return Listing(records, self.revision)
+
+    def swap(self, key: str, value: bytes | None, expected: int, lease: int = 0) -> Swap:
+        """Write or delete a key if its revision is `expected`."""
+        self._expire()
+        if value is not None and len(value) > LARGEST_VALUE:
+            raise StoreError("value over 1 MB", step="standin.swap", peer=key)
+        held = self._records.get(key)
+        if (held.revision if held else 0) != expected or (lease and lease not in self._leases):
+            return Swap(False, held)
+        return Swap(True, self._write(key, value, lease))
+
+    def grant(self, ttl_s: float) -> int:
+        """Take out a lease."""
+        lease = self._rng.getrandbits(48) | 1
+        self._leases[lease] = (ttl_s, self._clock() + ttl_s)
+        return lease
+
+    def keep_alive(self, lease: int) -> bool:
+        """Renew a lease; False if it has ended."""
+        self._expire()
+        if lease not in self._leases:
+            return False
+        ttl_s, _ = self._leases[lease]
+        self._leases[lease] = (ttl_s, self._clock() + ttl_s)
+        return True
+
+    def revoke(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        self._leases.pop(lease, None)
+        for key in [key for key, owner in self._lease_of.items() if owner == lease]:
+            self._write(key, None, 0)
+
+    async def follow(self, prefix: str, revision: int) -> AsyncIterator[list[Change]]:
+        """Follow the changes under a prefix; an empty list marks half a second without any."""
+        if (
+            self._changes
+            and self._changes[0].revision > revision
+            and revision > 1
+            and (len(self._changes) >= WATCH_BACKLOG)
+        ):
+            raise StoreError("older changes are gone", step="standin.watch")
+        wake = asyncio.Event()
+        self._watches.add(wake)
+        try:
+            while not self.faults.down:
+                self._expire()
+                changes = self._collect(prefix, revision)
+                if changes:
+                    revision = changes[-1].revision + 1
+                yield changes
+                wake.clear()
+                try:
+                    async with asyncio.timeout(0.5):
+                        await wake.wait()
+                except TimeoutError:
+                    pass
+        finally:
+            self._watches.discard(wake)
+
+    def _collect(self, prefix: str, revision: int) -> list[Change]:
+        found = []
+        for change in reversed(self._changes):
+            if change.revision < revision:
+                break
+            if change.key.startswith(prefix):
+                found.append(change)
+        return found[::-1]
+
+    def _write(self, key: str, value: bytes | None, lease: int) -> Record | None:
+        self.revision += 1
+        self._lease_of.pop(key, None)
+        record = None
+        if value is None:
+            self._records.pop(key, None)
+        else:
+            record = Record(key, value, self.revision)
+            self._records[key] = record
+            if lease:
+                self._lease_of[key] = lease
+        self._changes.append(Change(key, record, self.revision))
+        if len(self._changes) > WATCH_BACKLOG:
+            del self._changes[: WATCH_BACKLOG // 2]
+        for wake in self._watches:
+            wake.set()
+        return record
+
+    def _expire(self) -> None:
+        now = self._clock()
+        for lease in [lease for lease, (_, end) in self._leases.items() if end <= now]:
+            self.revoke(lease)
+
+
+class DirectStore:
+    """The engine behind the project's own store interface, for tests without sockets."""
+
+    def __init__(self, engine: Engine) -> None:
+        """Create a store over `engine`."""
+        self._engine = engine
+
+    async def get(self, key: str) -> Record | None:
+        """Read one key."""
+        return await self._call("read", lambda: self._engine.get(key))
+
+    async def scan(self, prefix: str) -> Listing:
+        """Read every key under a prefix."""
+        return await self._call("read", lambda: self._engine.scan(prefix))
+
+    async def swap(self, key: str, value: bytes | None, expected: int, lease: int = 0) -> Swap:
+        """Write or delete a key if its revision is `expected`."""
+        return await self._call("write", lambda: self._engine.swap(key, value, expected, lease))
+
+    async def grant(self, ttl_s: float) -> int:
+        """Take out a lease."""
+        return await self._call("write", lambda: self._engine.grant(ttl_s))
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew a lease; False if it has ended."""
+        return await self._call("write", lambda: self._engine.keep_alive(lease))
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        await self._call("write", lambda: self._engine.revoke(lease))
+
+    async def watch(self, prefix: str, revision: int) -> AsyncIterator[list[Change]]:
+        """Follow the changes under a prefix from a revision on."""
+        self._engine.admit("watch")
+        async for changes in self._engine.follow(prefix, revision):
+            yield changes
+
+    async def _call(self, kind: str, act: Callable[[], T]) -> T:
+        if self._engine.faults.slow_s:
+            await asyncio.sleep(self._engine.faults.slow_s)
+        self._engine.admit(kind)
+        result = act()
+        if self._engine.loses_answer():
+            raise OutcomeUnknown("answer lost", step="standin.call")
+        return result
+
+
+def build_routes(engine: Engine) -> list[Route]:
+    """Build the HTTP routes of the etcd v3 JSON gateway subset over an engine."""
+
+    async def answer(request: Request, kind: str, act: Callable[[Any], Any]) -> Response:
+        if engine.faults.slow_s:
+            await asyncio.sleep(engine.faults.slow_s)
+        try:
+            engine.admit(kind)
+            body = act(msgspec.json.decode(await request.body()))
+        except RateExceeded:
+            return JSONResponse({"error": "rate"}, status_code=429)
+        except StoreError as error:
+            return JSONResponse({"error": str(error)}, status_code=503)
+        if engine.loses_answer():
+            return JSONResponse({"error": "answer lost"}, status_code=504)
+        return JSONResponse(body)
+
+    async def read(request: Request) -> Response:
+        return await answer(request, "read", lambda body: _range(engine, body))
+
+    async def write(request: Request) -> Response:
+        return await answer(request, "write", lambda body: _transact(engine, body))
+
+    async def grant(request: Request) -> Response:
+        def act(body: Any) -> Any:
+            return {"ID": str(engine.grant(float(body["TTL"]))), "TTL": body["TTL"]}
+
+        return await answer(request, "write", act)
+
+    async def keep_alive(request: Request) -> Response:
+        def act(body: Any) -> Any:
+            alive = engine.keep_alive(int(body["ID"]))
+            return {"result": {"ID": body["ID"], "TTL": "1" if alive else "0"}}
+
+        return await answer(request, "write", act)
+
+    async def revoke(request: Request) -> Response:
+        def act(body: Any) -> Any:
+            engine.revoke(int(body["ID"]))
+            return {"header": _header(engine)}
+
+        return await answer(request, "write", act)
+
+    async def watch(request: Request) -> Response:
+        create = msgspec.json.decode(await request.body())["create_request"]
+        try:
+            engine.admit("watch")
+        except StoreError as error:
+            return JSONResponse({"error": str(error)}, status_code=503)
+        prefix, revision = _decode(create["key"]), int(create["start_revision"])
+        return StreamingResponse(_stream(engine, prefix, revision), media_type="application/json")
+
+    return [
+        Route("/v3/kv/range", read, methods=["POST"]),
+        Route("/v3/kv/txn", write, methods=["POST"]),
+        Route("/v3/lease/grant", grant, methods=["POST"]),
+        Route("/v3/lease/keepalive", keep_alive, methods=["POST"]),
+        Route("/v3/lease/revoke", revoke, methods=["POST"]),
+        Route("/v3/watch", watch, methods=["POST"]),
+    ]
+
+
+async def _stream(engine: Engine, prefix: str, revision: int) -> AsyncIterator[bytes]:
+    async for changes in engine.follow(prefix, revision):
+        events = [
+            {
+                "type": "DELETE" if change.record is None else "PUT",
+                "kv": _encode_record(change.record or Record(change.key, b"", change.revision)),
+            }
+            for change in changes
+        ]
+        yield msgspec.json.encode({"result": {"header": _header(engine), "events": events}}) + b"\n"
+
+
+def _range(engine: Engine, body: dict[str, str]) -> dict[str, Any]:
+    if "range_end" in body:
+        records = engine.scan(_decode(body["key"])).records
+    else:
+        found = engine.get(_decode(body["key"]))
+        records = [found] if found else []
+    return {"header": _header(engine), "kvs": [_encode_record(record) for record in records]}
+
+
+def _transact(engine: Engine, body: dict[str, Any]) -> dict[str, Any]:
+    key, expected = _decode(body["compare"][0]["key"]), int(body["compare"][0]["mod_revision"])
+    put = body["success"][0].get("request_put")
+    value = base64.b64decode(put["value"]) if put else None
+    swap = engine.swap(key, value, expected, int(put.get("lease", 0)) if put else 0)
+    found = [_encode_record(swap.record)] if swap.record else []
+    responses = [] if swap.done else [{"response_range": {"kvs": found}}]
+    revision = swap.record.revision if swap.done and swap.record else engine.revision
+    header = {"revision": str(revision)}
+    return {"header": header, "succeeded": swap.done, "responses": responses}
+
+
+def _header(engine: Engine) -> dict[str, str]:
+    return {"revision": str(engine.revision)}
+
+
+def _decode(text: str) -> str:
+    return base64.b64decode(text).decode()
+
+
+def _encode_record(record: Record) -> dict[str, str]:
+    return {
+        "key": base64.b64encode(record.key.encode()).decode(),
+        "value": base64.b64encode(record.value).decode(),
+        "mod_revision": str(record.revision),
+    }
--- /dev/null
+++ b/src/foxtrestle/store.py
@@ -0,0 +1,281 @@
+"""The platform's key-value service as the project uses it, correct over lost answers.
+
+Only single-key compare-and-swap, leases and watches are used. `HttpStore` in
+`foxtrestle.http_store` speaks to the platform; tests use a stand-in with the same interface.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import TYPE_CHECKING, Final, Protocol
+
+import msgspec
+
+from foxtrestle.errors import FoxtrestleError
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+ABSENT: Final = 0
+"""Revision that stands for a key that does not exist."""
+FIRST_PAUSE_S: Final = 0.1
+"""First pause between two attempts against a store that does not answer, seconds."""
+LONGEST_PAUSE_S: Final = 3.0
+"""Longest pause between two attempts, seconds."""
+
+
+class Record(msgspec.Struct, frozen=True):
+    """One key with its value as the store holds it."""
+
+    key: str
+    """The key."""
+    value: bytes
+    """The value, up to 1 MB."""
+    revision: int
+    """Store-wide revision of the write that gave the value."""
+
+
+class Swap(msgspec.Struct, frozen=True):
+    """The store's answer to a compare-and-swap."""
+
+    done: bool
+    """Whether the value was written."""
+    record: Record | None
+    """What the key holds now; None if it does not exist."""
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One change seen by a watch."""
+
+    key: str
+    """The key that changed."""
+    record: Record | None
+    """The new record; None if the key was deleted."""
+    revision: int
+    """Store-wide revision of the change."""
+
+
+class Listing(msgspec.Struct, frozen=True):
+    """All records under a prefix at one revision."""
+
+    records: list[Record]
+    """The records, by key."""
+    revision: int
+    """Revision the listing was taken at."""
+
+
+class StoreError(FoxtrestleError):
+    """The store could not be asked; a write surely did not happen."""
+
+
+class OutcomeUnknown(StoreError):
+    """A call was sent and no answer came; a write may have happened."""
+
+
+class RateExceeded(StoreError):
+    """The store refused the call over its rate; a write surely did not happen."""
+
+
+class Compacted(StoreError):
+    """A watch asked for changes older than the store keeps."""
+
+
+class Store(Protocol):
+    """What the project asks of the platform's key-value service."""
+
+    async def get(self, key: str) -> Record | None:
+        """Read one key."""
+        ...
+
+    async def scan(self, prefix: str) -> Listing:
+        """Read every key under a prefix."""
+        ...
+
+    async def swap(self, key: str, value: bytes | None, expected: int, lease: int = 0) -> Swap:
+        """Write (or with None delete) a key if its revision is `expected`."""
+        ...
+
+    async def grant(self, ttl_s: float) -> int:
+        """Take out a lease."""
+        ...
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew a lease; False if it has ended."""
+        ...
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        ...
+
+    def watch(self, prefix: str, revision: int) -> AsyncIterator[list[Change]]:
+        """Follow the changes under a prefix from a revision on."""
+        ...
+
+
+class TokenBucket:
+    """Call budget: a rate with a burst of one second's worth."""
+
+    def __init__(self, rate: float, clock: Callable[[], float] = time.monotonic) -> None:
+        """Create a full bucket that refills at `rate` calls per second."""
+        self.rate = rate
+        """Calls per second."""
+        self._clock = clock
+        self._tokens = max(1.0, rate)
+        self._at = clock()
+
+    def reserve(self) -> float:
+        """Take one call from the budget.
+
+        Returns:
+            Seconds to wait before the call may be made.
+        """
+        now = self._clock()
+        self._tokens = min(max(1.0, self.rate), self._tokens + (now - self._at) * self.rate)
+        self._at = now
+        self._tokens -= 1.0
+        return max(0.0, -self._tokens / self.rate)
+
+
+def compute_pause(attempt: int, rng: random.Random) -> float:
+    """Compute the pause before another attempt: exponential with full jitter.
+
+    Args:
+        attempt: Attempts made so far, from 1.
+        rng: Source of jitter.
+
+    Returns:
+        Seconds to wait.
+    """
+    ceiling = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2 ** min(attempt, 10))
+    return rng.uniform(ceiling / 4, ceiling)
+
+
+async def swap_surely(
+    store: Store, key: str, value: bytes, expected: int, *, lease: int = 0, attempts: int = 5
+) -> Swap:
+    """Swap a key and find out what became of the write even when its answer was lost.
+
+    The value must be unique among all values ever written to the key (it carries a writer and
+    a sequence number), so that reading it back proves that the write took effect. Sending the
+    same swap again is safe: at most one of the copies can meet the expected revision.
+
+    Raises:
+        OutcomeUnknown: The store did not answer in the attempts allowed after a write was sent.
+        StoreError: The store could not be asked and no write was sent.
+    """
+    rng = random.Random()
+    sent = False
+    for attempt in range(1, attempts + 1):
+        try:
+            swap = await store.swap(key, value, expected, lease)
+        except OutcomeUnknown:
+            sent = True
+        except RateExceeded:
+            pass
+        except StoreError:
+            if not sent and attempt == attempts:
+                raise
+        else:
+            if swap.done or swap.record is None or swap.record.value != value:
+                return swap
+            return Swap(True, swap.record)
+        await asyncio.sleep(compute_pause(attempt, rng))
+    if sent:
+        raise OutcomeUnknown("the store does not answer", step="store.swap", peer=key)
+    raise RateExceeded("over the call rate", step="store.swap", peer=key)
+
+
+class Mirror:
+    """A copy of the records under a prefix, kept by one watch; never goes back to older values."""
+
+    def __init__(
+        self,
+        prefix: str,
+        on_change: Callable[[set[str]], None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Create an empty mirror.
+
+        Args:
+            prefix: Prefix that is mirrored.
+            on_change: Called with the keys that changed.
+            clock: Monotonic clock, seconds.
+        """
+        self.prefix = prefix
+        """Prefix that is mirrored."""
+        self.records: dict[str, Record] = {}
+        """The records by key."""
+        self.revision = 0
+        """Newest revision seen."""
+        self.current = False
+        """Whether the watch is standing; False from a failure until the next listing."""
+        self.answered_at = -1.0e9
+        """Monotonic time of the store's last answer, seconds."""
+        self._clock = clock
+        self._on_change = on_change
+
+    def load(self, listing: Listing) -> set[str]:
+        """Take over a whole listing.
+
+        Returns:
+            Keys whose record changed.
+        """
+        if listing.revision < self.revision:
+            return set()
+        fresh = {record.key: record for record in listing.records}
+        touched = {
+            key
+            for key in fresh.keys() | self.records.keys()
+            if fresh.get(key) != self.records.get(key)
+        }
+        self.records = fresh
+        self.revision = listing.revision
+        self._mark()
+        return touched
+
+    def apply(self, change: Change) -> bool:
+        """Take over one change.
+
+        Returns:
+            Whether it was newer than what the mirror holds.
+        """
+        if change.revision <= self.revision and change.key in self.records:
+            held = self.records[change.key]
+            if held.revision >= change.revision:
+                return False
+        if change.record is None:
+            self.records.pop(change.key, None)
+        else:
+            self.records[change.key] = change.record
+        self.revision = max(self.revision, change.revision)
+        self._mark()
+        return True
+
+    def note(self, record: Record) -> None:
+        """Take over a record that this process has just written or read."""
+        if self.apply(Change(record.key, record, record.revision)):
+            self._on_change({record.key})
+
+    async def follow(self, store: Store) -> None:
+        """Keep the mirror up to date from a store until cancelled."""
+        rng = random.Random()
+        failures = 0
+        while True:
+            try:
+                listing = await store.scan(self.prefix)
+                self._on_change(self.load(listing))
+                self.current = True
+                failures = 0
+                async for changes in store.watch(self.prefix, self.revision + 1):
+                    self.answered_at = self._clock()
+                    self._on_change({change.key for change in changes if self.apply(change)})
+            except StoreError:
+                pass
+            self.current = False
+            failures += 1
+            await asyncio.sleep(compute_pause(failures, rng))
+
+    def _mark(self) -> None:
+        self.answered_at = self._clock()
--- /dev/null
+++ b/src/foxtrestle/trial.py
@@ -0,0 +1,354 @@
+"""The main job on one loop: two daemons and the stand-ins carry requests through a wave.
+
+Run as `python -m foxtrestle.trial FILE`; exits 0 only if every promise it watches held.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import sys
+import time
+import tomllib
+from collections import Counter
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final
+
+import aiohttp
+
+from foxtrestle.configuration import check_text
+from foxtrestle.daemon import open_daemon
+from foxtrestle.listener import bind, listen
+from foxtrestle.settings import Settings
+from foxtrestle.standins.hosts import FakeFleet, make_hosts
+from foxtrestle.standins.keyvalue import Engine
+
+if TYPE_CHECKING:
+    from foxtrestle.daemon import Daemon
+    from foxtrestle.declaration import Declaration
+
+PLATFORM_PORT: Final = 17000
+FIRST_PORT: Final = 18000
+OPERATOR_TOKEN: Final = "trial-operator"
+PEER_TOKEN: Final = "trial-peers"
+CALLERS: Final = 12
+"""Callers that send requests one after the other."""
+WAVE_LIMIT_S: Final = 150.0
+"""Seconds the wave may take before the trial gives up."""
+SEED: Final = 7
+
+
+class Tally:
+    """What the callers and the watcher saw."""
+
+    def __init__(self) -> None:
+        """Create an empty tally."""
+        self.counts: Counter[str] = Counter()
+        """Requests by what came of them: `sent`, `answered`, `refused`, `lost`, `wrong`."""
+        self.lowest: dict[str, int] = {}
+        """Fewest hosts up seen in each pool, beyond its floor."""
+        self.keys: dict[str, str] = {}
+        """What the callers were last told of each key: `ran`, `not-run` or `may-have-run`."""
+
+
+def make_settings(index: int, zone: str, address: str = "127.0.0.1") -> Settings:
+    """Make the settings of one daemon of the trial."""
+    port = FIRST_PORT + 10 * index
+    return Settings(
+        name=f"entry-{index}",
+        zone=zone,
+        address=address,
+        platform=f"http://127.0.0.1:{PLATFORM_PORT}",
+        caller_port=port,
+        admin_port=port + 1,
+        peer_port=port + 2,
+        admin_tokens={"trial": OPERATOR_TOKEN},
+        peer_token=PEER_TOKEN,
+        drain_settle_s=1.5,
+        store_writes_per_s=40.0,
+    )
+
+
+async def apply_text(session: aiohttp.ClientSession, daemon: Daemon, text: str) -> int:
+    """Apply a file through a daemon's administration API and return its version."""
+    url = f"http://127.0.0.1:{daemon.settings.admin_port}/v1/apply"
+    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+    async with session.post(url, data=text.encode(), headers=headers) as response:
+        body = await response.json()
+        if response.status != 200:
+            raise RuntimeError(f"apply refused: {body}")
+        return int(body["version"])
+
+
+async def call_forever(
+    session: aiohttp.ClientSession,
+    daemons: list[Daemon],
+    services: list[str],
+    tally: Tally,
+    number: int,
+) -> None:
+    """Send requests one after the other, every third with a key that is sent twice."""
+    rng = random.Random(SEED + number)
+    for count in range(1_000_000):
+        service = rng.choice(services)
+        port = rng.choice(daemons).settings.caller_port
+        url = f"http://127.0.0.1:{port}/{service}/orders/{number}-{count}"
+        if count % 3:
+            await send_once(session, "GET", url, {}, tally, f"/orders/{number}-{count}")
+        else:
+            key = f"{service}-{number}-{count}"
+            for _ in range(2):
+                headers = {"Idempotency-Key": key}
+                outcome = await send_once(
+                    session, "POST", url, headers, tally, f"/orders/{number}-{count}"
+                )
+                tally.keys[key] = outcome
+        await asyncio.sleep(0.01)
+
+
+async def send_once(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    headers: dict[str, str],
+    tally: Tally,
+    expected: str,
+) -> str:
+    """Send one request and enter what came of it; return the outcome the system told."""
+    tally.counts["sent"] += 1
+    try:
+        async with session.request(method, url, headers=headers, data=b"x" * 20) as response:
+            body = await response.text()
+            outcome = response.headers.get("foxtrestle-outcome", "")
+    except (aiohttp.ClientError, TimeoutError):
+        tally.counts["lost"] += 1
+        return "may-have-run"
+    if outcome == "ran" and response.status == 200:
+        right = expected in body
+        tally.counts["answered" if right else "wrong"] += 1
+    else:
+        tally.counts["refused"] += 1
+    return outcome
+
+
+async def watch_budgets(
+    fleet: FakeFleet, daemon: Daemon, declaration: Declaration, tally: Tally
+) -> None:
+    """Compare the hosts that are really up with every pool's floor, many times a second."""
+    while True:
+        for record in daemon.fleets.values():
+            up: Counter[str] = Counter()
+            for name, entry in record.hosts.items():
+                host = fleet.hosts[name]
+                if not host.down and not host.draining:
+                    up[entry.pool] += 1
+            for pool in declaration.pools:
+                beyond = up[pool.name] - pool.floor
+                tally.lowest[pool.name] = min(tally.lowest.get(pool.name, beyond), beyond)
+        await asyncio.sleep(0.05)
+
+
+async def wait_until(condition: Any, limit_s: float) -> float:
+    """Wait until a condition holds and return the seconds it took; -1 if it never did."""
+    started = time.monotonic()
+    while time.monotonic() - started < limit_s:
+        if condition():
+            return time.monotonic() - started
+        await asyncio.sleep(0.05)
+    return -1.0
+
+
+def is_assigned(daemon: Daemon, declaration: Declaration) -> bool:
+    """Tell whether every pool has all the hosts it wants."""
+    has: Counter[str] = Counter()
+    for record in daemon.fleets.values():
+        has.update(entry.pool for entry in record.hosts.values())
+    return all(has[pool.name] >= pool.hosts for pool in declaration.pools)
+
+
+def is_wave_done(daemon: Daemon, name: str) -> bool:
+    """Tell whether a wave has ended."""
+    return any(
+        name in record.waves and record.waves[name].state == "done"
+        for record in daemon.fleets.values()
+    )
+
+
+def count_doubled(fleet: FakeFleet) -> int:
+    """Count the operation keys that were executed more than once."""
+    return sum(number > 1 for number in fleet.executions.values())
+
+
+def count_false_refusals(fleet: FakeFleet, tally: Tally) -> int:
+    """Count the keys whose callers were told `not-run` at last although they were executed."""
+    return sum(
+        outcome == "not-run" and fleet.executions[key] > 0 for key, outcome in tally.keys.items()
+    )
+
+
+async def run(text: str) -> int:
+    """Run the trial of a file's text and return its exit code."""
+    declaration = check_text(text)
+    zones = 3 if "Kovacs" in text else 4
+    number = 30 if zones == 3 else 40
+    fleet = FakeFleet(make_hosts(number, zones=[f"az{index}" for index in range(zones)]))
+    tally = Tally()
+    ports = sorted({service.port for service in declaration.services})
+    async with AsyncExitStack() as stack:
+        await stack.enter_async_context(fleet.serve(ports))
+        platform = bind("127.0.0.1", PLATFORM_PORT)
+        await stack.enter_async_context(listen(fleet.build_platform(Engine()), [platform]))
+        daemons = [
+            await stack.enter_async_context(open_daemon(make_settings(index, f"az{index}")))
+            for index in range(2)
+        ]
+        connector = aiohttp.TCPConnector(limit=0)
+        session = await stack.enter_async_context(aiohttp.ClientSession(connector=connector))
+        return await play(session, fleet, daemons, declaration, text, tally)
+
+
+async def play(
+    session: aiohttp.ClientSession,
+    fleet: FakeFleet,
+    daemons: list[Daemon],
+    declaration: Declaration,
+    text: str,
+    tally: Tally,
+) -> int:
+    """Apply, assign, place a job, maintain every host under load, and sum up."""
+    await wait_until(lambda: all(daemon.mirror.current for daemon in daemons), 10)
+    print(f"applied as version {await apply_text(session, daemons[0], text)}")
+    assigned_s = await wait_until(lambda: is_assigned(daemons[1], declaration), 30)
+    print_assignment(daemons[1], declaration, assigned_s)
+    job_s = await place_job(session, daemons[0], declaration)
+    services = [service.name for service in declaration.services]
+    watcher = asyncio.create_task(watch_budgets(fleet, daemons[1], declaration, tally))
+    callers = [
+        asyncio.create_task(call_forever(session, daemons, services, tally, index))
+        for index in range(CALLERS)
+    ]
+    moves_before = count_moves(daemons[1])
+    wave_text = text + '\n[[waves]]\nname = "trial-wave"\n'
+    await apply_text(session, daemons[1], wave_text)
+    wave_s = await wait_until(lambda: is_wave_done(daemons[0], "trial-wave"), WAVE_LIMIT_S)
+    await asyncio.sleep(0.5)
+    for task in [watcher, *callers]:
+        task.cancel()
+    await asyncio.gather(watcher, *callers, return_exceptions=True)
+    failures = summarize(fleet, daemons, tally, assigned_s, job_s, wave_s, moves_before)
+    for failure in failures:
+        print(f"BROKEN: {failure}")
+    print("all promises held" if not failures else f"{len(failures)} promises broken")
+    return 1 if failures else 0
+
+
+def count_moves(daemon: Daemon) -> int:
+    """Count the hosts that joined a pool so far."""
+    return sum(record.moves for record in daemon.fleets.values())
+
+
+def print_assignment(daemon: Daemon, declaration: Declaration, seconds: float) -> None:
+    """Print which pool has which hosts."""
+    print(f"assigned in {seconds:.1f} s")
+    for record in daemon.fleets.values():
+        for pool in [*(pool.name for pool in declaration.pools), ""]:
+            hosts = [name for name, entry in record.hosts.items() if entry.pool == pool]
+            print(f"  {pool or '(spare)':<15} {len(hosts):>2}  {' '.join(sorted(hosts))}")
+
+
+async def place_job(
+    session: aiohttp.ClientSession, daemon: Daemon, declaration: Declaration
+) -> float:
+    """Submit a job and return the seconds until it ran; -1 if it never did."""
+    pool = declaration.pools[-1]
+    job = {
+        "id": "trial-job",
+        "team": pool.team,
+        "pool": pool.name,
+        "cores": 2,
+        "memory_gb": 4,
+        "command": "sleep 1",
+    }
+    admin = f"http://127.0.0.1:{daemon.settings.admin_port}/v1/jobs"
+    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+    started = time.monotonic()
+    async with session.post(admin, json=job, headers=headers) as response:
+        if response.status != 200:
+            return -1.0
+    while time.monotonic() - started < 15:
+        async with session.get(admin, headers=headers) as response:
+            rows = await response.json()
+        if any(row["state"] in ("running", "done") for row in rows):
+            return time.monotonic() - started
+        await asyncio.sleep(0.1)
+    return -1.0
+
+
+def summarize(
+    fleet: FakeFleet,
+    daemons: list[Daemon],
+    tally: Tally,
+    assigned_s: float,
+    job_s: float,
+    wave_s: float,
+    moves_before: int,
+) -> list[str]:
+    """Print the summary and return what was broken."""
+    counts = tally.counts
+    maintained = sum(host.boot > 1 for host in fleet.hosts.values())
+    cut = sum(host.cut for host in fleet.hosts.values())
+    doubled = count_doubled(fleet)
+    false = count_false_refusals(fleet, tally)
+    violations = sum(daemon.count_violations() for daemon in daemons)
+    broken_pools = sorted(pool for pool, beyond in tally.lowest.items() if beyond < 0)
+    spare = sum(record.spare for record in daemons[1].fleets.values())
+    print(
+        f"requests: {counts['sent']} sent, {counts['answered']} answered, "
+        f"{counts['refused']} refused, {counts['lost']} lost, {counts['wrong']} wrong, "
+        f"{doubled} doubled, {false} falsely refused"
+    )
+    print(f"keyed operations: {len(fleet.executions)} executed, {len(tally.keys)} sent")
+    print(
+        f"wave: {maintained} of {len(fleet.hosts)} hosts in {wave_s:.1f} s, "
+        f"{count_moves(daemons[1]) - moves_before} moves, {spare} spare wanted; "
+        f"job ran after {job_s:.1f} s"
+    )
+    print(f"budgets: least hosts beyond the floor {dict(sorted(tally.lowest.items()))}")
+    checks = {
+        "pools were not filled": assigned_s >= 0,
+        "the job did not run": job_s >= 0,
+        "the wave did not finish": wave_s >= 0,
+        f"only {maintained} hosts were maintained": maintained == len(fleet.hosts),
+        f"budgets broken: {', '.join(broken_pools)}": not broken_pools,
+        f"{counts['lost']} answers lost": counts["lost"] == 0,
+        f"{counts['wrong']} wrong answers": counts["wrong"] == 0,
+        f"{doubled} operations doubled": doubled == 0,
+        f"{false} false refusals": false == 0,
+        f"{cut} requests cut by reboots": cut == 0,
+        "nothing was answered": counts["answered"] > 0,
+        "over 1 % was refused": counts["refused"] <= counts["sent"] / 100,
+        f"{violations} violations found by the daemons": violations == 0,
+    }
+    return [text for text, held in checks.items() if not held]
+
+
+def main() -> None:
+    """Run `python -m foxtrestle.trial FILE`."""
+    if len(sys.argv) != 2:
+        print("usage: python -m foxtrestle.trial FILE", file=sys.stderr)
+        sys.exit(2)
+    try:
+        text = Path(sys.argv[1]).read_text(encoding="utf-8")
+        # Stand-ins that play dead are cancelled at the end, which the server would report.
+        logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+        code = asyncio.run(run(text))
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        print(f"{sys.argv[1]}: {error}", file=sys.stderr)
+        code = 2
+    sys.exit(code)
+
+
+if __name__ == "__main__":
+    main()
