--- /dev/null
+++ b/benches/drill.py
@@ -0,0 +1,320 @@
+"""Kill and pause drill: six daemons as processes, keyed operations, a store that fails.
+
+Every few seconds a daemon is killed and replaced, or stopped and continued, while the store goes
+through outages, slow spells and lost answers. Callers send each key again, to any daemon, until
+the answer is final. Counted: keys executed more than once, refusals that were not true, answers
+that were not the caller's own.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import TYPE_CHECKING, Final
+
+import aiohttp
+
+from benches.report import print_figure
+from benches.scenario import EXAMPLES
+from foxtrestle.listener import bind, listen
+from foxtrestle.standins.hosts import FakeFleet, make_hosts
+from foxtrestle.standins.keyvalue import Engine
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+DAEMONS: Final = 6
+PLATFORM_PORT: Final = 17100
+FIRST_PORT: Final = 18100
+TOKEN: Final = "drill-operator"
+SECONDS: Final = 45.0
+CALLERS: Final = 24
+GIVE_UP_S: Final = 20.0
+SEED: Final = 11
+SERVICES: Final = ("checks", "renew", "approve", "refill", "billing")
+
+
+class Member:
+    """One daemon process under its name; a replacement runs under the same addresses."""
+
+    def __init__(self, index: int, folder: Path) -> None:
+        """Create a member that is not yet running."""
+        self.index = index
+        self.port = FIRST_PORT + 10 * index
+        self.paused = False
+        self.process: asyncio.subprocess.Process | None = None
+        self._path = folder / f"entry-{index}.toml"
+        self._path.write_text(self._describe(), encoding="utf-8")
+
+    def _describe(self) -> str:
+        return f"""
+name = "entry-{self.index}"
+zone = "az{self.index % 4}"
+address = "127.0.0.1"
+platform = "http://127.0.0.1:{PLATFORM_PORT}"
+caller_port = {self.port}
+admin_port = {self.port + 1}
+peer_port = {self.port + 2}
+peer_token = "drill-peers"
+member_ttl_s = 3.0
+[admin_tokens]
+drill = "{TOKEN}"
+"""
+
+    async def start(self) -> None:
+        """Start a new incarnation."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "foxtrestle.daemon",
+            str(self._path),
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=None,
+        )
+
+    async def kill(self) -> None:
+        """Kill it without warning."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+    async def stop(self) -> int:
+        """Stop it in order and return its exit code."""
+        assert self.process is not None
+        self.process.terminate()
+        return await self.process.wait()
+
+    def pause(self, *, paused: bool) -> None:
+        """Stop or continue it."""
+        if self.process is not None and self.process.returncode is None:
+            os.kill(self.process.pid, signal.SIGSTOP if paused else signal.SIGCONT)
+            self.paused = paused
+
+
+class Tally:
+    """What the callers saw."""
+
+    def __init__(self) -> None:
+        """Create an empty tally."""
+        self.counts: Counter[str] = Counter()
+        self.first: list[float] = []
+        self.in_outage: Counter[str] = Counter()
+
+
+class Drill:
+    """Six daemons, their platform and the callers."""
+
+    def __init__(self, folder: Path) -> None:
+        """Create a drill whose daemons' settings lie in a folder."""
+        self.rng = random.Random(SEED)
+        self.engine = Engine()
+        self.fleet = FakeFleet(make_hosts(40, zones=["az0", "az1", "az2", "az3"]))
+        self.members = [Member(index, folder) for index in range(DAEMONS)]
+        self.tally = Tally()
+        self.ends = 0.0
+
+    async def open(self, stack: AsyncExitStack) -> aiohttp.ClientSession:
+        """Start everything and wait until requests are served."""
+        await stack.enter_async_context(self.fleet.serve(range(9001, 9006)))
+        platform = bind("127.0.0.1", PLATFORM_PORT)
+        await stack.enter_async_context(listen(self.fleet.build_platform(self.engine), [platform]))
+        for member in self.members:
+            await member.start()
+            stack.push_async_callback(member.kill)
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        session = await stack.enter_async_context(aiohttp.ClientSession(connector=connector))
+        await self._apply(session)
+        await self._wait_served(session)
+        return session
+
+    async def _apply(self, session: aiohttp.ClientSession) -> None:
+        text = (EXAMPLES / "receita-continua.toml").read_bytes()
+        url = f"http://127.0.0.1:{FIRST_PORT + 1}/v1/apply"
+        for _ in range(100):
+            try:
+                headers = {"Authorization": f"Bearer {TOKEN}"}
+                async with session.post(url, data=text, headers=headers) as response:
+                    if response.status == 200:
+                        return
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(0.2)
+        raise RuntimeError("the file could not be applied")
+
+    async def _wait_served(self, session: aiohttp.ClientSession) -> None:
+        for number in range(200):
+            results = [
+                await self.send(session, member, "checks", f"warm-{number}-{member.index}", 5.0)
+                for member in self.members
+            ]
+            if all(outcome == "ran" for outcome, _, _ in results):
+                return
+            await asyncio.sleep(0.2)
+        raise RuntimeError("the daemons do not serve")
+
+    async def send(
+        self, session: aiohttp.ClientSession, member: Member, service: str, key: str, limit_s: float
+    ) -> tuple[str, int, str]:
+        """Send a keyed request; the outcome is `lost` if no answer came."""
+        url = f"http://127.0.0.1:{member.port}/{service}/op/{key}"
+        timeout = aiohttp.ClientTimeout(total=limit_s)
+        try:
+            async with session.post(
+                url, data=key.encode(), headers={"Idempotency-Key": key}, timeout=timeout
+            ) as response:
+                body = await response.text()
+                return response.headers.get("foxtrestle-outcome", ""), response.status, body
+        except aiohttp.ClientConnectorError:
+            return "unreachable", 0, ""
+        except (aiohttp.ClientError, TimeoutError):
+            return "lost", 0, ""
+
+    async def call_forever(self, session: aiohttp.ClientSession, number: int) -> None:
+        """Send operations one after the other, each until its answer is final."""
+        rng = random.Random(SEED * 1000 + number)
+        count = 0
+        while time.monotonic() < self.ends:
+            count += 1
+            await self._operate(session, rng, f"k-{number}-{count}")
+            await asyncio.sleep(rng.uniform(0.0, 0.04))
+
+    async def _operate(self, session: aiohttp.ClientSession, rng: random.Random, key: str) -> None:
+        service = rng.choice(SERVICES)
+        outage = self.engine.faults.down
+        started = time.monotonic()
+        tries = 0
+        last = ""
+        while time.monotonic() - started < GIVE_UP_S:
+            tries += 1
+            last, status, body = await self.send(
+                session, rng.choice(self.members), service, key, 4.0
+            )
+            self.tally.counts["lost answers"] += last == "lost"
+            if last == "not-run" and self.fleet.executions[key]:
+                self.tally.counts["false not-run"] += 1
+            if last == "ran" and status == 200 and f"/op/{key}" not in body:
+                self.tally.counts["another's answer"] += 1
+            if (last == "ran" and status == 200) or status == 409:
+                break
+            await asyncio.sleep(rng.uniform(0.05, 0.3))
+        self._enter(last, status, tries, outage=outage)
+
+    def _enter(self, last: str, status: int, tries: int, *, outage: bool) -> None:
+        counts = self.tally.counts
+        counts["operations"] += 1
+        done = last == "ran" and status == 200
+        counts["answered"] += done
+        counts["answered at once"] += done and tries == 1
+        counts["told may have run"] += status == 409
+        counts["given up"] += not done and status != 409
+        if outage:
+            self.tally.in_outage["operations"] += 1
+            self.tally.in_outage["answered"] += done
+
+    async def harm(self) -> None:
+        """Kill or pause a daemon every few seconds."""
+        while time.monotonic() < self.ends:
+            await asyncio.sleep(self.rng.uniform(1.5, 3.0))
+            member = self.rng.choice(self.members)
+            if self.rng.random() < 0.5:
+                await member.kill()
+                self.tally.counts["kills"] += 1
+                await asyncio.sleep(0.3)
+                await member.start()
+            else:
+                member.pause(paused=True)
+                self.tally.counts["pauses"] += 1
+                await asyncio.sleep(self.rng.uniform(1.0, 6.0))
+                member.pause(paused=False)
+
+    async def restart(self) -> None:
+        """Stop the daemons in order, one after the other, and replace each."""
+        for member in self.members:
+            await asyncio.sleep(0.5)
+            self.tally.counts["restarts"] += 1
+            self.tally.counts["bad exits"] += await member.stop() != 0
+            await member.start()
+            await asyncio.sleep(2.0)
+
+    async def disturb_store(self) -> None:
+        """Put the store through outages, slow spells and lost answers."""
+        faults = self.engine.faults
+        while time.monotonic() < self.ends:
+            await asyncio.sleep(self.rng.uniform(2.0, 5.0))
+            which = self.rng.choice(("down", "slow", "lossy"))
+            faults.down, faults.slow_s = which == "down", 0.4 * (which == "slow")
+            faults.lost_answers = 0.3 * (which == "lossy")
+            self.tally.counts[f"store {which}"] += 1
+            await asyncio.sleep(self.rng.uniform(3.0, 7.0))
+            faults.down, faults.slow_s, faults.lost_answers = False, 0.0, 0.0
+
+
+async def play(drill: Drill, seconds: float, harms: list[Callable[[], Awaitable[None]]]) -> None:
+    """Run callers and harms for some seconds."""
+    async with AsyncExitStack() as stack:
+        session = await drill.open(stack)
+        drill.ends = time.monotonic() + seconds
+        callers = [drill.call_forever(session, number) for number in range(CALLERS)]
+        await asyncio.gather(*callers, *(harm() for harm in harms))
+        for member in drill.members:
+            member.pause(paused=False)
+        await asyncio.sleep(3.0)
+
+
+def report(case: str, drill: Drill) -> int:
+    """Print what was counted and return the number of promises broken."""
+    counts = drill.tally.counts
+    doubled = sum(number > 1 for number in drill.fleet.executions.values())
+    for name in (
+        "operations",
+        "answered",
+        "answered at once",
+        "told may have run",
+        "given up",
+        "kills",
+        "pauses",
+        "restarts",
+        "bad exits",
+        "lost answers",
+        "false not-run",
+        "another's answer",
+    ):
+        print_figure("drill", case, name, "count", counts[name])
+    print_figure("drill", case, "executed more than once", "count", doubled)
+    outage = drill.tally.in_outage
+    if outage["operations"]:
+        share = outage["answered"] / outage["operations"]
+        print_figure("drill", case, "answered when begun in an outage", "ratio", share)
+    cut = counts["lost answers"] if counts["restarts"] else 0
+    return cut + doubled + counts["false not-run"] + counts["another's answer"]
+
+
+def run(seconds: float = SECONDS) -> None:
+    """Run the drills."""
+    # Daemons that are killed leave the stand-ins' answers unread, which the server would report.
+    logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+    logging.getLogger("asyncio").setLevel(logging.ERROR)
+    broken = 0
+    cases: dict[str, Callable[[Drill], list[Callable[[], Awaitable[None]]]]] = {
+        "kills and pauses, store up": lambda drill: [drill.harm],
+        "planned restarts": lambda drill: [drill.restart],
+        "store failing": lambda drill: [drill.disturb_store],
+        "kills, pauses and store failing": lambda drill: [drill.harm, drill.disturb_store],
+    }
+    for case, choose in cases.items():
+        with tempfile.TemporaryDirectory() as folder:
+            drill = Drill(Path(folder))
+            asyncio.run(play(drill, seconds, choose(drill)))
+            broken += report(case, drill)
+    if broken:
+        print(f"{broken} promises broken", file=sys.stderr)
+        sys.exit(1)
--- a/src/foxtrestle/assignment.py
+++ b/src/foxtrestle/assignment.py
@@ -87,7 +87,11 @@
 
 
 def assign(
-    fleet: Fleet, targets: dict[str, int], touched: Iterable[str], ripe: frozenset[str]
+    fleet: Fleet,
+    targets: dict[str, int],
+    touched: Iterable[str],
+    ripe: frozenset[str],
+    settled: frozenset[str] = frozenset(),
 ) -> Assignment:
     """Bring the touched pools to their targets as far as hosts and priorities allow.
 
@@ -96,6 +100,7 @@
         targets: Hosts each pool should have.
         touched: Pools to look at.
         ripe: Lost hosts that have been away long enough to be replaced.
+        settled: Pools that have had more than their target for so long that they give it back.
 
     Returns:
         The moves made and the pools that stay short.
@@ -112,7 +117,8 @@
         moves.extend(_release_replaced(fleet, pool, ripe))
         made, shortage = _fill(fleet, pool, targets)
         moves.extend(made)
-        moves.extend(_release_surplus(fleet, pool, targets[pool]))
+        if pool in settled:
+            moves.extend(_release_surplus(fleet, pool, targets[pool]))
         robbed = {move.source for move in made if move.source != SPARE}
         queue.extend(sorted(robbed - seen, key=lambda name: (-fleet.level(name), name)))
         if shortage:
@@ -147,6 +153,8 @@
         if lacks <= 0 and not at_risk:
             return moves, None
         move = _take_spare(fleet, pool)
+        if move is None:
+            move = _take_surplus(fleet, pool, targets)
         if move is None:
             move = _take_from_lower(fleet, pool, targets, at_risk=at_risk)
         if move is None:
@@ -221,6 +229,17 @@
     return Move(host, SPARE, pool, "budget" if fleet.slack(pool) < 0 else "fill")
 
 
+def _take_surplus(fleet: Fleet, pool: str, targets: dict[str, int]) -> Move | None:
+    """Take a host from a pool of any level that has more than its target."""
+    for name in fleet.pools_by_level():
+        if name == pool or len(fleet.counts[name].members) <= targets[name]:
+            continue
+        host = _choose_victim_host(fleet, name, pool)
+        if host is not None and fleet.slack_without(name, host) >= 0:
+            return Move(host, name, pool, "surplus")
+    return None
+
+
 def _take_from_lower(
     fleet: Fleet, pool: str, targets: dict[str, int], *, at_risk: bool
 ) -> Move | None:
--- a/src/foxtrestle/draft.py
+++ b/src/foxtrestle/draft.py
@@ -33,6 +33,8 @@
 
 REPLACE_AFTER_S: Final = 30.0
 """Seconds a lost host keeps its place in its pool."""
+RELEASE_AFTER_S: Final = 600.0
+"""Seconds a pool keeps more hosts than its target, so that a flapping host moves nothing."""
 FORGET_AFTER_S: Final = 3600.0
 """Seconds after which a lost spare host is forgotten."""
 KEEP_SPARE: Final = 1
@@ -81,6 +83,8 @@
         for name, entry in record.hosts.items():
             pool = entry.pool if entry.pool in self.fleet.pools else SPARE
             self.fleet.add(_to_host(name, region, entry), entry.state, pool)
+        self.surplus_since: dict[str, float] = {}
+        """Wall time since which a pool has had more hosts than its target, seconds."""
         self.targets: dict[str, int] = {}
         """Hosts each pool should have."""
         self._loads: list[WaveLoad] = []
@@ -262,12 +266,13 @@
     draft.choose_spare()
     ripe = _find_ripe(draft, now)
     touched = (draft.touched | {draft.fleet.pool_of[name] for name in ripe}) - {SPARE}
-    touched = (touched | draft.shortages.keys()) & draft.fleet.pools.keys()
+    settled = _find_settled(draft, touched, now)
+    touched = (touched | settled | draft.shortages.keys()) & draft.fleet.pools.keys()
     draft.touched = set()
     for pool in draft.shortages.keys() - draft.fleet.pools.keys():
         del draft.shortages[pool]
     for pool in sorted(touched, key=lambda name: (-draft.fleet.level(name), name)):
-        _take_outcome(draft, pool, assign(draft.fleet, draft.targets, [pool], ripe))
+        _take_outcome(draft, pool, assign(draft.fleet, draft.targets, [pool], ripe, settled))
         yield
 
 
@@ -280,6 +285,18 @@
         draft.shortages[shortage.pool] = f"{shortage.hosts} short: {shortage.reason}"
 
 
+def _find_settled(draft: Draft, touched: set[str], now: float) -> frozenset[str]:
+    """Find pools that have had more hosts than their target for long."""
+    for pool in (touched | draft.surplus_since.keys()) & draft.fleet.pools.keys():
+        if len(draft.fleet.counts[pool].members) > draft.targets[pool]:
+            draft.surplus_since.setdefault(pool, now)
+        else:
+            draft.surplus_since.pop(pool, None)
+    return frozenset(
+        pool for pool, since in draft.surplus_since.items() if now - since >= RELEASE_AFTER_S
+    )
+
+
 def _find_ripe(draft: Draft, now: float) -> frozenset[str]:
     """Find hosts that are away for so long, or for good, that their pool replaces them."""
     ripe = set()
--- a/src/foxtrestle/ranges.py
+++ b/src/foxtrestle/ranges.py
@@ -301,11 +301,12 @@
 
     async def _claim_in_store(self, keys: Iterable[int]) -> bool:
         """Write claims, without waiting long for a store that does not answer."""
-        writing = asyncio.create_task(self._write_claims(keys))
-        await asyncio.wait({writing}, timeout=PATIENCE_S)
-        if not writing.done():
-            self._away, self._writing = True, writing
+        self._writing = asyncio.create_task(self._write_claims(keys))
+        await asyncio.wait({self._writing}, timeout=PATIENCE_S)
+        if not self._writing.done():
+            self._away = True
             return False
+        writing, self._writing = self._writing, None
         try:
             writing.result()
         except StoreError:
--- a/src/foxtrestle/standins/keyvalue.py
+++ b/src/foxtrestle/standins/keyvalue.py
@@ -192,9 +192,10 @@
 class DirectStore:
     """The engine behind the project's own store interface, for tests without sockets."""
 
-    def __init__(self, engine: Engine) -> None:
-        """Create a store over `engine`."""
+    def __init__(self, engine: Engine, is_cut: Callable[[], bool] = lambda: False) -> None:
+        """Create a store over `engine`; while `is_cut` says so, this client cannot reach it."""
         self._engine = engine
+        self._is_cut = is_cut
 
     async def get(self, key: str) -> Record | None:
         """Read one key."""
@@ -229,6 +230,8 @@
     async def _call(self, kind: str, act: Callable[[], T]) -> T:
         if self._engine.faults.slow_s:
             await asyncio.sleep(self._engine.faults.slow_s)
+        if self._is_cut():
+            raise StoreError("cut off", step="standin.call")
         self._engine.admit(kind)
         result = act()
         if self._engine.loses_answer():
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,392 @@
+"""At most once: every step of an operation's life under kills, pauses, outages and lost answers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from typing import Any
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from foxtrestle import ranges
+from foxtrestle.errors import FoxtrestleError
+from foxtrestle.messages import Answer
+from foxtrestle.operations import (
+    Ledger,
+    Witness,
+    WitnessMemory,
+    count_witnesses,
+    pack_keys,
+    unpack_keys,
+)
+from foxtrestle.peers import PeerUnreachable
+from foxtrestle.ranges import Context, OwnedRange, RangeLost, answer_as_witness
+from foxtrestle.standins.keyvalue import DirectStore, Engine
+from foxtrestle.upstream import Request
+
+KEYS = 12
+
+
+def make_request(key: int) -> Request:
+    return Request("s", "POST", f"/{key}", [], b"", "t", 0, time.monotonic() + 5, f"k{key}")
+
+
+class Node:
+    """A daemon reduced to its ranges and its witness memory."""
+
+    def __init__(self, name: str, world: World) -> None:
+        self.name = name
+        self.world = world
+        self.memory = WitnessMemory()
+        self.range: OwnedRange | None = None
+        self.serving: asyncio.Task[None] | None = None
+        self.cut = False
+        self.counts: Counter[str] = Counter()
+
+    def make_context(self) -> Context:
+        return Context(
+            incarnation=self.name,
+            store=DirectStore(self.world.engine, lambda: self.cut),
+            ask=self.ask,
+            execute=self.world.execute,
+            list_witnesses=lambda: [
+                Witness(other, other) for other in sorted(self.world.nodes) if other != self.name
+            ],
+            is_alive=lambda name: name in self.world.nodes,
+            memory=self.memory,
+            counts=self.counts,
+        )
+
+    async def ask(self, address: str, incarnation: str, message: Any) -> Any:
+        node = self.world.nodes.get(incarnation)
+        if node is None or self.cut or node.cut:
+            raise PeerUnreachable("gone", step="test", peer=address)
+        return answer_as_witness(node.memory, message)
+
+    async def own(self) -> bool:
+        """Take the range over, as after its holder's lease has ended."""
+        owned = OwnedRange(0, self.make_context())
+        try:
+            async with asyncio.timeout(2):
+                await owned.take_over()
+        except (FoxtrestleError, TimeoutError):
+            return False
+        await self.disown()
+        self.range = owned
+        self.serving = asyncio.create_task(self._serve(owned))
+        return True
+
+    async def _serve(self, owned: OwnedRange) -> None:
+        try:
+            await owned.serve()
+        except RangeLost:
+            pass
+
+    async def disown(self) -> None:
+        if self.serving is not None:
+            self.serving.cancel()
+            await asyncio.gather(self.serving, return_exceptions=True)
+        self.serving = self.range = None
+
+
+class World:
+    """Nodes over one store and one upstream that counts executions."""
+
+    def __init__(self) -> None:
+        self.engine = Engine(writes_per_s=0, reads_per_s=0, seed=1)
+        self.nodes: dict[str, Node] = {}
+        self.executions: Counter[str] = Counter()
+        self.number = 0
+        self.refuse = False
+        for _ in range(4):
+            self.add()
+
+    def add(self) -> Node:
+        self.number += 1
+        node = Node(f"n{self.number}", self)
+        self.nodes[node.name] = node
+        return node
+
+    async def execute(self, request: Request) -> Answer:
+        await asyncio.sleep(0)
+        if self.refuse:
+            return Answer(503, [], b"", "not-run")
+        self.executions[request.key] += 1
+        await asyncio.sleep(0)
+        return Answer(200, [], request.key.encode(), "ran")
+
+
+@pytest.fixture(autouse=True)
+def quick_store(monkeypatch: pytest.MonkeyPatch) -> None:
+    make_quick(monkeypatch.setattr)
+
+
+def make_quick(setattr_: Any) -> None:
+    for module in ("foxtrestle.store", "foxtrestle.ranges"):
+        setattr_(f"{module}.compute_pause", lambda attempt, rng: 0.001)
+    setattr_(ranges, "PATIENCE_S", 0.02)
+
+
+async def submit(node: Node, key: int) -> Answer:
+    assert node.range is not None
+    async with asyncio.timeout(5):
+        return await node.range.submit(key * ranges.SEGMENT_KEYS, make_request(key))
+
+
+async def test_same_key_runs_once_and_gets_the_same_answer() -> None:
+    world = World()
+    node = world.nodes["n1"]
+    await node.own()
+    answers = await asyncio.gather(*(submit(node, 1) for _ in range(5)))
+    assert world.executions == {"k1": 1}
+    assert {answer.body for answer in answers} == {b"k1"}
+    await node.disown()
+
+
+async def test_new_owner_refuses_what_the_old_one_ran() -> None:
+    world = World()
+    old, new = world.nodes["n1"], world.nodes["n2"]
+    await old.own()
+    await submit(old, 1)
+    del world.nodes["n1"]
+    await new.own()
+    again = await submit(new, 1)
+    assert (again.status, again.outcome) == (409, "may-have-run")
+    assert (await submit(new, 2)).outcome == "ran"
+    assert world.executions == {"k1": 1, "k2": 1}
+
+
+async def test_paused_owner_that_wakes_is_fenced() -> None:
+    world = World()
+    old, new = world.nodes["n1"], world.nodes["n2"]
+    await old.own()
+    await new.own()
+    answer = await submit(old, 1)
+    assert answer.outcome == "not-run"
+    assert old.counts["fenced"] == 1
+    assert (await submit(new, 1)).outcome == "ran"
+    assert world.executions == {"k1": 1}
+
+
+async def test_operations_run_through_an_outage_and_are_known_to_the_next_owner() -> None:
+    world = World()
+    old, new = world.nodes["n1"], world.nodes["n2"]
+    await old.own()
+    world.engine.faults.down = True
+    assert (await submit(old, 1)).outcome == "ran"
+    assert old.counts["witnessed"] == 1
+    await old.disown()
+    del world.nodes["n1"]
+    world.engine.faults.down = False
+    await new.own()
+    assert (await submit(new, 1)).outcome == "may-have-run"
+    assert (await submit(new, 2)).outcome == "ran"
+    assert world.executions == {"k1": 1, "k2": 1}
+
+
+async def test_owner_cut_off_from_the_store_is_stopped_by_the_seal() -> None:
+    world = World()
+    old, new = world.nodes["n1"], world.nodes["n2"]
+    await old.own()
+    world.engine.faults.down = True
+    await submit(old, 1)
+    world.engine.faults.down = False
+    old.cut = True
+    await new.own()
+    old.cut = False
+    answer = await submit(old, 2)
+    assert answer.outcome == "not-run"
+    assert (await submit(new, 2)).outcome == "ran"
+    assert world.executions == {"k1": 1, "k2": 1}
+
+
+async def test_without_enough_witnesses_an_outage_refuses_and_nothing_runs() -> None:
+    world = World()
+    node = world.nodes["n1"]
+    await node.own()
+    for name in ("n2", "n3", "n4"):
+        del world.nodes[name]
+    world.engine.faults.down = True
+    answer = await submit(node, 1)
+    assert (answer.outcome, world.executions) == ("not-run", {})
+
+
+async def test_loss_of_too_many_witnesses_leaves_doubt_and_is_said() -> None:
+    world = World()
+    await world.nodes["n1"].own()
+    for name in ("n1", "n2", "n3", "n4"):
+        del world.nodes[name]
+    new = world.add()
+    await new.own()
+    answer = await submit(new, 1)
+    assert (answer.status, answer.outcome) == (409, "may-have-run")
+    assert "before daemons were lost" in answer.reason
+    assert new.counts["doubted"] == 1
+
+
+async def test_orderly_release_leaves_no_doubt() -> None:
+    world = World()
+    old = world.nodes["n1"]
+    await old.own()
+    await submit(old, 1)
+    assert old.range is not None
+    await old.range.release()
+    world.nodes.clear()
+    new = world.add()
+    await new.own()
+    assert (await submit(new, 2)).outcome == "ran"
+    assert (await submit(new, 1)).outcome == "may-have-run"
+
+
+async def test_lost_answers_of_the_store_do_not_lose_claims() -> None:
+    world = World()
+    node = world.nodes["n1"]
+    await node.own()
+    world.engine.faults.lost_answers = 0.5
+    answers = [await submit(node, key) for key in range(20)]
+    assert [answer.outcome for answer in answers].count("ran") == 20
+    assert set(world.executions.values()) == {1}
+
+
+async def test_refusal_of_the_upstream_may_be_tried_again() -> None:
+    world = World()
+    node = world.nodes["n1"]
+    await node.own()
+    world.refuse = True
+    assert (await submit(node, 1)).outcome == "not-run"
+    world.refuse = False
+    assert (await submit(node, 1)).outcome == "ran"
+    assert world.executions == {"k1": 1}
+
+
+async def test_another_request_under_a_used_key_is_refused() -> None:
+    world = World()
+    node = world.nodes["n1"]
+    await node.own()
+    await submit(node, 1)
+    assert node.range is not None
+    other = await node.range.submit(ranges.SEGMENT_KEYS, make_request(2))
+    assert other.status == 422
+
+
+async def test_segments_are_closed_and_found_by_the_next_owner(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(ranges, "SEGMENT_KEYS", 4)
+    world = World()
+    node, new = world.nodes["n1"], world.nodes["n2"]
+    await node.own()
+    for key in range(1, 11):
+        await submit(node, key)
+    assert node.range is not None
+    assert node.range.record.segments == 2
+    await new.own()
+    assert new.range is not None
+    assert new.range.ledger.count_claims() == 10
+    assert all([(await submit(new, key)).outcome == "may-have-run" for key in range(1, 11)])
+
+
+def test_any_claim_and_any_takeover_share_a_witness() -> None:
+    for number in range(1, 8):
+        claim, seal = count_witnesses(number)
+        assert claim + seal > number
+
+
+def test_ledger_finds_keys_in_segments() -> None:
+    ledger = Ledger()
+    ledger.add_segment(0, unpack_keys(pack_keys([5, 1, 9])))
+    assert [ledger.is_claimed(key) for key in (1, 2, 9)] == [True, False, True]
+
+
+class OperationMachine(RuleBasedStateMachine):
+    """Takeovers, kills, cuts, outages and lost answers between any two steps."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        patch = pytest.MonkeyPatch()
+        self.patch = patch
+        make_quick(patch.setattr)
+        self.loop = asyncio.new_event_loop()
+        self.world = self.loop.run_until_complete(self._make_world())
+        self.told: dict[str, list[tuple[str, int]]] = {}
+
+    async def _make_world(self) -> World:
+        return World()
+
+    def pick(self, index: int) -> Node:
+        names = sorted(self.world.nodes)
+        return self.world.nodes[names[index % len(names)]]
+
+    @rule(index=st.integers(0, 9))
+    def take_over(self, index: int) -> None:
+        self.loop.run_until_complete(self.pick(index).own())
+
+    @rule(index=st.integers(0, 9), keys=st.lists(st.integers(1, KEYS), min_size=1, max_size=4))
+    def submit(self, index: int, keys: list[int]) -> None:
+        node = self.pick(index)
+        if node.range is None:
+            return
+
+        async def send() -> list[Any]:
+            return await asyncio.gather(
+                *(submit(node, key) for key in keys), return_exceptions=True
+            )
+
+        for key, answer in zip(keys, self.loop.run_until_complete(send()), strict=True):
+            if isinstance(answer, Answer) and answer.outcome == "not-run":
+                self.told.setdefault(f"k{key}", []).append(
+                    ("not-run", self.world.executions[f"k{key}"])
+                )
+
+    @precondition(lambda self: len(self.world.nodes) > 1)
+    @rule(index=st.integers(0, 9))
+    def kill(self, index: int) -> None:
+        node = self.pick(index)
+        del self.world.nodes[node.name]
+        self.loop.run_until_complete(node.disown())
+        self.world.add()
+
+    @rule(index=st.integers(0, 9), cut=st.booleans())
+    def cut(self, index: int, cut: bool) -> None:
+        self.pick(index).cut = cut
+
+    @rule(down=st.booleans(), lossy=st.booleans())
+    def disturb(self, down: bool, lossy: bool) -> None:
+        self.world.engine.faults.down = down
+        self.world.engine.faults.lost_answers = 0.4 if lossy else 0.0
+
+    @rule(refuse=st.booleans())
+    def overload(self, refuse: bool) -> None:
+        self.world.refuse = refuse
+
+    @invariant()
+    def nothing_runs_twice(self) -> None:
+        assert all(number == 1 for number in self.world.executions.values())
+
+    @invariant()
+    def refusals_are_true(self) -> None:
+        for answers in self.told.values():
+            assert all(executions == 0 for _, executions in answers)
+
+    @invariant()
+    def nothing_runs_without_a_claim(self) -> None:
+        assert not any(node.counts["violations"] for node in self.world.nodes.values())
+
+    def teardown(self) -> None:
+        async def end() -> None:
+            for node in self.world.nodes.values():
+                await node.disown()
+
+        self.loop.run_until_complete(end())
+        self.loop.close()
+        self.patch.undo()
+
+
+TestOperationMachine = OperationMachine.TestCase
+TestOperationMachine.settings = settings(
+    max_examples=60, stateful_step_count=25, deadline=None, derandomize=True
+)
