Give shards up for good at a planned stop, and parse a file only once

Cause: a test of a planned stop found the stopping daemon holding its shards again: the control loop saw the lock it was about to delete and took the work up anew.

--- a/src/foxtrestle/configuration.py
+++ b/src/foxtrestle/configuration.py
@@ -7,6 +7,7 @@
 import uuid
 from typing import TYPE_CHECKING, Final
 
+import msgspec
 from returns.result import Failure
 
 from foxtrestle._fields import Fault
@@ -82,22 +83,21 @@
         if record.version == self.version and record.checksum == self.checksum:
             self.certain = self.certain or certain
             return False
-        if record.version <= self.version or compute_checksum(record.text) != record.checksum:
+        checksum = compute_checksum(record.text, record.declaration)
+        if record.version <= self.version or checksum != record.checksum:
             self.rejected += 1
             return False
-        result = parse_declaration(record.text)
-        if isinstance(result, Failure):
-            self.rejected += 1
-            return False
-        self.declaration = result.unwrap()
+        self.declaration = record.declaration
         self.record, self.encoded = record, encoded
         self.installed_at, self.certain = time.time(), certain
         return True
 
 
-def compute_checksum(text: str) -> str:
-    """Compute the checksum of a file's text, SHA-256 in hexadecimal."""
-    return hashlib.sha256(text.encode()).hexdigest()
+def compute_checksum(text: str, declaration: Declaration) -> str:
+    """Compute the checksum of a file and its parsed form, SHA-256 in hexadecimal."""
+    digest = hashlib.sha256(text.encode())
+    digest.update(msgspec.json.encode(declaration))
+    return digest.hexdigest()
 
 
 def check_text(text: str) -> Declaration:
@@ -133,16 +133,17 @@
         StoreError: The store cannot be asked; nothing was applied.
         OutcomeUnknown: Not known whether it was applied; asking again with the same base tells.
     """
-    check_text(text)
+    declaration = check_text(text)
     held = await store.get(CONFIGURATION)
     current = decode_record(held.value, ConfigurationRecord) if held else None
-    checksum = compute_checksum(text)
+    checksum = compute_checksum(text, declaration)
     if current is not None and current.checksum == checksum:
         return current
     if base is not None and base != (current.version if current else 0):
         raise Conflict(current) if current else Faults([Fault("base", "nothing is applied yet")])
     version = current.version + 1 if current else 1
-    record = ConfigurationRecord(version, author, wall(), checksum, text, uuid.uuid4().hex)
+    nonce = uuid.uuid4().hex
+    record = ConfigurationRecord(version, author, wall(), checksum, text, declaration, nonce)
     value = encode_record(record)
     if len(value) > MAX_RECORD_BYTES:
         reason = f"{len(value)} bytes compressed, at most {MAX_RECORD_BYTES}"
--- a/src/foxtrestle/daemon.py
+++ b/src/foxtrestle/daemon.py
@@ -60,6 +60,10 @@
 """Seconds between two statuses to the peers."""
 STATUS_FANOUT: Final = 8
 """Peers told in one period."""
+STATUS_BYTES_PER_S: Final = 1500.0
+"""Bytes a daemon sends its peers in statuses; a larger status goes out less often."""
+STATUS_LOADS: Final = 64
+"""Busiest runners told in one status."""
 STATUS_MAX_AGE_S: Final = 3.0
 """Seconds after which a peer's status counts no more."""
 MAX_WITNESSES: Final = 5
@@ -338,9 +342,11 @@
     async def follow_peers(self) -> None:
         """Tell peers this daemon's status, and take theirs into account."""
         while True:
+            before = self.links.bytes_sent()
             await self._tell_peers()
             self._apply_loads()
-            await asyncio.sleep(STATUS_PERIOD_S)
+            sent = self.links.bytes_sent() - before
+            await asyncio.sleep(max(STATUS_PERIOD_S, sent / STATUS_BYTES_PER_S))
 
     async def _tell_peers(self) -> None:
         self._sequence += 1
@@ -368,6 +374,7 @@
             for name, balancer in self.dispatcher.balancers.items()
             for host, number in balancer.loads().items()
         ]
+        loads.sort(key=lambda load: -load.in_flight)
         holdings = [
             Holding(work.range.number, work.range.record.epoch)
             for work in self.shards.held.values()
@@ -379,7 +386,7 @@
             sequence=self._sequence,
             configuration=self.configuration.version,
             checksum=self.configuration.checksum[:16],
-            loads=loads,
+            loads=loads[:STATUS_LOADS],
             leaving=leaving,
             holdings=holdings,
             stopping=self.stopping,
--- a/src/foxtrestle/records.py
+++ b/src/foxtrestle/records.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from foxtrestle.declaration import Declaration  # noqa: TC001 - msgspec reads the annotations
 from foxtrestle.errors import FoxtrestleError
 from foxtrestle.fleet import HostState  # noqa: TC001 - msgspec reads the annotations
 
@@ -45,9 +46,11 @@
     at: float
     """Wall time of the apply, seconds since the epoch."""
     checksum: str
-    """SHA-256 of the text, hexadecimal."""
+    """SHA-256 over the text and the declaration, hexadecimal."""
     text: str
     """The file."""
+    declaration: Declaration
+    """The file as it was parsed and checked once, by the daemon that accepted it."""
     nonce: str
     """Makes the value unique."""
 
--- a/src/foxtrestle/shards.py
+++ b/src/foxtrestle/shards.py
@@ -123,7 +123,8 @@
         self._timeline = timeline
         self._start = start
         self._tasks: dict[str, asyncio.Task[None]] = {}
-        self._claiming: set[str] = set()
+        self._leaving: set[str] = set()
+        self._closed = False
 
     def holders(self) -> dict[str, HolderRecord]:
         """Return the holder of each locked shard, as last seen."""
@@ -135,7 +136,9 @@
 
     async def step(self, shards: Iterable[str], members: Iterable[str], lease: int) -> None:
         """Bring what is held in line with the plan and the locks as seen."""
-        locks = {name: holder.incarnation for name, holder in self.holders().items()}
+        if self._closed:
+            return
+        locks = self._list_locks()
         for name in [name for name in self._tasks if self._is_lost(name, locks)]:
             await self._drop(name, "lost")
         plan = choose_shards(shards, locks, members, self._me.incarnation)
@@ -143,25 +146,36 @@
             await self._claim(name, lease)
         for name in plan.release:
             await self.release(name)
-        for name, holder in locks.items():
-            if holder == self._me.incarnation and name not in self._tasks:
+        for name, holder in self._list_locks().items():
+            # A lock of ours without work: the answer to our claim was lost.
+            idle = name not in self._tasks and name not in self._leaving
+            if holder == self._me.incarnation and idle and not self._closed:
                 self._begin(name)
 
     async def release(self, name: str) -> None:
         """Give one shard up in order."""
-        work = self.held.get(name)
-        if work is None:
+        self._leaving.add(name)
+        try:
+            work = self.held.get(name)
+            if work is not None:
+                await self._hand_over(name, work)
             await self._unlock(name)
-            return
+        finally:
+            self._leaving.discard(name)
+
+    async def _hand_over(self, name: str, work: ShardWork) -> None:
         try:
             await work.release()
         except FoxtrestleError as error:
             self._timeline.add("shard.release-failed", name, str(error))
         await self._drop(name, "released")
-        await self._unlock(name)
+
+    def _list_locks(self) -> dict[str, str]:
+        return {name: holder.incarnation for name, holder in self.holders().items()}
 
     async def close(self) -> None:
-        """Give every shard up in order, all at once."""
+        """Give every shard up in order, all at once, and take none any more."""
+        self._closed = True
         await asyncio.gather(*(self.release(name) for name in list(self.held)))
 
     def abandon(self) -> None:
--- a/src/foxtrestle/standins/hosts.py
+++ b/src/foxtrestle/standins/hosts.py
@@ -316,14 +316,23 @@
 
 
 def make_hosts(
-    number: int, *, zones: list[str], per_rack: int = 4, cores: int = 32, memory_gb: int = 128
+    number: int,
+    *,
+    zones: list[str],
+    per_rack: int = 4,
+    cores: int = 32,
+    memory_gb: int = 128,
+    subnet: int = 1,
 ) -> list[ListedHost]:
-    """Make the lines of a host list: racks of equal size, spread over zones in turn."""
+    """Make the lines of a host list: racks of equal size, spread over zones in turn.
+
+    The hosts' addresses are on the loopback network, from `127.0.<subnet>.1` on.
+    """
     hosts = []
     for index in range(number):
         rack = index // per_rack
         zone = zones[rack % len(zones)]
-        address = f"127.0.{1 + index // 200}.{1 + index % 200}"
+        address = f"127.0.{subnet + index // 200}.{1 + index % 200}"
         hosts.append(
             ListedHost(f"h{index:04d}", address, f"r{rack:03d}", zone, "main", cores, memory_gb)
         )
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections import Counter
+from contextlib import suppress
 from typing import Any
 
 import pytest
@@ -82,10 +83,8 @@
         return True
 
     async def _serve(self, owned: OwnedRange) -> None:
-        try:
+        with suppress(RangeLost):
             await owned.serve()
-        except RangeLost:
-            pass
 
     async def disown(self) -> None:
         if self.serving is not None:
--- /dev/null
+++ b/tests/test_shards.py
@@ -0,0 +1,104 @@
+"""Shards are spread evenly, taken over after a death and handed over at a planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from foxtrestle.events import Clock, Timeline, Timestamp
+from foxtrestle.records import ROOT
+from foxtrestle.shards import HolderRecord, ShardHolder, choose_shards
+from foxtrestle.standins.keyvalue import DirectStore, Engine
+from foxtrestle.store import Mirror
+from tests.fakes import ManualClock
+
+SHARDS = [f"s{number}" for number in range(10)]
+
+
+@settings(derandomize=True)
+@given(st.lists(st.sampled_from("abcdef"), min_size=1, unique=True), st.data())
+def test_every_free_shard_has_exactly_one_taker(members: list[str], data: st.DataObject) -> None:
+    holders = {
+        name: data.draw(st.sampled_from([*members, "dead"]))
+        for name in data.draw(st.lists(st.sampled_from(SHARDS), unique=True))
+    }
+    claimed = [name for me in members for name in choose_shards(SHARDS, holders, members, me).claim]
+    assert sorted(claimed) == sorted(set(SHARDS) - holders.keys())
+
+
+def test_spread_evens_out_step_by_step() -> None:
+    holders = dict.fromkeys(SHARDS, "a")
+    for _ in range(20):
+        for me in ("a", "b", "c"):
+            plan = choose_shards(SHARDS, holders, ["a", "b", "c"], me)
+            for name in plan.release:
+                del holders[name]
+            holders |= dict.fromkeys(plan.claim, me)
+    loads = [list(holders.values()).count(me) for me in ("a", "b", "c")]
+    assert max(loads) - min(loads) <= 1
+
+
+def test_stopping_daemon_gives_everything_up() -> None:
+    plan = choose_shards(SHARDS, dict.fromkeys(SHARDS, "a"), ["b"], "a")
+    assert plan.release == SHARDS
+
+
+class Work:
+    def __init__(self) -> None:
+        self.released = False
+
+    async def run(self) -> None:
+        await asyncio.Event().wait()
+
+    async def release(self) -> None:
+        self.released = True
+
+
+async def test_dead_holders_shards_are_taken_when_its_lease_ends() -> None:
+    clock = ManualClock()
+    engine = Engine(clock, writes_per_s=0, reads_per_s=0)
+    store = DirectStore(engine)
+    nodes = {}
+    for name in ("a", "b"):
+        mirror = Mirror(ROOT, lambda keys: None)
+        mirror.current = True
+        timeline = Timeline(name, Clock())
+        holder = ShardHolder(HolderRecord(name, ""), store, mirror, timeline, lambda shard: Work())
+        nodes[name] = (holder, mirror, await store.grant(5))
+
+    async def step(name: str, members: list[str]) -> None:
+        holder, mirror, lease = nodes[name]
+        mirror.load(await store.scan(ROOT))
+        await holder.step(SHARDS, members, lease)
+
+    await step("a", ["a", "b"])
+    await step("b", ["a", "b"])
+    assert len(nodes["a"][0].held) == len(nodes["b"][0].held) == 5
+    clock.advance(3)
+    await store.keep_alive(nodes["b"][2])
+    clock.advance(3)
+    await step("b", ["b"])
+    assert len(nodes["b"][0].held) == 10
+    await step("a", ["a", "b"])
+    assert not nodes["a"][0].held
+    for holder, _, _ in nodes.values():
+        holder.abandon()
+
+
+def test_clock_puts_effect_after_cause() -> None:
+    fast, slow = Clock(lambda: 100.0), Clock(lambda: 50.0)
+    sent = fast.read()
+    slow.observe(sent)
+    assert slow.read() > sent
+    assert fast.read() > sent > Timestamp(0, 0)
+
+
+def test_timeline_is_bounded_and_counts_what_it_dropped() -> None:
+    timeline = Timeline("a", Clock(), capacity=3)
+    for number in range(5):
+        timeline.add("host.up", f"h{number}")
+    assert [event.sequence for event in timeline.select()] == [3, 4, 5]
+    assert timeline.dropped == 2
+    assert [event.subject for event in timeline.select(subject="h4")] == ["h4"]
