Lend every spare host to waves

Cause: one spare host was held back from waves for hosts that fail meanwhile. Change: KEEP_SPARE is 0; the budgets' own promise (one domain) holds without.

--- a/src/foxtrestle/draft.py
+++ b/src/foxtrestle/draft.py
@@ -37,7 +37,7 @@
 """Seconds a pool keeps more hosts than its target, so that a flapping host moves nothing."""
 FORGET_AFTER_S: Final = 3600.0
 """Seconds after which a lost spare host is forgotten."""
-KEEP_SPARE: Final = 1
+KEEP_SPARE: Final = 0
 """Spare hosts that waves leave up for hosts that fail meanwhile."""
 SETTLE_S: Final = 3.0
 """Least seconds a host drains, so that every daemon has seen that it does."""
