Check each of the eight promises in the program, by name

Cause: only budgets, pools and claims were checked while running. Change: one class of checks, each promise counted from 0 in /metrics; a violation stops the act: the draft is dropped, the operation is not run, the request not sent, the answer not passed on, the record not installed.

--- a/src/foxtrestle/configuration.py
+++ b/src/foxtrestle/configuration.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from foxtrestle.checks import Checks
     from foxtrestle.store import Store
 
 MAX_RECORD_BYTES: Final = 1 << 20
@@ -40,8 +41,9 @@
 class Configuration:
     """The newest configuration this daemon knows and has installed."""
 
-    def __init__(self) -> None:
+    def __init__(self, checks: Checks | None = None) -> None:
         """Create a configuration that knows nothing yet."""
+        self._checks = checks
         self.record: ConfigurationRecord | None = None
         """The record installed; None before the first."""
         self.declaration = Declaration()
@@ -85,13 +87,20 @@
             return False
         checksum = compute_checksum(record.text, record.declaration)
         if record.version <= self.version or checksum != record.checksum:
-            self.rejected += 1
+            self._reject(record, certain=certain)
             return False
         self.declaration = record.declaration
         self.record, self.encoded = record, encoded
         self.installed_at, self.certain = time.time(), certain
         return True
 
+    def _reject(self, record: ConfigurationRecord, *, certain: bool) -> None:
+        """Keep what stands; that the store itself goes back would break a promise."""
+        self.rejected += 1
+        if certain and record.version <= self.version and self._checks is not None:
+            detail = f"the store has {record.version}, {self.version} is installed"
+            self._checks.report("configuration-never-reverts", str(record.version), detail)
+
 
 def compute_checksum(text: str, declaration: Declaration) -> str:
     """Compute the checksum of a file and its parsed form, SHA-256 in hexadecimal."""
--- a/src/foxtrestle/daemon.py
+++ b/src/foxtrestle/daemon.py
@@ -18,6 +18,7 @@
 import eliot
 from returns.result import Failure
 
+from foxtrestle.checks import Checks
 from foxtrestle.configuration import Configuration
 from foxtrestle.dispatch import Dispatcher
 from foxtrestle.errors import FoxtrestleError
@@ -87,7 +88,9 @@
         """Whether a planned stop is under way."""
         self.timeline = Timeline(settings.name, Clock())
         """Events of this daemon."""
-        self.configuration = Configuration()
+        self.checks = Checks(self.timeline)
+        """Promises checked while running."""
+        self.configuration = Configuration(self.checks)
         """Configuration installed."""
         self.mirror = Mirror(ROOT, self.on_change)
         """Mirror of the shared records."""
@@ -159,7 +162,7 @@
         self.shards = ShardHolder(holder, self.store, self.mirror, self.timeline, self._make_work)
         pooled = await open_session(keepalive_timeout=2.0)
         single = await open_session(force_close=True)
-        self.dispatcher = Dispatcher(Upstream(pooled, single, settings.max_body_bytes))
+        self.dispatcher = Dispatcher(Upstream(pooled, single, settings.max_body_bytes), self.checks)
         self.router = Router(
             self.incarnation,
             self._find_owned,
@@ -167,8 +170,11 @@
             self.links,
             self._list_levels,
             self.counts["routing"],
+            self.checks,
+        )
+        self.proxy = Proxy(
+            settings, self.configuration, self.dispatcher, self.router.run, self.checks
         )
-        self.proxy = Proxy(settings, self.configuration, self.dispatcher, self.router.run)
         self._workers = Workers(platform)
         stack.push_async_callback(self.links.close)
         self._add_metrics()
@@ -189,6 +195,7 @@
             list_witnesses=self._list_witnesses,
             is_alive=lambda incarnation: incarnation in self.membership.members(),
             memory=self.memory,
+            checks=self.checks,
             counts=self.counts["operations"],
         )
 
@@ -202,6 +209,7 @@
             workers=self._workers,
             timeline=self.timeline,
             counts=self.counts[part],
+            checks=self.checks,
             period_s=self.settings.control_period_s,
             hears_majority=self.hears_majority,
             settle_s=self.settings.drain_settle_s,
@@ -444,6 +452,7 @@
         add("store_calls", "Calls to the platform's store.", lambda: self.store.calls)
         for name, counter in self.counts.items():
             add(name, f"Counters of {name}.", partial(_read_counter, counter))
+        add("violations", "Promises found broken.", lambda: self.checks.violations)
         add("state", "State of this daemon.", self._read_state)
 
     def _sum_balancers(self) -> Counter[str]:
@@ -464,7 +473,7 @@
 
     def count_violations(self) -> int:
         """Return the number of promises found broken by this daemon's own checks."""
-        return sum(counter["violations"] for counter in self.counts.values())
+        return self.checks.total()
 
 
 class RangeWork:
@@ -525,6 +534,8 @@
         serve = partial(listen, certificate=settings.tls_certificate, key=settings.tls_key)
         admin = bind(settings.address, settings.admin_port)
         await stack.enter_async_context(serve(build_admin(daemon), [admin]))
+        # Runs after the listener has closed, which gives requests in flight their time.
+        stack.callback(_check_nothing_cut, daemon)
         callers = bind(settings.address, settings.caller_port)
         await stack.enter_async_context(
             serve(daemon.proxy, [callers], stop_limit_s=settings.stop_limit_s)
@@ -547,6 +558,12 @@
         await asyncio.sleep(1.0)
 
 
+def _check_nothing_cut(daemon: Daemon) -> None:
+    if daemon.proxy.in_flight:
+        detail = f"{daemon.proxy.in_flight} requests in flight at the end of a planned stop"
+        daemon.checks.report("stop-cuts-nothing", daemon.settings.name, detail)
+
+
 async def _leave(daemon: Daemon) -> None:
     daemon.shards.abandon()
     with suppress(StoreError):
--- a/src/foxtrestle/dispatch.py
+++ b/src/foxtrestle/dispatch.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from foxtrestle.checks import Checks
     from foxtrestle.messages import Answer
     from foxtrestle.routing import Lease
     from foxtrestle.upstream import Request, Upstream
@@ -31,8 +32,14 @@
 class Dispatcher:
     """Balancers of all services over one upstream client."""
 
-    def __init__(self, upstream: Upstream, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        upstream: Upstream,
+        checks: Checks | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         """Create a dispatcher without services."""
+        self._checks = checks
         self.balancers: dict[str, Balancer] = {}
         """Balancer of each service."""
         self.counts: Counter[str] = Counter()
@@ -84,6 +91,8 @@
     async def _try(self, balancer: Balancer, lease: Lease, request: Request) -> Answer:
         started = self._clock()
         outcome = "cancelled"
+        if balancer.runners.get(lease.runner.host) is not lease.runner:
+            return self._refuse_left(balancer, lease, request)
         try:
             answer = await self._upstream.send(lease.runner.address, request)
             outcome = _judge(answer)
@@ -91,6 +100,13 @@
         finally:
             balancer.release(lease, outcome, self._clock() - started)
 
+    def _refuse_left(self, balancer: Balancer, lease: Lease, request: Request) -> Answer:
+        """Stop a request that is about to go to a runner that gets no new work."""
+        balancer.release(lease, "cancelled", 0.0)
+        if self._checks is not None:
+            self._checks.report("leaving-gets-nothing", lease.runner.host, request.service)
+        return make_refusal(503, "not-run", "the runner has left", retry_after_s=0.5)
+
 
 def _judge(answer: Answer) -> str:
     if answer.outcome == "not-run" and answer.status == 503:
--- a/src/foxtrestle/draft.py
+++ b/src/foxtrestle/draft.py
@@ -418,14 +418,14 @@
         if former is not None and former.state == "up":
             taken[former.pool] += 1
     violations = [
-        Note("violation.budget", pool, f"{number} hosts taken down below the floor")
+        Note("budget-holds", pool, f"{number} hosts taken down below the floor")
         for pool, number in taken.items()
         if pool in draft.fleet.pools and draft.fleet.missing(pool)
     ]
     members = sum(len(count.members) for count in draft.fleet.counts.values())
     assigned = sum(pool != SPARE for pool in draft.fleet.pool_of.values())
     if members != assigned:
-        violations.append(Note("violation.one-pool", f"{members} members, {assigned} hosts"))
+        violations.append(Note("one-pool-a-host", f"{members} members, {assigned} hosts"))
     return violations
 
 
--- a/src/foxtrestle/fleet_shard.py
+++ b/src/foxtrestle/fleet_shard.py
@@ -27,6 +27,7 @@
     from collections import Counter
     from collections.abc import Awaitable, Callable
 
+    from foxtrestle.checks import Checks
     from foxtrestle.configuration import Configuration
     from foxtrestle.events import Timeline
     from foxtrestle.platform import HostList, Workers, WorkerStatus
@@ -61,7 +62,9 @@
     timeline: Timeline
     """Where changes are noted."""
     counts: Counter[str]
-    """Counters: `rounds`, `commits`, `conflicts`, `violations`, `orders`, `order-failures`."""
+    """Counters: `rounds`, `commits`, `conflicts`, `orders`, `order-failures`."""
+    checks: Checks
+    """Promises checked."""
     period_s: float
     """Seconds between two rounds."""
     hears_majority: Callable[[], bool]
@@ -249,8 +252,7 @@
             self._context.counts["order-failures"] += 1
 
     def _report(self, violations: list[Note]) -> None:
-        """Count and log violations, and drop the draft: nothing of it is done."""
-        self._context.counts["violations"] += len(violations)
+        """Report violations and drop the draft: nothing of it is done."""
         for note in violations:
-            self._context.timeline.add(note.kind, note.subject, note.detail)
+            self._context.checks.report(note.kind, note.subject, note.detail)  # type: ignore[arg-type]
         self._draft = None
--- a/src/foxtrestle/messages.py
+++ b/src/foxtrestle/messages.py
@@ -119,6 +119,8 @@
     """Seconds after which asking again makes sense; 0 for none."""
     owner: bool = True
     """False: the receiver does not own the key's range and did nothing."""
+    key: str = ""
+    """Key of the operation that is answered, between daemons."""
 
 
 class ConfigurationRequest(msgspec.Struct, frozen=True, rename="camel"):
--- a/src/foxtrestle/once.py
+++ b/src/foxtrestle/once.py
@@ -5,6 +5,8 @@
 import time
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from foxtrestle.errors import FoxtrestleError
 from foxtrestle.messages import Answer, Operation
 from foxtrestle.operations import find_range, hash_key
@@ -15,6 +17,7 @@
     from collections import Counter
     from collections.abc import Callable
 
+    from foxtrestle.checks import Checks
     from foxtrestle.peers import PeerLinks
     from foxtrestle.ranges import OwnedRange
     from foxtrestle.shards import HolderRecord
@@ -34,6 +37,7 @@
         links: PeerLinks,
         levels: Callable[[], dict[str, int]],
         counts: Counter[str],
+        checks: Checks,
     ) -> None:
         """Create a router.
 
@@ -44,6 +48,7 @@
             links: Links to peers.
             levels: Lists the teams' priority levels.
             counts: Counters: `local`, `forwarded`, `unowned`.
+            checks: Promises checked.
         """
         self._incarnation = incarnation
         self._owned = owned
@@ -51,6 +56,7 @@
         self._links = links
         self._levels = levels
         self._counts = counts
+        self._checks = checks
 
     async def run(self, request: Request) -> Answer:
         """Have a request run by its owner, here or at a peer."""
@@ -84,7 +90,8 @@
             deadline=time.monotonic() + operation.remaining_s,
             key=operation.key,
         )
-        return await owned.submit(key, request)
+        answer = await owned.submit(key, request)
+        return msgspec.structs.replace(answer, key=operation.key)
 
     async def _forward(self, holder: HolderRecord, request: Request) -> Answer:
         remaining = request.deadline - time.monotonic()
@@ -114,6 +121,9 @@
             return _refuse_unowned(error.reason)
         if not answer.owner:
             return _refuse_unowned("the key's range is changing hands")
+        if answer.key != request.key:
+            self._checks.report("whole-own-answer", request.key, f"answer to {answer.key!r}")
+            return make_refusal(502, "may-have-run", "the owner answered another request")
         return answer
 
 
--- a/src/foxtrestle/proxy.py
+++ b/src/foxtrestle/proxy.py
@@ -11,11 +11,12 @@
 
 from foxtrestle.dispatch import SAFE_METHODS
 from foxtrestle.errors import FoxtrestleError
-from foxtrestle.upstream import Outcome, Request, make_refusal, select_headers
+from foxtrestle.upstream import OUTCOMES, Outcome, Request, make_refusal, select_headers
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from foxtrestle.checks import Checks
     from foxtrestle.configuration import Configuration
     from foxtrestle.declaration import Service
     from foxtrestle.dispatch import Dispatcher
@@ -64,6 +65,7 @@
         configuration: Configuration,
         dispatcher: Dispatcher,
         run_once: Callable[[Request], Awaitable[Answer]],
+        checks: Checks,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Create the callers' side.
@@ -73,6 +75,7 @@
             configuration: The configuration installed.
             dispatcher: Sends requests that carry no key.
             run_once: Runs a request that carries a key.
+            checks: Promises checked.
             clock: Monotonic clock, seconds.
         """
         self.counts: Counter[str] = Counter()
@@ -85,6 +88,7 @@
         self._configuration = configuration
         self._dispatcher = dispatcher
         self._run_once = run_once
+        self._checks = checks
         self._clock = clock
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
@@ -99,6 +103,7 @@
             answer = make_refusal(error.status, "not-run", error.reason)
         finally:
             self.in_flight -= 1
+        answer = self._check_answer(answer, scope["path"])
         self.counts[answer.outcome] += 1
         await _send_answer(send, answer, close=self.closing)
 
@@ -116,6 +121,13 @@
             return await self._run_once(request)
         return await self._dispatcher.send(request)
 
+    def _check_answer(self, answer: Answer, path: str) -> Answer:
+        """Check that an answer says what is known of the execution."""
+        if answer.outcome not in OUTCOMES:
+            self._checks.report("refusal-is-true", path, f"outcome {answer.outcome!r}")
+            return make_refusal(502, "may-have-run", "the answer does not say whether it ran")
+        return answer
+
     def _identify(self, headers: dict[bytes, bytes]) -> Caller:
         """Tell the caller's team from its token; every known token is compared."""
         tokens = self._settings.team_tokens
--- a/src/foxtrestle/ranges.py
+++ b/src/foxtrestle/ranges.py
@@ -35,6 +35,7 @@
     from collections import Counter
     from collections.abc import Awaitable, Callable, Iterable
 
+    from foxtrestle.checks import Checks
     from foxtrestle.messages import Answer
     from foxtrestle.operations import WitnessMemory
     from foxtrestle.store import Store
@@ -79,8 +80,10 @@
     """Tells whether an incarnation's lease stands, as far as the store has told."""
     memory: WitnessMemory
     """Claims this daemon remembers for others."""
+    checks: Checks
+    """Promises checked."""
     counts: Counter[str]
-    """Counters: `claimed`, `witnessed`, `fenced`, `replayed`, `doubted`, `violations`."""
+    """Counters: `claimed`, `witnessed`, `fenced`, `replayed`, `doubted`."""
     wall: Callable[[], float] = time.time
     """Wall clock, seconds; used only for retention."""
 
@@ -239,7 +242,7 @@
                 return
             entry.advance("claimed")
         if entry.state != "running" or not self.ledger.is_claimed(key):
-            self._context.counts["violations"] += 1
+            self._context.checks.report("at-most-once", str(key), "about to run without a claim")
             entry.done.set_result(make_refusal(500, "not-run", "run without a claim; stopped"))
             return
         try:
--- a/src/foxtrestle/schemas/peer.capnp
+++ b/src/foxtrestle/schemas/peer.capnp
@@ -70,6 +70,7 @@
   outcome @3 :Text;
   reason @4 :Text;
   retryAfterS @5 :Float64;
+  key @7 :Text;           # key of the operation that is answered
   owner @6 :Bool;         # false: the receiver does not own the key's range and did nothing
 }
 
--- a/src/foxtrestle/upstream.py
+++ b/src/foxtrestle/upstream.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING, Final, Literal
+from typing import TYPE_CHECKING, Final, Literal, get_args
 
 import aiohttp
 import msgspec
@@ -15,6 +15,7 @@
 
 Outcome = Literal["ran", "not-run", "may-have-run"]
 """What is known of the execution of a request."""
+OUTCOMES: Final = frozenset(get_args(Outcome))
 REFUSED_HEADER: Final = "runner-refused"
 """Header by which a runner says, with status 503, that it did not start a request."""
 CONNECT_TIMEOUT_S: Final = 0.5
--- /dev/null
+++ b/tests/test_checks.py
@@ -0,0 +1,132 @@
+"""Every promise has a check in the program, and each check can fail and then stops the act."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from foxtrestle.checks import PROMISES, Checks
+from foxtrestle.configuration import Configuration, apply
+from foxtrestle.daemon import Daemon, _check_nothing_cut
+from foxtrestle.dispatch import Dispatcher
+from foxtrestle.draft import Draft, find_violations, observe_list
+from foxtrestle.events import Clock, Timeline
+from foxtrestle.messages import Answer
+from foxtrestle.once import Router
+from foxtrestle.proxy import Proxy
+from foxtrestle.records import FleetRecord, encode_record
+from foxtrestle.shards import HolderRecord
+from foxtrestle.standins.keyvalue import DirectStore, Engine
+from tests.fakes import make_declaration, make_pool
+from tests.test_assignment import list_hosts
+from tests.test_operations import World, submit
+from tests.test_routing import FakeUpstream, make_request
+
+
+@pytest.fixture
+def checks() -> Checks:
+    return Checks(Timeline("test", Clock()))
+
+
+def test_every_promise_is_counted_from_the_start(checks: Checks) -> None:
+    assert checks.violations == dict.fromkeys(PROMISES, 0)
+    assert len(PROMISES) == 8
+
+
+def make_draft() -> Draft:
+    pools = [make_pool("p", 6, max_unavailable=1)]
+    draft = Draft("main", FleetRecord(), make_declaration(pools))
+    observe_list(draft, list_hosts(8), frozenset(), 0.0)
+    for name in sorted(draft.entries)[:6]:
+        draft.fleet.move(name, "p")
+    draft.record = draft.to_record("me", 1, 1)
+    return draft
+
+
+def test_budget() -> None:
+    draft = make_draft()
+    for name in sorted(draft.fleet.counts["p"].members)[:2]:
+        draft.fleet.set_state(name, "draining")
+    assert [note.kind for note in find_violations(draft)] == ["budget-holds"]
+
+
+def test_one_pool() -> None:
+    draft = make_draft()
+    draft.fleet.counts["p"].members.add("h7")
+    assert [note.kind for note in find_violations(draft)] == ["one-pool-a-host"]
+
+
+async def test_at_most_once() -> None:
+    world = World()
+    node = world.nodes["n1"]
+    await node.own()
+    assert node.range is not None
+    node.range.ledger.is_claimed = lambda key: False  # type: ignore[method-assign]
+    answer = await submit(node, 1)
+    assert (answer.status, world.executions) == (500, {})
+    assert node.checks.violations["at-most-once"] == 1
+    await node.disown()
+
+
+async def test_leaving_runner(checks: Checks) -> None:
+    upstream = FakeUpstream()
+    dispatcher = Dispatcher(upstream, checks)  # type: ignore[arg-type]
+    balancer = dispatcher.find("s")
+    balancer.set_runners({"h0": "10.0.0.0:1"}, 8)
+    lease = await balancer.acquire(0, "t", 1e12)
+    balancer.set_runners({}, 8)
+    answer = await dispatcher._try(balancer, lease, make_request())
+    assert (answer.outcome, upstream.sent) == ("not-run", [])
+    assert checks.violations["leaving-gets-nothing"] == 1
+
+
+async def test_configuration(checks: Checks) -> None:
+    store = DirectStore(Engine())
+    first = await apply(store, '[[teams]]\nname = "a"\nlevel = 1\n', "ann", 0)
+    second = await apply(store, '[[teams]]\nname = "a"\nlevel = 2\n', "ann", 1)
+    configuration = Configuration(checks)
+    configuration.install(encode_record(second), certain=True)
+    configuration.install(encode_record(first), certain=True)
+    assert configuration.version == 2
+    assert checks.violations["configuration-never-reverts"] == 1
+
+
+async def test_own_answer(checks: Checks) -> None:
+    class Link:
+        async def ask(self, message, timeout_s):
+            return Answer(200, [], b"theirs", "ran", key="another")
+
+    class Links:
+        def find(self, address, wanted):
+            return Link()
+
+    router = Router(
+        "me",
+        lambda number: None,
+        lambda shard: HolderRecord("you", "10.0.0.9:1"),
+        Links(),
+        dict,
+        Counter(),
+        checks,  # type: ignore[arg-type]
+    )
+    answer = await router.run(make_request("POST", "mine"))
+    assert (answer.outcome, b"theirs" in answer.body) == ("may-have-run", False)
+    assert checks.violations["whole-own-answer"] == 1
+
+
+def test_refusal(checks: Checks) -> None:
+    proxy = Proxy(None, None, None, None, checks)  # type: ignore[arg-type]
+    answer = proxy._check_answer(Answer(503, [], b"", "perhaps"), "/s")
+    assert answer.outcome == "may-have-run"
+    assert checks.violations["refusal-is-true"] == 1
+
+
+def test_stop(checks: Checks) -> None:
+    daemon = Daemon.__new__(Daemon)
+    daemon.checks = checks
+    daemon.proxy = Proxy(None, None, None, None, checks)  # type: ignore[arg-type]
+    daemon.proxy.in_flight = 2
+    daemon.settings = type("S", (), {"name": "d"})()
+    _check_nothing_cut(daemon)
+    assert checks.violations["stop-cuts-nothing"] == 1
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -14,7 +14,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from foxtrestle import ranges
+from foxtrestle.checks import Checks
 from foxtrestle.errors import FoxtrestleError
+from foxtrestle.events import Clock, Timeline
 from foxtrestle.messages import Answer
 from foxtrestle.operations import (
     Ledger,
@@ -48,6 +50,7 @@
         self.cut = False
         self.cut_store = False
         self.counts: Counter[str] = Counter()
+        self.checks = Checks(Timeline(name, Clock()))
 
     def make_context(self) -> Context:
         return Context(
@@ -60,6 +63,7 @@
             ],
             is_alive=lambda name: name in self.world.nodes,
             memory=self.memory,
+            checks=self.checks,
             counts=self.counts,
         )
 
@@ -404,7 +408,7 @@
 
     @invariant()
     def nothing_runs_without_a_claim(self) -> None:
-        assert not any(node.counts["violations"] for node in self.world.nodes.values())
+        assert not any(node.checks.total() for node in self.world.nodes.values())
 
     def teardown(self) -> None:
         async def end() -> None:
