--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 BENCH ?= all
+EXAMPLE ?= receita-continua
 
 .PHONY: try test lint bench clean
 
@@ -12,7 +13,7 @@
 	touch $@
 
 try: $(VENV)/ready
-	$(BIN)/python -m foxtrestle.trial examples/receita-continua.toml
+	$(BIN)/python -m foxtrestle.trial examples/$(EXAMPLE).toml
 
 test: $(VENV)/ready
 	$(BIN)/python -m pytest
