Split the daemon, and look locks, levels and services up without decoding

Change: gossip, routes and range shard have modules of their own; lookups are cached by revision or by installation; a status tells the 8 busiest runners and its age limit follows the period.

--- a/src/foxtrestle/admin.py
+++ b/src/foxtrestle/admin.py
@@ -169,7 +169,7 @@
         }
     ]
     members = daemon.membership.members()
-    for incarnation, (_, status) in daemon.statuses.items():
+    for incarnation, (_, status) in daemon.gossip.statuses.items():
         name = members[incarnation].name if incarnation in members else incarnation
         versions.append(
             {"daemon": name, "version": status.configuration, "checksum": status.checksum}
--- a/src/foxtrestle/configuration.py
+++ b/src/foxtrestle/configuration.py
@@ -20,6 +20,7 @@
     from collections.abc import Callable
 
     from foxtrestle.checks import Checks
+    from foxtrestle.declaration import Service
     from foxtrestle.store import Store
 
 MAX_RECORD_BYTES: Final = 1 << 20
@@ -48,6 +49,10 @@
         """The record installed; None before the first."""
         self.declaration = Declaration()
         """The declaration installed."""
+        self.levels: dict[str, int] = {}
+        """Priority level of each team."""
+        self.services: dict[str, Service] = {}
+        """Services by name."""
         self.installed_at = 0.0
         """Wall time of the installation, seconds."""
         self.certain = False
@@ -90,6 +95,8 @@
             self._reject(record, certain=certain)
             return False
         self.declaration = record.declaration
+        self.levels = {team.name: team.level for team in record.declaration.teams}
+        self.services = {service.name: service for service in record.declaration.services}
         self.record, self.encoded = record, encoded
         self.installed_at, self.certain = time.time(), certain
         return True
--- a/src/foxtrestle/daemon.py
+++ b/src/foxtrestle/daemon.py
@@ -24,6 +24,7 @@
 from foxtrestle.errors import FoxtrestleError
 from foxtrestle.events import Clock, Timeline
 from foxtrestle.fleet_shard import FleetContext, FleetShard
+from foxtrestle.gossip import Gossip
 from foxtrestle.http_store import HttpStore
 from foxtrestle.job_shard import JobShard
 from foxtrestle.listener import bind, listen
@@ -40,12 +41,14 @@
 )
 from foxtrestle.metrics import Metrics, read_process
 from foxtrestle.once import RANGE_SHARD, Router
-from foxtrestle.operations import RANGES, Witness, WitnessMemory
+from foxtrestle.operations import RANGES, WitnessMemory
 from foxtrestle.peers import Identity, PeerLinks, PeerServer
 from foxtrestle.platform import HostList, PlatformError, Workers
 from foxtrestle.proxy import Proxy
+from foxtrestle.range_shard import RangeShard, choose_witnesses
 from foxtrestle.ranges import Context, OwnedRange, answer_as_witness
 from foxtrestle.records import CONFIGURATION, FLEETS, ROOT, FleetRecord, MemberRecord, decode_record
+from foxtrestle.routes import list_runners
 from foxtrestle.settings import read_settings
 from foxtrestle.shards import HolderRecord, ShardHolder
 from foxtrestle.store import Mirror, StoreError
@@ -57,18 +60,8 @@
     from foxtrestle.settings import Settings
     from foxtrestle.shards import ShardWork
 
-STATUS_PERIOD_S: Final = 0.5
-"""Seconds between two statuses to the peers."""
-STATUS_FANOUT: Final = 8
-"""Peers told in one period."""
-STATUS_BYTES_PER_S: Final = 1500.0
-"""Bytes a daemon sends its peers in statuses; a larger status goes out less often."""
-STATUS_LOADS: Final = 64
+STATUS_LOADS: Final = 8
 """Busiest runners told in one status."""
-STATUS_MAX_AGE_S: Final = 3.0
-"""Seconds after which a peer's status counts no more."""
-MAX_WITNESSES: Final = 5
-"""Witnesses of one operation range."""
 JOB_SHARD: Final = "jobs/"
 FLEET_SHARD: Final = "fleets/"
 
@@ -102,11 +95,8 @@
         """Counters by part."""
         self.memory = WitnessMemory()
         """Claims remembered for other daemons."""
-        self.statuses: dict[str, tuple[float, Status]] = {}
-        """Newest status of each peer, with the clock reading at which it came."""
         self.fleets: dict[str, FleetRecord] = {}
         """Newest fleet record of each region."""
-        self._sequence = 0
         self._identity = Identity(settings.name, self.incarnation, settings.peer_token)
         self.links = PeerLinks(self._identity, self.timeline.clock)
         """Links to peers."""
@@ -118,6 +108,8 @@
     """Client of the platform's host list."""
     membership: Membership
     """This daemon's lease and the daemons alive."""
+    gossip: Gossip
+    """What peers told of themselves."""
     shards: ShardHolder
     """Shards held."""
     dispatcher: Dispatcher
@@ -158,7 +150,8 @@
             peer_port=settings.peer_port,
         )
         self.membership = Membership(me, self.store, self.mirror, settings.member_ttl_s)
-        holder = HolderRecord(self.incarnation, f"{settings.address}:{settings.peer_port}")
+        self.gossip = Gossip(self.membership, self.links, settings.peers, self._make_status)
+        holder = HolderRecord(self.incarnation, me.peer_address)
         self.shards = ShardHolder(holder, self.store, self.mirror, self.timeline, self._make_work)
         pooled = await open_session(keepalive_timeout=2.0)
         single = await open_session(force_close=True)
@@ -166,9 +159,9 @@
         self.router = Router(
             self.incarnation,
             self._find_owned,
-            lambda shard: self.shards.holders().get(shard),
+            self.shards.find_holder,
             self.links,
-            self._list_levels,
+            lambda: self.configuration.levels,
             self.counts["routing"],
             self.checks,
         )
@@ -181,7 +174,7 @@
 
     def _make_work(self, shard: str) -> ShardWork:
         if shard.startswith(RANGE_SHARD):
-            return RangeWork(int(shard.removeprefix(RANGE_SHARD)), self._range_context())
+            return RangeShard(int(shard.removeprefix(RANGE_SHARD)), self._range_context())
         if shard.startswith(JOB_SHARD):
             return JobShard(shard.removeprefix(JOB_SHARD), self._fleet_context("jobs"))
         return FleetShard(shard.removeprefix(FLEET_SHARD), self._fleet_context("fleet"))
@@ -192,7 +185,7 @@
             store=self.store,
             ask=self._ask,
             execute=self.dispatcher.send,
-            list_witnesses=self._list_witnesses,
+            list_witnesses=lambda: choose_witnesses(self.membership.peers().values()),
             is_alive=lambda incarnation: incarnation in self.membership.members(),
             memory=self.memory,
             checks=self.checks,
@@ -211,7 +204,7 @@
             counts=self.counts[part],
             checks=self.checks,
             period_s=self.settings.control_period_s,
-            hears_majority=self.hears_majority,
+            hears_majority=self.gossip.hears_majority,
             settle_s=self.settings.drain_settle_s,
         )
 
@@ -220,36 +213,7 @@
 
     def _find_owned(self, number: int) -> OwnedRange | None:
         work = self.shards.held.get(f"{RANGE_SHARD}{number}")
-        return work.range if isinstance(work, RangeWork) else None
-
-    def _list_levels(self) -> dict[str, int]:
-        return {team.name: team.level for team in self.configuration.declaration.teams}
-
-    def _list_witnesses(self) -> list[Witness]:
-        """Choose other daemons as witnesses, spread over availability zones."""
-        by_zone: dict[str, list[MemberRecord]] = {}
-        for peer in self.membership.peers().values():
-            by_zone.setdefault(peer.zone, []).append(peer)
-        for peers in by_zone.values():
-            peers.sort(key=lambda peer: peer.incarnation)
-        chosen: list[MemberRecord] = []
-        while len(chosen) < MAX_WITNESSES and any(by_zone.values()):
-            for zone in sorted(by_zone):
-                if by_zone[zone] and len(chosen) < MAX_WITNESSES:
-                    chosen.append(by_zone[zone].pop(0))
-        witnesses = [Witness(peer.incarnation, _peer_address(peer)) for peer in chosen]
-        return sorted(witnesses, key=lambda witness: witness.incarnation)
-
-    def hears_majority(self) -> bool:
-        """Tell whether most of the daemons last known have been heard of late."""
-        now = time.monotonic()
-        peers = self.membership.peers()
-        heard = sum(
-            now - self.statuses[peer][0] < STATUS_MAX_AGE_S
-            for peer in peers
-            if peer in self.statuses
-        )
-        return 2 * (heard + 1) > len(peers) + 1
+        return work.range if isinstance(work, RangeShard) else None
 
     def list_shards(self) -> list[str]:
         """List every shard there is under the configuration installed."""
@@ -274,37 +238,31 @@
         return None
 
     async def _take_status(self, status: Status) -> None:
-        held = self.statuses.get(status.incarnation)
-        if held is not None and held[1].sequence >= status.sequence:
+        if not self.gossip.take(status):
             return
-        self.statuses[status.incarnation] = (time.monotonic(), status)
         if status.configuration <= self.configuration.version or self.mirror.current:
             return
-        address = self._find_address(status.incarnation)
-        if address is None:
+        peer = self.membership.peers().get(status.incarnation)
+        if peer is None:
             return
         with suppress(FoxtrestleError):
             request = ConfigurationRequest(self.configuration.version)
-            reply = await self.links.find(address).ask(request, 1.0)
+            reply = await self.links.find(peer.peer_address).ask(request, 1.0)
             if reply.value and self.configuration.install(reply.value, certain=False):
                 self._note_configuration("from a peer")
 
-    def _find_address(self, incarnation: str) -> str | None:
-        peer = self.membership.peers().get(incarnation)
-        return _peer_address(peer) if peer else None
-
     def on_change(self, keys: set[str]) -> None:
         """Take over changes of the mirrored records."""
         held = self.mirror.records.get(CONFIGURATION)
         if CONFIGURATION in keys and held and self.configuration.install(held.value, certain=True):
             self._note_configuration("from the store")
-        for key in keys:
-            if key.startswith(FLEETS):
-                record = self.mirror.records.get(key)
-                if record is not None:
-                    region = key.removeprefix(FLEETS)
-                    self.fleets[region] = decode_record(record.value, FleetRecord, key)
-        if keys:
+        fleets = [key for key in keys if key.startswith(FLEETS)]
+        for key in fleets:
+            record = self.mirror.records.get(key)
+            if record is not None:
+                region = key.removeprefix(FLEETS)
+                self.fleets[region] = decode_record(record.value, FleetRecord, key)
+        if fleets:
             self.update_routes()
 
     def _note_configuration(self, source: str) -> None:
@@ -312,28 +270,17 @@
         self.timeline.add("configuration.installed", version, source)
         self.update_routes()
 
-    def list_leaving(self) -> set[str]:
-        """List hosts that must get no new requests, by the host list or a peer's word."""
-        leaving = {name for name, host in self.host_list.hosts.items() if host.status == "leaving"}
-        now = time.monotonic()
-        for at, status in self.statuses.values():
-            if now - at < STATUS_MAX_AGE_S:
-                leaving.update(status.leaving)
-        return leaving
+    def _list_leaving(self) -> set[str]:
+        """List hosts that the host list has as leaving."""
+        return {name for name, host in self.host_list.hosts.items() if host.status == "leaving"}
 
     def update_routes(self) -> None:
         """Bring the balancers in line with the fleet, the host list and the configuration."""
-        leaving = self.list_leaving()
-        addresses: dict[str, dict[str, str]] = {}
-        for record in self.fleets.values():
-            for name, entry in record.hosts.items():
-                if entry.state == "up" and entry.pool and name not in leaving:
-                    addresses.setdefault(entry.pool, {})[name] = entry.address
-        services = {service.name: service for service in self.configuration.declaration.services}
-        for service in services.values():
-            hosts = addresses.get(service.pool, {})
-            runners = {name: f"{address}:{service.port}" for name, address in hosts.items()}
-            self.dispatcher.find(service.name).set_runners(runners, service.slots)
+        services = self.configuration.services
+        leaving = self._list_leaving() | self.gossip.list_leaving()
+        runners = list_runners(services.values(), self.fleets.values(), leaving)
+        for name, service in services.items():
+            self.dispatcher.find(name).set_runners(runners[name], service.slots)
         for name in self.dispatcher.balancers.keys() - services.keys():
             self.dispatcher.balancers[name].set_runners({}, 1)
 
@@ -349,34 +296,18 @@
 
     async def follow_peers(self) -> None:
         """Tell peers this daemon's status, and take theirs into account."""
+        leaving: set[str] = set()
         while True:
-            before = self.links.bytes_sent()
-            await self._tell_peers()
-            self._apply_loads()
-            sent = self.links.bytes_sent() - before
-            await asyncio.sleep(max(STATUS_PERIOD_S, sent / STATUS_BYTES_PER_S))
-
-    async def _tell_peers(self) -> None:
-        self._sequence += 1
-        peers = list(self.membership.peers().values())
-        status = self._make_status()
-        first = (self._sequence * STATUS_FANOUT) % max(1, len(peers))
-        told = (peers[first:] + peers[:first])[:STATUS_FANOUT]
-        addresses = [_peer_address(peer) for peer in told]
-        if not peers:
-            addresses = self.settings.peers
-        await asyncio.gather(*(self._tell(address, status) for address in addresses))
-        wanted = {_peer_address(peer) for peer in peers} | set(self.settings.peers)
-        alive = {peer.incarnation for peer in peers} | {""}
-        await self.links.keep_only(
-            {(address, incarnation) for address in wanted for incarnation in alive}
-        )
-
-    async def _tell(self, address: str, status: Status) -> None:
-        with suppress(FoxtrestleError):
-            await self.links.find(address).tell(status)
-
-    def _make_status(self) -> Status:
+            pause_s = await self.gossip.tell()
+            loads = self.gossip.sum_loads()
+            for name, balancer in self.dispatcher.balancers.items():
+                balancer.set_others(loads.get(name, Counter()))
+            if leaving != self.gossip.list_leaving():
+                leaving = self.gossip.list_leaving()
+                self.update_routes()
+            await asyncio.sleep(pause_s)
+
+    def _make_status(self, sequence: int) -> Status:
         loads = [
             Load(f"{name}@{host}", number)
             for name, balancer in self.dispatcher.balancers.items()
@@ -386,34 +317,19 @@
         holdings = [
             Holding(work.range.number, work.range.record.epoch)
             for work in self.shards.held.values()
-            if isinstance(work, RangeWork)
+            if isinstance(work, RangeShard)
         ]
-        leaving = [name for name, host in self.host_list.hosts.items() if host.status == "leaving"]
         return Status(
             incarnation=self.incarnation,
-            sequence=self._sequence,
+            sequence=sequence,
             configuration=self.configuration.version,
             checksum=self.configuration.checksum[:16],
             loads=loads[:STATUS_LOADS],
-            leaving=leaving,
+            leaving=sorted(self._list_leaving()),
             holdings=holdings,
             stopping=self.stopping,
         )
 
-    def _apply_loads(self) -> None:
-        now = time.monotonic()
-        sums: dict[str, Counter[str]] = {}
-        for incarnation, (at, status) in list(self.statuses.items()):
-            if now - at >= STATUS_MAX_AGE_S:
-                if incarnation not in self.membership.members():
-                    del self.statuses[incarnation]
-                continue
-            for load in status.loads:
-                service, _, host = load.runner.partition("@")
-                sums.setdefault(service, Counter())[host] += load.in_flight
-        for name, balancer in self.dispatcher.balancers.items():
-            balancer.set_others(sums.get(name, Counter()))
-
     async def follow_store(self) -> None:
         """Keep the lease and the shards."""
         while True:
@@ -476,40 +392,10 @@
         return self.checks.total()
 
 
-class RangeWork:
-    """Work of an operation range as a shard."""
-
-    def __init__(self, number: int, context: Context) -> None:
-        """Create the work for a range."""
-        self.range = OwnedRange(number, context)
-        """The range."""
-
-    async def run(self) -> None:
-        """Take the range over and serve it until it is lost."""
-        await self.range.take_over()
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self.range.serve())
-            group.create_task(self._refresh())
-
-    async def release(self) -> None:
-        """Give the range up in order."""
-        await self.range.release()
-
-    async def _refresh(self) -> None:
-        while True:
-            await asyncio.sleep(1.0)
-            with suppress(StoreError):
-                await self.range.refresh_witnesses()
-
-
 def _read_counter(counter: Counter[str]) -> Counter[str]:
     return counter
 
 
-def _peer_address(peer: MemberRecord) -> str:
-    return f"{peer.address}:{peer.peer_port}"
-
-
 @asynccontextmanager
 async def open_daemon(settings: Settings) -> AsyncIterator[Daemon]:
     """Run a daemon until the context ends, which is a planned stop."""
--- a/src/foxtrestle/proxy.py
+++ b/src/foxtrestle/proxy.py
@@ -140,15 +140,14 @@
                 found = team
         if not found:
             raise BadRequest(401, "no team has this token")
-        levels = {team.name: team.level for team in self._configuration.declaration.teams}
-        return Caller(found, levels.get(found, 0))
+        return Caller(found, self._configuration.levels.get(found, 0))
 
     def _find_service(self, path: str) -> Service:
         name = path.split("/", 2)[1] if path.startswith("/") else ""
-        for service in self._configuration.declaration.services:
-            if service.name == name:
-                return service
-        raise BadRequest(404, f"no service named {name[:64]!r}")
+        service = self._configuration.services.get(name)
+        if service is None:
+            raise BadRequest(404, f"no service named {name[:64]!r}")
+        return service
 
     async def _read_body(self, headers: dict[bytes, bytes], receive: Any) -> bytes:
         limit = self._settings.max_body_bytes
--- /dev/null
+++ b/src/foxtrestle/range_shard.py
@@ -0,0 +1,62 @@
+"""Work of an operation range as a shard, and the choice of its witnesses."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from typing import TYPE_CHECKING, Final
+
+from foxtrestle.operations import Witness
+from foxtrestle.ranges import OwnedRange
+from foxtrestle.store import StoreError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from foxtrestle.ranges import Context
+    from foxtrestle.records import MemberRecord
+
+MAX_WITNESSES: Final = 5
+"""Witnesses of one operation range."""
+REFRESH_S: Final = 1.0
+"""Seconds between two looks at the witnesses."""
+
+
+class RangeShard:
+    """Holder's work on one operation range."""
+
+    def __init__(self, number: int, context: Context) -> None:
+        """Create the work for a range."""
+        self.range = OwnedRange(number, context)
+        """The range."""
+
+    async def run(self) -> None:
+        """Take the range over and serve it until it is lost."""
+        await self.range.take_over()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.range.serve())
+            group.create_task(self._refresh())
+
+    async def release(self) -> None:
+        """Give the range up in order."""
+        await self.range.release()
+
+    async def _refresh(self) -> None:
+        while True:
+            await asyncio.sleep(REFRESH_S)
+            with suppress(StoreError):
+                await self.range.refresh_witnesses()
+
+
+def choose_witnesses(peers: Iterable[MemberRecord]) -> list[Witness]:
+    """Choose daemons as witnesses, spread over availability zones."""
+    by_zone: dict[str, list[MemberRecord]] = {}
+    for peer in sorted(peers, key=lambda peer: peer.incarnation):
+        by_zone.setdefault(peer.zone, []).append(peer)
+    chosen: list[MemberRecord] = []
+    while len(chosen) < MAX_WITNESSES and any(by_zone.values()):
+        for zone in sorted(by_zone):
+            if by_zone[zone] and len(chosen) < MAX_WITNESSES:
+                chosen.append(by_zone[zone].pop(0))
+    witnesses = [Witness(peer.incarnation, peer.peer_address) for peer in chosen]
+    return sorted(witnesses, key=lambda witness: witness.incarnation)
--- a/src/foxtrestle/records.py
+++ b/src/foxtrestle/records.py
@@ -75,6 +75,11 @@
     stopping: bool = False
     """Whether a planned stop is under way."""
 
+    @property
+    def peer_address(self) -> str:
+        """Address for other daemons, `ip:port`."""
+        return f"{self.address}:{self.peer_port}"
+
 
 class HostEntry(msgspec.Struct, frozen=True, omit_defaults=True):
     """One host as the control work keeps it. A host has one entry, so it is in one pool."""
--- a/src/foxtrestle/shards.py
+++ b/src/foxtrestle/shards.py
@@ -124,15 +124,25 @@
         self._start = start
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._leaving: set[str] = set()
+        self._cache: dict[str, tuple[int, HolderRecord]] = {}
         self._closed = False
 
     def holders(self) -> dict[str, HolderRecord]:
         """Return the holder of each locked shard, as last seen."""
-        found = {}
-        for key, record in self._mirror.records.items():
-            if key.startswith(LOCKS):
-                found[key.removeprefix(LOCKS)] = decode_record(record.value, HolderRecord, key)
-        return found
+        names = [key.removeprefix(LOCKS) for key in self._mirror.records if key.startswith(LOCKS)]
+        found = {name: self.find_holder(name) for name in names}
+        return {name: holder for name, holder in found.items() if holder is not None}
+
+    def find_holder(self, name: str) -> HolderRecord | None:
+        """Return the holder of one shard, as last seen."""
+        held = self._mirror.records.get(LOCKS + name)
+        if held is None:
+            return None
+        cached = self._cache.get(name)
+        if cached is None or cached[0] != held.revision:
+            cached = (held.revision, decode_record(held.value, HolderRecord, held.key))
+            self._cache[name] = cached
+        return cached[1]
 
     async def step(self, shards: Iterable[str], members: Iterable[str], lease: int) -> None:
         """Bring what is held in line with the plan and the locks as seen."""
--- a/tests/test_declaration.py
+++ b/tests/test_declaration.py
@@ -9,7 +9,8 @@
 from foxtrestle.declaration import parse_declaration
 from foxtrestle.settings import parse_settings
 
-EXAMPLES = sorted((Path(__file__).parent.parent / "examples").glob("*.toml"))
+FOLDER = Path(__file__).parent.parent / "examples"
+EXAMPLES = sorted(path for path in FOLDER.glob("*.toml") if not path.stem.startswith("entry"))
 
 
 @pytest.mark.parametrize("path", EXAMPLES, ids=lambda path: path.stem)
@@ -17,6 +18,10 @@
     assert parse_declaration(path.read_text()).unwrap().pools
 
 
+def test_example_settings_are_accepted() -> None:
+    assert parse_settings((FOLDER / "entry-1.toml").read_text()).unwrap().name == "entry-1"
+
+
 def test_every_fault_is_listed_with_its_place() -> None:
     text = """
     extra = 1
