--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -21,7 +21,13 @@
 from benches.scenario import make_racked, make_target_region
 from foxtrestle.configuration import Configuration, check_text, compute_checksum
 from foxtrestle.daemon import open_daemon
-from foxtrestle.draft import Draft, advance_waves, assign_touched, observe_list
+from foxtrestle.draft import (
+    Draft,
+    advance_waves,
+    assign_touched,
+    find_violations,
+    observe_list,
+)
 from foxtrestle.events import Timestamp
 from foxtrestle.fleet import Shape
 from foxtrestle.job_shard import JobRecord
@@ -29,6 +35,7 @@
 from foxtrestle.messages import Envelope, Load, Status, decode_envelope, encode_envelope
 from foxtrestle.operations import Ledger, RangeRecord, pack_keys, unpack_keys
 from foxtrestle.placement import Board, Job, Task, decide
+from foxtrestle.platform import ListedHost
 from foxtrestle.records import (
     ConfigurationRecord,
     FleetRecord,
@@ -115,6 +122,7 @@
                 lambda value=value: decode_record(value, FleetRecord)  # type: ignore[misc]
             ),
             "host event ms": _time_events(draft),
+            "unsettled round ms": _time_round(draft),
         }
         for figure, measured in points.items():
             sizes.setdefault(figure, []).append((number, measured))
@@ -122,6 +130,23 @@
         print_slope("fleet shard, hosts", figure, figure.rsplit(" ", 1)[-1], measured_points)
 
 
+def _time_round(draft: Draft) -> float:
+    """Time of a round in which nothing changes but something is under way somewhere."""
+    draft.record = draft.to_record("x", 1, 1)
+    listed = {
+        name: ListedHost(name, entry.address, entry.rack, entry.zone, "main", 32, 128)
+        for name, entry in draft.entries.items()
+    }
+
+    def play() -> bool:
+        observe_list(draft, listed, frozenset(), 50.0)
+        assign_touched(draft, 50.0)
+        advance_waves(draft, 50.0)
+        return not find_violations(draft) and draft.to_record("x", 1, 1) != draft.record
+
+    return measure_time(play)
+
+
 def _time_events(draft: Draft) -> float:
     """Mean time of a decision after one host has gone."""
     rng = random.Random(2)
--- a/src/foxtrestle/fleet_shard.py
+++ b/src/foxtrestle/fleet_shard.py
@@ -25,7 +25,7 @@
 
 if TYPE_CHECKING:
     from collections import Counter
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Collection
 
     from foxtrestle.checks import Checks
     from foxtrestle.configuration import Configuration
@@ -88,6 +88,7 @@
         self._revision = ABSENT
         self._draft: Draft | None = None
         self._seen: dict[str, float] = {}
+        self._settled_list: object = None
 
     async def run(self) -> None:
         """Work until cancelled.
@@ -126,6 +127,8 @@
         context.counts["rounds"] += 1
         if not context.mirror.current or not context.configuration.version:
             return
+        if self._has_nothing_to_do():
+            return
         now = context.wall()
         draft = self._prepare()
         statuses = await self._read_statuses(draft)
@@ -153,6 +156,16 @@
                 context.timeline.add(note.kind, note.subject, note.detail)
         notes, draft.notes = draft.notes, []
         await self._order(draft, statuses, notes)
+        self._settled_list = context.host_list.hosts if _is_settled(draft, listed) else None
+
+    def _has_nothing_to_do(self) -> bool:
+        """Tell whether the last round left everything settled and nothing has changed since."""
+        context = self._context
+        return (
+            self._draft is not None
+            and self._draft.declaration is context.configuration.declaration
+            and self._settled_list is context.host_list.hosts
+        )
 
     def _prepare(self) -> Draft:
         """Return the draft of the last round, or a new one after a change of configuration."""
@@ -256,3 +269,12 @@
         for note in violations:
             self._context.checks.report(note.kind, note.subject, note.detail)  # type: ignore[arg-type]
         self._draft = None
+
+
+def _is_settled(draft: Draft, listed: Collection[str]) -> bool:
+    """Tell whether time alone can change nothing: all hosts are up or quarantined, waves ended."""
+    waiting = draft.fleet.in_state("draining", "rebooting", "lost", "leaving")
+    ended = all(wave.state in ("done", "withdrawn") for wave in draft.waves.values())
+    declared = all(wave.name in draft.waves for wave in draft.declaration.waves)
+    undone = draft.touched or draft.shortages or draft.surplus_since or waiting
+    return ended and declared and not undone and draft.entries.keys() <= set(listed)
--- a/src/foxtrestle/job_shard.py
+++ b/src/foxtrestle/job_shard.py
@@ -51,6 +51,8 @@
 """Seconds a task runs without renewal."""
 RENEW_S: Final = 4.0
 """Seconds between two renewals."""
+POLL_S: Final = 2.0
+"""Seconds between two looks at a worker whose tasks all run; others are looked at each round."""
 LEASE_MARGIN_S: Final = 5.0
 """Seconds beyond the lease before a silent worker's task is placed anew; covers the drift of the
 worker's clock over one lease."""
@@ -251,11 +253,16 @@
         return record, swap.record.revision
 
     async def _watch(self, now: float) -> None:
-        """Ask the workers that have tasks how these are, and move the tasks along."""
+        """Ask workers how their tasks are, and move the tasks along.
+
+        A worker whose tasks all run is asked every `POLL_S`, one with a task that is starting or
+        being stopped in every round.
+        """
         busy: dict[str, list[Task]] = {}
         for task in self.board.tasks.values():
             if task.state in ON_WORKER:
                 busy.setdefault(task.worker, []).append(task)
+        busy = {worker: tasks for worker, tasks in busy.items() if self._is_due(worker, tasks, now)}
         statuses = await asyncio.gather(*(self._read_status(worker) for worker in busy))
         for (worker, tasks), status in zip(busy.items(), statuses, strict=True):
             if status is not None:
@@ -267,6 +274,10 @@
                 for task in tasks:
                     self._expire(task, now)
 
+    def _is_due(self, worker: str, tasks: list[Task], now: float) -> bool:
+        settled = all(task.state == "running" for task in tasks)
+        return not settled or now - self._heard.get(worker, 0.0) >= POLL_S
+
     async def _read_status(self, worker: str) -> WorkerStatus | None:
         address = self._workers.get(worker)
         if address is None:
