Choose spare hosts by shape, and swap like for like

Cause: in a region with accelerators a wave stayed paused for ever: targets counted racks without a fitting host, spare was chosen over all shapes, and swaps of other pools used up the accelerated spare hosts. Change: domains are counted for each pool among hosts that fit it; spare is chosen by shape; a stand-in is never of a larger shape than the host it stands for. The keep parameter, always 0, is gone.

--- a/src/foxtrestle/assignment.py
+++ b/src/foxtrestle/assignment.py
@@ -76,14 +76,28 @@
     return number
 
 
+def count_domains(fleet: Fleet) -> dict[str, int]:
+    """Count for each pool the racks or zones in which hosts stand that fit it."""
+    racks: dict[Shape, set[str]] = {}
+    for host in fleet.hosts.values():
+        racks.setdefault(host.shape, set()).add(host.rack)
+    counts = {}
+    for name, pool in fleet.pools.items():
+        fitting = {rack for shape in racks if shape.fits(pool) for rack in racks[shape]}
+        zones = {fleet.rack_zones[rack] for rack in fitting}
+        counts[name] = len(zones if pool.survive == "zone" else fitting)
+    return counts
+
+
 def compute_targets(fleet: Fleet) -> dict[str, int]:
-    """Compute the target of every pool of a fleet from the racks and zones it has."""
-    racks = len(fleet.rack_zones)
-    zones = len(set(fleet.rack_zones.values()))
-    return {
-        name: compute_target(pool, zones if pool.survive == "zone" else racks)
-        for name, pool in fleet.pools.items()
-    }
+    """Compute the target of every pool of a fleet from the domains its hosts may lie in."""
+    domains = count_domains(fleet)
+    return {name: compute_target(pool, domains[name]) for name, pool in fleet.pools.items()}
+
+
+def find_shape(pool: Pool, shapes: Iterable[Shape]) -> Shape | None:
+    """Find the smallest of some shapes that fits a pool, which is the one it is filled with."""
+    return min((shape for shape in shapes if shape.fits(pool)), default=None)
 
 
 def assign(
@@ -192,7 +206,8 @@
     Args:
         fleet: The fleet.
         pool: The pool.
-        leaving: Member of the pool that is about to leave it, and counts no more.
+        leaving: Member of the pool that is about to leave it and counts no more; no larger
+            shape takes its place, so that swaps use up no accelerators that others need.
         prefer: Hosts to take before others of equal spread.
 
     Returns:
@@ -202,6 +217,8 @@
     by_zone = wanted.survive == "zone"
     vacated = fleet.hosts[leaving] if leaving else None
     for shape in _shapes_for(fleet, wanted):
+        if vacated is not None and shape > vacated.shape:
+            break
         best: tuple[int, int, int, int, str] | None = None
         chosen = None
         for rack, names in fleet.spare[shape].items():
--- a/src/foxtrestle/draft.py
+++ b/src/foxtrestle/draft.py
@@ -11,7 +11,13 @@
 
 import msgspec
 
-from foxtrestle.assignment import Assignment, assign, compute_targets
+from foxtrestle.assignment import (
+    Assignment,
+    assign,
+    compute_targets,
+    count_domains,
+    find_shape,
+)
 from foxtrestle.chart import load_chart
 from foxtrestle.fleet import SPARE, Fleet, Host, Shape
 from foxtrestle.maintenance import (
@@ -37,8 +43,8 @@
 """Seconds a pool keeps more hosts than its target, so that a flapping host moves nothing."""
 FORGET_AFTER_S: Final = 3600.0
 """Seconds after which a lost spare host is forgotten."""
-KEEP_SPARE: Final = 0
-"""Spare hosts that waves leave up for hosts that fail meanwhile."""
+UNUSABLE: Final = frozenset({"lost", "leaving", "quarantined"})
+"""States of a host that cannot be counted on."""
 SETTLE_S: Final = 3.0
 """Least seconds a host drains, so that every daemon has seen that it does."""
 
@@ -87,11 +93,15 @@
         """Wall time since which a pool has had more hosts than its target, seconds."""
         self.targets: dict[str, int] = {}
         """Hosts each pool should have."""
-        self._loads: list[WaveLoad] = []
-        self._domains = (-1, -1)
+        self._loads: dict[Shape, list[WaveLoad]] = {}
+        self._domains: dict[str, int] = {}
         self.spare = SpareChoice(0, False, 0, 0)
-        """Spare hosts wanted, and how waves use them."""
-        self._spare_chosen_for = -1
+        """Spare hosts wanted of all shapes, and how waves use them."""
+        self.spare_by_shape: dict[Shape, SpareChoice] = {}
+        """Spare hosts wanted of each shape."""
+        self.eager: frozenset[str] = frozenset()
+        """Pools in which waves swap for speed."""
+        self._spare_chosen_for: dict[Shape, int] | None = None
         self.choose_spare()
 
     def move_along(self, name: str, event: str, now: float, note: str = "") -> None:
@@ -122,30 +132,56 @@
 
     def choose_spare(self) -> None:
         """Choose targets and spare hosts anew if racks or the usable hosts have changed."""
-        domains = (len(self.fleet.rack_zones), len(set(self.fleet.rack_zones.values())))
+        domains = count_domains(self.fleet)
         if domains != self._domains:
-            self._domains, self._spare_chosen_for = domains, -1
+            self._domains, self._spare_chosen_for = domains, None
             self.targets = compute_targets(self.fleet)
             self._loads = self._list_loads()
             self.touched.update(self.fleet.pools)
-        away = self.fleet.in_state("lost", "leaving", "quarantined")
-        most = len(self.fleet.hosts) - len(away) - sum(self.targets.values())
-        most = min(max(0, most), MOST_LENDABLE + KEEP_SPARE)
-        if most == self._spare_chosen_for:
+        room = self._count_room()
+        if room == self._spare_chosen_for:
             return
-        self._spare_chosen_for = most
-        choice = choose_spare(self._loads, self.declaration.weights, most=most, keep=KEEP_SPARE)
+        self._spare_chosen_for = room
+        choices = {
+            shape: choose_spare(loads, self.declaration.weights, most=room[shape])
+            for shape, loads in self._loads.items()
+        }
+        self.spare_by_shape = choices
         wanted = self.declaration.spare
-        self.spare = choice if wanted is None else msgspec.structs.replace(choice, spare=wanted)
+        self.spare = SpareChoice(
+            sum(choice.spare for choice in choices.values()) if wanted is None else wanted,
+            any(choice.eager for choice in choices.values()),
+            max((choice.batches for choice in choices.values()), default=0),
+            sum(choice.moves for choice in choices.values()),
+        )
+        self.eager = frozenset(
+            name
+            for name, pool in self.fleet.pools.items()
+            if (shape := find_shape(pool, choices)) is not None and choices[shape].eager
+        )
 
-    def _list_loads(self) -> list[WaveLoad]:
-        racks = max(1, len(self.fleet.rack_zones))
-        zones = max(1, len(set(self.fleet.rack_zones.values())))
-        loads = []
+    def _count_room(self) -> dict[Shape, int]:
+        """Count by shape the usable hosts beyond the targets of the pools filled with them."""
+        room = dict.fromkeys(self._loads, 0)
+        for name, host in self.fleet.hosts.items():
+            if host.shape in room:
+                room[host.shape] += self.fleet.states[name] not in UNUSABLE
+        for name, pool in self.fleet.pools.items():
+            shape = find_shape(pool, room)
+            if shape is not None:
+                room[shape] -= self.targets[name]
+        return {shape: min(max(0, number), MOST_LENDABLE) for shape, number in room.items()}
+
+    def _list_loads(self) -> dict[Shape, list[WaveLoad]]:
+        """List what a wave over all hosts has to do, by the shape of the hosts."""
+        domains = count_domains(self.fleet)
+        loads: dict[Shape, list[WaveLoad]] = {host.shape: [] for host in self.fleet.hosts.values()}
         for name, pool in self.fleet.pools.items():
-            domains = zones if pool.survive == "zone" else racks
-            target = self.targets[name]
-            loads.append(WaveLoad(target, compute_parallel(pool, target, domains)))
+            shape = find_shape(pool, loads)
+            if shape is not None:
+                target = self.targets[name]
+                parallel = compute_parallel(pool, target, domains[name])
+                loads[shape].append(WaveLoad(target, parallel))
         return loads
 
 
@@ -350,8 +386,7 @@
         draft.fleet,
         held.pending,
         frozenset(held.maintained),
-        eager=draft.spare.eager,
-        keep=draft.spare.keep,
+        eager=draft.eager,
     )
     if not start.hosts and held.state == "paused":
         start = free_one_host(draft.fleet, held.pending)
--- a/src/foxtrestle/fleet.py
+++ b/src/foxtrestle/fleet.py
@@ -100,8 +100,6 @@
         """Spare hosts that are up, by shape and rack."""
         self.spare_up = 0
         """Number of spare hosts that are up."""
-        self.spare_present = 0
-        """Number of spare hosts that are up or in maintenance."""
         self.rack_zones: dict[str, str] = {}
         """Availability zone of each rack."""
         self.by_state: dict[str, set[str]] = {}
@@ -221,7 +219,6 @@
         else:
             self.by_state[state].discard(name)
         if pool == SPARE:
-            self.spare_present += sign * (state == "up" or state in IN_MAINTENANCE)
             if state == "up":
                 self._count_spare(host, sign)
             return
--- a/src/foxtrestle/maintenance.py
+++ b/src/foxtrestle/maintenance.py
@@ -57,8 +57,6 @@
     """Batches that a wave over the whole fleet takes at best."""
     moves: int
     """Swaps that such a wave makes."""
-    keep: int = 0
-    """Spare hosts that waves leave up for hosts that fail meanwhile."""
 
 
 class WaveStart(msgspec.Struct, frozen=True):
@@ -116,25 +114,22 @@
     return low
 
 
-def choose_spare(
-    loads: list[WaveLoad], weights: Weights, *, most: int, keep: int = 0
-) -> SpareChoice:
+def choose_spare(loads: list[WaveLoad], weights: Weights, *, most: int) -> SpareChoice:
     """Choose the number of spare hosts by the deployment's weights.
 
     Args:
         loads: The pools.
         weights: What the deployment cares about.
         most: Most hosts that can be spare.
-        keep: Spare hosts that waves leave up for hosts that fail meanwhile.
 
     Returns:
         The cheapest choice; without any feasible one, all that can be spare.
     """
     best: tuple[float, SpareChoice] | None = None
     groups = Counter(loads)
-    for lendable in range(min(MOST_LENDABLE, max(0, most - keep)) + 1):
+    for lendable in range(min(MOST_LENDABLE, max(0, most)) + 1):
         for eager in (False, True):
-            choice = _evaluate(groups, lendable, keep, eager=eager)
+            choice = _evaluate(groups, lendable, eager=eager)
             if choice is None:
                 continue
             cost = (
@@ -154,8 +149,7 @@
     pending: Iterable[str],
     maintained: frozenset[str],
     *,
-    eager: bool,
-    keep: int = 0,
+    eager: frozenset[str],
     limit: int = 1_000_000,
 ) -> WaveStart:
     """Choose the hosts of a wave to take down now, whole racks together where that is safe.
@@ -164,8 +158,7 @@
         fleet: The fleet; swaps and drains are applied to it.
         pending: Hosts not yet maintained.
         maintained: Hosts already maintained, taken first as stand-ins.
-        eager: Whether to swap for speed.
-        keep: Spare hosts that must stay up.
+        eager: Pools in which to swap for speed, and not only where nothing can be given.
         limit: Most hosts to start.
 
     Returns:
@@ -174,18 +167,18 @@
     hosts: list[str] = []
     moves: list[Move] = []
     waiting = frozenset(pending)
-    for rack in _order_racks(fleet, waiting, _list_swappable(fleet, eager=eager, keep=keep)):
+    for rack in _order_racks(fleet, waiting, _list_swappable(fleet, eager)):
         later: list[str] = []
         for name in rack:
-            if len(hosts) < limit and _may_start(fleet, name, keep):
+            if len(hosts) < limit and _may_start(fleet, name):
                 fleet.set_state(name, "draining")
                 hosts.append(name)
             else:
                 later.append(name)
         for name in later:
-            if len(hosts) >= limit or fleet.spare_up <= keep:
+            if len(hosts) >= limit or not fleet.spare_up:
                 break
-            swap = _swap(fleet, name, maintained, waiting, eager=eager)
+            swap = _swap(fleet, name, maintained, waiting, eager)
             if swap is not None:
                 moves.extend(swap)
                 fleet.set_state(name, "draining")
@@ -214,14 +207,12 @@
     )
 
 
-def _evaluate(
-    groups: Counter[WaveLoad], lendable: int, keep: int, *, eager: bool
-) -> SpareChoice | None:
+def _evaluate(groups: Counter[WaveLoad], lendable: int, *, eager: bool) -> SpareChoice | None:
     if eager:
         batches = compute_batches(groups, lendable)
         if batches is None:
             return None
-        return SpareChoice(lendable + keep, True, batches, _swaps_needed(groups, batches), keep)
+        return SpareChoice(lendable, True, batches, _swaps_needed(groups, batches))
     alone = [load for load in groups if load.parallel]
     swapped = Counter({load: number for load, number in groups.items() if not load.parallel})
     batches = compute_batches(swapped, lendable)
@@ -229,7 +220,7 @@
         return None
     longest = max((-(-load.hosts // load.parallel) for load in alone), default=0)
     swaps = _swaps_needed(swapped, 0)
-    return SpareChoice(lendable + keep, False, max(batches, longest), swaps, keep)
+    return SpareChoice(lendable, False, max(batches, longest), swaps)
 
 
 def _order_racks(fleet: Fleet, waiting: frozenset[str], swappable: set[str]) -> list[list[str]]:
@@ -256,17 +247,17 @@
     )
 
 
-def _list_swappable(fleet: Fleet, *, eager: bool, keep: int) -> set[str]:
+def _list_swappable(fleet: Fleet, eager: frozenset[str]) -> set[str]:
     """List the pools that may swap hosts now; lazily, only pools that have none in maintenance."""
-    if fleet.spare_up <= keep:
+    if not fleet.spare_up:
         return set()
-    return {name for name, count in fleet.counts.items() if eager or not count.returning}
+    return {name for name, count in fleet.counts.items() if name in eager or not count.returning}
 
 
-def _may_start(fleet: Fleet, name: str, keep: int) -> bool:
+def _may_start(fleet: Fleet, name: str) -> bool:
     pool = fleet.pool_of[name]
     if pool == SPARE:
-        return fleet.spare_up > min(keep, fleet.spare_present - 1)
+        return True
     return fleet.slack_without(pool, name) >= 0
 
 
@@ -275,14 +266,13 @@
     name: str,
     maintained: frozenset[str],
     waiting: frozenset[str],
-    *,
-    eager: bool,
+    eager: frozenset[str],
 ) -> list[Move] | None:
     """Put a spare host in a host's place, if one fits and the pool is then safe without it."""
     pool = fleet.pool_of[name]
     if pool == SPARE:
         return None
-    if not eager and fleet.counts[pool].returning:
+    if pool not in eager and fleet.counts[pool].returning:
         # The pool gives hosts by itself; the next one can go when these are back.
         return None
     stand_in = choose_spare_host(fleet, pool, leaving=name, prefer=maintained)
@@ -315,9 +305,12 @@
 def _try_exchange(fleet: Fleet, exchange: _Exchange) -> list[Move]:
     """Make an exchange if both pools stay safe; otherwise leave everything as it was."""
     pool, other, giver = exchange.pool, exchange.other, exchange.giver
-    fits = fleet.hosts[giver].shape.fits(fleet.pools[pool])
+    shape = fleet.hosts[giver].shape
+    fits = shape.fits(fleet.pools[pool]) and shape <= fleet.hosts[exchange.host].shape
     if fleet.states[giver] != "up" or not fits:
         return []
+    if fleet.hosts[exchange.stand_in].shape > shape:
+        return []
     fleet.move(exchange.stand_in, other)
     if fleet.slack_without(other, giver) >= 0:
         fleet.move(giver, pool)
