--- a/benches/fleet_run.py
+++ b/benches/fleet_run.py
@@ -103,6 +103,7 @@
         self._events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self._order = itertools.count()
         self._gone: set[str] = set()
+        self._ticking = False
         self._event_of: dict[str, int] = {}
         observe_list(self.draft, self.hosts, frozenset(), 0.0)
         self._refresh()
@@ -226,11 +227,16 @@
         if self.on_decided is not None:
             self.on_decided()
         wave = draft.waves.get("wave")
-        if wave is not None and wave.state == "paused":
-            self.at(self.now + 60.0, self.decide)
+        if wave is not None and wave.state == "paused" and not self._ticking:
+            self._ticking = True
+            self.at(self.now + 60.0, self._tick)
         if wave is not None and wave.state == "done" and not self.outcome.wave_s:
             self.outcome.wave_s = wave.ended - wave.started
 
+    def _tick(self) -> None:
+        self._ticking = False
+        self.decide()
+
     def _commit_changes(self) -> None:
         """Check the round's own doing, then take it as committed."""
         draft = self.draft
--- a/src/foxtrestle/draft.py
+++ b/src/foxtrestle/draft.py
@@ -24,6 +24,7 @@
     MOST_LENDABLE,
     SpareChoice,
     WaveLoad,
+    WaveStart,
     choose_hosts,
     choose_spare,
     compute_parallel,
@@ -43,8 +44,6 @@
 """Seconds a pool keeps more hosts than its target, so that a flapping host moves nothing."""
 FORGET_AFTER_S: Final = 3600.0
 """Seconds after which a lost spare host is forgotten."""
-UNUSABLE: Final = frozenset({"lost", "leaving", "quarantined"})
-"""States of a host that cannot be counted on."""
 SETTLE_S: Final = 3.0
 """Least seconds a host drains, so that every daemon has seen that it does."""
 
@@ -91,10 +90,16 @@
             self.fleet.add(_to_host(name, region, entry), entry.state, pool)
         self.surplus_since: dict[str, float] = {}
         """Wall time since which a pool has had more hosts than its target, seconds."""
+        self.assigned_at = -1
+        """`fleet.changes` when pools that are short were last looked at."""
+        self.stuck_at: dict[str, int] = {}
+        """`fleet.changes` when a wave could last start no host, by wave."""
         self.targets: dict[str, int] = {}
         """Hosts each pool should have."""
         self._loads: dict[Shape, list[WaveLoad]] = {}
-        self._domains: dict[str, int] = {}
+        self._domains: tuple[dict[str, int], frozenset[Shape]] | None = None
+        self._wanted: dict[Shape, int] = {}
+        self._arrivals = -1
         self.spare = SpareChoice(0, False, 0, 0)
         """Spare hosts wanted of all shapes, and how waves use them."""
         self.spare_by_shape: dict[Shape, SpareChoice] = {}
@@ -132,12 +137,9 @@
 
     def choose_spare(self) -> None:
         """Choose targets and spare hosts anew if racks or the usable hosts have changed."""
-        domains = count_domains(self.fleet)
-        if domains != self._domains:
-            self._domains, self._spare_chosen_for = domains, None
-            self.targets = compute_targets(self.fleet)
-            self._loads = self._list_loads()
-            self.touched.update(self.fleet.pools)
+        if self.fleet.arrivals != self._arrivals:
+            self._arrivals = self.fleet.arrivals
+            self._count_domains()
         room = self._count_room()
         if room == self._spare_chosen_for:
             return
@@ -160,17 +162,27 @@
             if (shape := find_shape(pool, choices)) is not None and choices[shape].eager
         )
 
-    def _count_room(self) -> dict[Shape, int]:
-        """Count by shape the usable hosts beyond the targets of the pools filled with them."""
-        room = dict.fromkeys(self._loads, 0)
-        for name, host in self.fleet.hosts.items():
-            if host.shape in room:
-                room[host.shape] += self.fleet.states[name] not in UNUSABLE
+    def _count_domains(self) -> None:
+        """Work targets and wave loads out anew if hosts that came or went changed the domains."""
+        domains = (count_domains(self.fleet), frozenset(self.fleet.usable))
+        if domains == self._domains:
+            return
+        self._domains, self._spare_chosen_for = domains, None
+        self.targets = compute_targets(self.fleet)
+        self._loads = self._list_loads()
+        self._wanted = dict.fromkeys(self._loads, 0)
         for name, pool in self.fleet.pools.items():
-            shape = find_shape(pool, room)
+            shape = find_shape(pool, self._loads)
             if shape is not None:
-                room[shape] -= self.targets[name]
-        return {shape: min(max(0, number), MOST_LENDABLE) for shape, number in room.items()}
+                self._wanted[shape] += self.targets[name]
+        self.touched.update(self.fleet.pools)
+
+    def _count_room(self) -> dict[Shape, int]:
+        """Count by shape the usable hosts beyond the targets of the pools filled with them."""
+        return {
+            shape: min(max(0, self.fleet.usable[shape] - wanted), MOST_LENDABLE)
+            for shape, wanted in self._wanted.items()
+        }
 
     def _list_loads(self) -> dict[Shape, list[WaveLoad]]:
         """List what a wave over all hosts has to do, by the shape of the hosts."""
@@ -303,13 +315,17 @@
     ripe = _find_ripe(draft, now)
     touched = (draft.touched | {draft.fleet.pool_of[name] for name in ripe}) - {SPARE}
     settled = _find_settled(draft, touched, now)
-    touched = (touched | settled | draft.shortages.keys()) & draft.fleet.pools.keys()
+    # A pool that is short stays so until some host changes its state or pool.
+    if draft.fleet.changes != draft.assigned_at:
+        touched |= draft.shortages.keys()
+    touched = (touched | settled) & draft.fleet.pools.keys()
     draft.touched = set()
     for pool in draft.shortages.keys() - draft.fleet.pools.keys():
         del draft.shortages[pool]
     for pool in sorted(touched, key=lambda name: (-draft.fleet.level(name), name)):
         _take_outcome(draft, pool, assign(draft.fleet, draft.targets, [pool], ripe, settled))
         yield
+    draft.assigned_at = draft.fleet.changes
 
 
 def _take_outcome(draft: Draft, pool: str, outcome: Assignment) -> None:
@@ -380,16 +396,24 @@
         draft.notes.append(Note("wave.withdrawn", name))
 
 
+def _choose_start(draft: Draft, wave: Wave, held: WaveEntry) -> WaveStart:
+    """Choose the hosts of a wave to start, unless nothing has changed since none could."""
+    fleet = draft.fleet
+    if draft.stuck_at.get(wave.name) == fleet.changes:
+        return WaveStart([], [])
+    start = choose_hosts(fleet, held.pending, frozenset(held.maintained), eager=draft.eager)
+    if start.hosts:
+        return start
+    if held.state == "paused":
+        start = free_one_host(fleet, held.pending)
+        if not start.hosts:
+            draft.stuck_at[wave.name] = fleet.changes
+    return start
+
+
 def _continue(draft: Draft, wave: Wave, now: float) -> None:
     held = draft.waves[wave.name]
-    start = choose_hosts(
-        draft.fleet,
-        held.pending,
-        frozenset(held.maintained),
-        eager=draft.eager,
-    )
-    if not start.hosts and held.state == "paused":
-        start = free_one_host(draft.fleet, held.pending)
+    start = _choose_start(draft, wave, held)
     for move in start.moves:
         draft.moves += move.target != SPARE
         draft.notes.append(Note("move.swap", move.host, f"{move.source}>{move.target}"))
--- a/src/foxtrestle/fleet.py
+++ b/src/foxtrestle/fleet.py
@@ -16,6 +16,8 @@
 """States of `charts/host.toml`."""
 SPARE: Final = ""
 """Name that stands for no pool: the host is spare."""
+UNUSABLE: Final = frozenset({"lost", "leaving", "quarantined"})
+"""States of a host that cannot be counted on."""
 IN_MAINTENANCE: Final = frozenset({"draining", "rebooting"})
 """States of a host that a wave has taken and that is expected back."""
 
@@ -100,6 +102,12 @@
         """Spare hosts that are up, by shape and rack."""
         self.spare_up = 0
         """Number of spare hosts that are up."""
+        self.changes = 0
+        """Grows with every change of a host's state or pool."""
+        self.arrivals = 0
+        """Grows with every host that is added or removed."""
+        self.usable: Counter[Shape] = Counter()
+        """Hosts that can be counted on, by shape."""
         self.rack_zones: dict[str, str] = {}
         """Availability zone of each rack."""
         self.by_state: dict[str, set[str]] = {}
@@ -130,6 +138,7 @@
 
     def add(self, host: Host, state: HostState = "up", pool: str = SPARE) -> None:
         """Add a host."""
+        self.arrivals += 1
         self.hosts[host.name] = host
         self.states[host.name] = state
         self.pool_of[host.name] = pool
@@ -138,6 +147,7 @@
 
     def remove(self, name: str) -> None:
         """Remove a host."""
+        self.arrivals += 1
         self._count(name, -1)
         del self.hosts[name], self.states[name], self.pool_of[name]
 
@@ -214,6 +224,9 @@
 
     def _count(self, name: str, sign: int) -> None:
         host, state, pool = self.hosts[name], self.states[name], self.pool_of[name]
+        self.changes += 1
+        if state not in UNUSABLE:
+            self.usable[host.shape] += sign
         if sign > 0:
             self.by_state.setdefault(state, set()).add(name)
         else:
