--- a/src/foxtrestle/draft.py
+++ b/src/foxtrestle/draft.py
@@ -100,6 +100,7 @@
         self._domains: tuple[dict[str, int], frozenset[Shape]] | None = None
         self._wanted: dict[Shape, int] = {}
         self._arrivals = -1
+        self._evaluated: dict[Shape, tuple[int, SpareChoice]] = {}
         self.spare = SpareChoice(0, False, 0, 0)
         """Spare hosts wanted of all shapes, and how waves use them."""
         self.spare_by_shape: dict[Shape, SpareChoice] = {}
@@ -144,10 +145,7 @@
         if room == self._spare_chosen_for:
             return
         self._spare_chosen_for = room
-        choices = {
-            shape: choose_spare(loads, self.declaration.weights, most=room[shape])
-            for shape, loads in self._loads.items()
-        }
+        choices = {shape: self._choose_for(shape, most) for shape, most in room.items()}
         self.spare_by_shape = choices
         wanted = self.declaration.spare
         self.spare = SpareChoice(
@@ -162,12 +160,21 @@
             if (shape := find_shape(pool, choices)) is not None and choices[shape].eager
         )
 
+    def _choose_for(self, shape: Shape, most: int) -> SpareChoice:
+        """Choose for one shape; what was best of a wider choice is best as long as it fits."""
+        most_before, choice = self._evaluated.get(shape, (-1, None))
+        if choice is None or most > most_before or choice.spare > most:
+            choice = choose_spare(self._loads[shape], self.declaration.weights, most=most)
+            self._evaluated[shape] = (most, choice)
+        return choice
+
     def _count_domains(self) -> None:
         """Work targets and wave loads out anew if hosts that came or went changed the domains."""
         domains = (count_domains(self.fleet), frozenset(self.fleet.usable))
         if domains == self._domains:
             return
         self._domains, self._spare_chosen_for = domains, None
+        self._evaluated = {}
         self.targets = compute_targets(self.fleet)
         self._loads = self._list_loads()
         self._wanted = dict.fromkeys(self._loads, 0)
