--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -21,18 +21,13 @@
 from benches.scenario import make_racked, make_target_region
 from foxtrestle.configuration import Configuration, check_text, compute_checksum
 from foxtrestle.daemon import open_daemon
-from foxtrestle.draft import (
-    Draft,
-    advance_waves,
-    assign_touched,
-    find_violations,
-    observe_list,
-)
+from foxtrestle.draft import Draft, assign_touched, find_violations
 from foxtrestle.events import Timestamp
 from foxtrestle.fleet import Shape
 from foxtrestle.job_shard import JobRecord
 from foxtrestle.listener import bind, listen
 from foxtrestle.messages import Envelope, Load, Status, decode_envelope, encode_envelope
+from foxtrestle.observation import observe_list
 from foxtrestle.operations import Ledger, RangeRecord, pack_keys, unpack_keys
 from foxtrestle.placement import Board, Job, Task, decide
 from foxtrestle.platform import ListedHost
@@ -46,6 +41,7 @@
 from foxtrestle.standins.keyvalue import Engine
 from foxtrestle.store import Mirror, Record
 from foxtrestle.trial import PLATFORM_PORT, apply_text, make_settings, wait_until
+from foxtrestle.waves import advance_waves
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/benches/fleet_run.py
+++ b/benches/fleet_run.py
@@ -15,15 +15,11 @@
 import msgspec
 
 from foxtrestle.declaration import Wave
-from foxtrestle.draft import (
-    Draft,
-    advance_waves,
-    assign_touched,
-    find_violations,
-    observe_list,
-)
+from foxtrestle.draft import Draft, assign_touched, find_violations
 from foxtrestle.fleet import SPARE
+from foxtrestle.observation import observe_list
 from foxtrestle.records import FleetRecord, replace
+from foxtrestle.waves import advance_waves
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/foxtrestle/draft.py
+++ b/src/foxtrestle/draft.py
@@ -1,7 +1,7 @@
 """A fleet record taken apart for decisions, and put together again for the store.
 
-Functions here observe (host list, workers' status) and advance waves. They read no clock and do
-no I/O; `foxtrestle.fleet_shard` feeds them and commits the outcome.
+`foxtrestle.observation` takes over what is seen, functions here assign hosts, `foxtrestle.waves`
+advances waves. None reads a clock or does I/O; `foxtrestle.fleet_shard` feeds them and commits.
 """
 
 from __future__ import annotations
@@ -24,28 +24,20 @@
     MOST_LENDABLE,
     SpareChoice,
     WaveLoad,
-    WaveStart,
-    choose_hosts,
     choose_spare,
     compute_parallel,
-    free_one_host,
 )
 from foxtrestle.records import FleetRecord, HostEntry, WaveEntry, replace
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from foxtrestle.declaration import Declaration, Wave
-    from foxtrestle.platform import ListedHost, WorkerStatus
+    from foxtrestle.declaration import Declaration
 
 REPLACE_AFTER_S: Final = 30.0
 """Seconds a lost host keeps its place in its pool."""
 RELEASE_AFTER_S: Final = 600.0
 """Seconds a pool keeps more hosts than its target, so that a flapping host moves nothing."""
-FORGET_AFTER_S: Final = 3600.0
-"""Seconds after which a lost spare host is forgotten."""
-SETTLE_S: Final = 3.0
-"""Least seconds a host drains, so that every daemon has seen that it does."""
 
 
 class Note(msgspec.Struct, frozen=True):
@@ -208,108 +200,6 @@
     return Host(name, entry.address, entry.rack, entry.zone, region, Shape(*entry.shape))
 
 
-def observe_list(
-    draft: Draft, listed: dict[str, ListedHost], missing: frozenset[str], now: float
-) -> None:
-    """Take over the platform's host list.
-
-    Args:
-        draft: The draft.
-        listed: Hosts of the region in the list.
-        missing: Hosts that have been away from the list long enough to be believed.
-        now: Wall time, seconds.
-    """
-    chart = load_chart("host")
-    for name, host in listed.items():
-        if name not in draft.entries:
-            _add(draft, host, now)
-            continue
-        state = draft.fleet.states[name]
-        if host.status == "leaving" and chart.allows(state, "leave"):
-            draft.move_along(name, "leave", now)
-        elif host.status == "live" and state in ("lost", "leaving"):
-            draft.move_along(name, "back", now)
-    for name in sorted(missing & draft.entries.keys()):
-        state = draft.fleet.states[name]
-        if state != "rebooting" and chart.allows(state, "vanish"):
-            draft.move_along(name, "vanish", now)
-    _forget(draft, listed, now)
-
-
-def _add(draft: Draft, host: ListedHost, now: float) -> None:
-    shape = (host.accelerators, host.cores, host.memory_gb)
-    state = "leaving" if host.status == "leaving" else "up"
-    entry = HostEntry(SPARE, state, now, host.address, host.rack, host.zone, shape)  # type: ignore[arg-type]
-    draft.entries[host.name] = entry
-    draft.fleet.add(host.to_host(), state)  # type: ignore[arg-type]
-    draft.touched.update(draft.shortages)
-    draft.notes.append(Note("host.added", host.name, host.rack))
-
-
-def _forget(draft: Draft, listed: dict[str, ListedHost], now: float) -> None:
-    gone = [
-        name
-        for name in draft.fleet.in_state("lost")
-        if name not in listed
-        and draft.fleet.pool_of[name] == SPARE
-        and now - draft.entries[name].since > FORGET_AFTER_S
-    ]
-    for name in gone:
-        del draft.entries[name]
-        draft.fleet.remove(name)
-        draft.notes.append(Note("host.forgotten", name))
-
-
-def observe_workers(
-    draft: Draft, statuses: dict[str, WorkerStatus], now: float, settle_s: float = SETTLE_S
-) -> None:
-    """Take over what the workers in maintenance say of themselves.
-
-    A host that is empty goes on to its reboot, one with a new boot is back, and one that takes
-    too long is quarantined so that it holds up nobody.
-    """
-    waves = {wave.name: wave for wave in draft.declaration.waves}
-    for name, entry in list_in_maintenance(draft):
-        state = draft.fleet.states[name]
-        wave = waves.get(entry.wave)
-        status = statuses.get(name)
-        waited = now - entry.since
-        if state == "draining" and wave is None:
-            _finish_host(draft, name, "cancel", now, "")
-        elif state == "draining" and status and waited >= settle_s and _is_empty(status):
-            draft.move_along(name, "emptied", now)
-            draft.entries[name] = replace(draft.entries[name], boot=status.boot)
-        elif state == "rebooting" and status and status.boot > entry.boot:
-            _finish_host(draft, name, "back", now, "")
-        elif waited > _limit(wave, state):
-            _finish_host(draft, name, "stuck", now, f"{state} for {waited:.0f} s")
-
-
-def _is_empty(status: WorkerStatus) -> bool:
-    running = any(task.state == "running" for task in status.tasks)
-    return status.draining and status.in_flight == 0 and not running
-
-
-def _limit(wave: Wave | None, state: str) -> float:
-    if wave is None:
-        return 900.0
-    return wave.drain_limit_s if state == "draining" else wave.reboot_limit_s
-
-
-def _finish_host(draft: Draft, name: str, event: str, now: float, note: str) -> None:
-    """End a host's maintenance and enter it in its wave."""
-    wave = draft.entries[name].wave
-    draft.move_along(name, event, now, note)
-    draft.entries[name] = replace(draft.entries[name], wave="")
-    held = draft.waves.get(wave)
-    if held is None or event == "cancel":
-        return
-    if event == "back":
-        draft.waves[wave] = replace(held, maintained=[*held.maintained, name])
-    else:
-        draft.waves[wave] = replace(held, failed=[*held.failed, name])
-
-
 def assign_touched(draft: Draft, now: float) -> None:
     """Fill the pools whose hosts have changed, and those that were short."""
     for _ in assign_in_slices(draft, now):
@@ -368,109 +258,6 @@
     return frozenset(ripe)
 
 
-def advance_waves(draft: Draft, now: float) -> None:
-    """Begin, continue, pause and finish the waves of the declaration, urgent ones first."""
-    draft.choose_spare()
-    declared = sorted(draft.declaration.waves, key=lambda wave: not wave.urgent)
-    names = {wave.name for wave in declared}
-    for name in [name for name in draft.waves if name not in names]:
-        _withdraw(draft, name, now)
-    for wave in declared:
-        held = draft.waves.get(wave.name)
-        if held is None:
-            _begin(draft, wave, now)
-        elif held.state in ("running", "paused"):
-            _continue(draft, wave, now)
-
-
-def _begin(draft: Draft, wave: Wave, now: float) -> None:
-    wanted = set(wave.pools)
-    pending = sorted(
-        name for name, pool in draft.fleet.pool_of.items() if not wanted or pool in wanted
-    )
-    if not pending:
-        return
-    chart = load_chart("wave")
-    draft.waves[wave.name] = WaveEntry(chart.move(chart.start, "begin"), now, pending=pending)
-    draft.notes.append(Note("wave.running", wave.name, f"{len(pending)} hosts"))
-    _continue(draft, wave, now)
-
-
-def _withdraw(draft: Draft, name: str, now: float) -> None:
-    held = draft.waves[name]
-    if load_chart("wave").allows(held.state, "withdraw"):
-        draft.waves[name] = replace(held, state="withdrawn", ended=now, pending=[])
-        draft.notes.append(Note("wave.withdrawn", name))
-
-
-def _choose_start(draft: Draft, wave: Wave, held: WaveEntry) -> WaveStart:
-    """Choose the hosts of a wave to start, unless nothing has changed since none could."""
-    fleet = draft.fleet
-    if draft.stuck_at.get(wave.name) == fleet.changes:
-        return WaveStart([], [])
-    start = choose_hosts(fleet, held.pending, frozenset(held.maintained), eager=draft.eager)
-    if start.hosts:
-        return start
-    if held.state == "paused":
-        start = free_one_host(fleet, held.pending)
-        if not start.hosts:
-            draft.stuck_at[wave.name] = fleet.changes
-    return start
-
-
-def _continue(draft: Draft, wave: Wave, now: float) -> None:
-    held = draft.waves[wave.name]
-    start = _choose_start(draft, wave, held)
-    for move in start.moves:
-        draft.moves += move.target != SPARE
-        draft.notes.append(Note("move.swap", move.host, f"{move.source}>{move.target}"))
-    for name in start.hosts:
-        draft.entries[name] = replace(
-            draft.entries[name], state="draining", since=now, wave=wave.name
-        )
-        draft.notes.append(Note("host.draining", name, wave.name))
-    started = set(start.hosts)
-    pending = [name for name in held.pending if name not in started]
-    gone = {name for name in _list_absent(draft, pending) if _is_gone(draft, name, wave, now)}
-    if gone:
-        pending = [name for name in pending if name not in gone]
-    active = any(entry.wave == wave.name for _, entry in list_in_maintenance(draft))
-    held = replace(held, pending=pending, failed=[*held.failed, *sorted(gone)])
-    draft.waves[wave.name] = _step_wave(draft, wave.name, held, now, active=active)
-
-
-def _step_wave(draft: Draft, name: str, held: WaveEntry, now: float, *, active: bool) -> WaveEntry:
-    """Move a wave along its chart: finished, held up by lost hosts, or going on."""
-    event = ""
-    if not held.pending and not active:
-        event = "finish"
-    elif held.state == "running" and not active:
-        event = "hold"
-    elif held.state == "paused" and active:
-        event = "resume"
-    if not event:
-        return held
-    state = load_chart("wave").move(held.state, event)
-    draft.notes.append(Note(f"wave.{state}", name, f"{len(held.pending)} hosts to go"))
-    return replace(held, state=state, ended=now if event == "finish" else 0.0)
-
-
-def _list_absent(draft: Draft, pending: list[str]) -> set[str]:
-    away = set(draft.fleet.in_state("lost", "leaving", "quarantined"))
-    return {name for name in pending if name in away or name not in draft.entries}
-
-
-def _is_gone(draft: Draft, name: str, wave: Wave, now: float) -> bool:
-    """Tell whether a host waits for nothing: not there, or away for as long as a reboot may be."""
-    entry = draft.entries.get(name)
-    if entry is None:
-        return True
-    state = draft.fleet.states[name]
-    if state in ("quarantined", "leaving"):
-        return True
-    return state == "lost" and now - entry.since > wave.reboot_limit_s
-
-
 def find_violations(draft: Draft) -> list[Note]:
     """Check a draft before it is committed: what it newly takes down must leave budgets whole.
 
--- a/src/foxtrestle/fleet_shard.py
+++ b/src/foxtrestle/fleet_shard.py
@@ -8,20 +8,12 @@
 
 import msgspec
 
-from foxtrestle.draft import (
-    SETTLE_S,
-    Draft,
-    Note,
-    advance_waves,
-    assign_in_slices,
-    find_violations,
-    list_in_maintenance,
-    observe_list,
-    observe_workers,
-)
+from foxtrestle.draft import Draft, Note, assign_in_slices, find_violations, list_in_maintenance
 from foxtrestle.errors import FoxtrestleError
+from foxtrestle.observation import SETTLE_S, observe_list, observe_workers
 from foxtrestle.records import FLEETS, FleetRecord, decode_record, encode_record, replace
 from foxtrestle.store import ABSENT, StoreError, swap_surely
+from foxtrestle.waves import advance_waves
 
 if TYPE_CHECKING:
     from collections import Counter
--- /dev/null
+++ b/src/foxtrestle/observation.py
@@ -0,0 +1,123 @@
+"""What is seen of hosts, taken over into a draft: the platform's list and workers' status."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from foxtrestle.chart import load_chart
+from foxtrestle.draft import Note, list_in_maintenance
+from foxtrestle.fleet import SPARE
+from foxtrestle.records import HostEntry, replace
+
+if TYPE_CHECKING:
+    from foxtrestle.declaration import Wave
+    from foxtrestle.draft import Draft
+    from foxtrestle.platform import ListedHost, WorkerStatus
+
+
+FORGET_AFTER_S: Final = 3600.0
+"""Seconds after which a lost spare host is forgotten."""
+SETTLE_S: Final = 3.0
+"""Least seconds a host drains, so that every daemon has seen that it does."""
+
+
+def observe_list(
+    draft: Draft, listed: dict[str, ListedHost], missing: frozenset[str], now: float
+) -> None:
+    """Take over the platform's host list.
+
+    Args:
+        draft: The draft.
+        listed: Hosts of the region in the list.
+        missing: Hosts that have been away from the list long enough to be believed.
+        now: Wall time, seconds.
+    """
+    chart = load_chart("host")
+    for name, host in listed.items():
+        if name not in draft.entries:
+            _add(draft, host, now)
+            continue
+        state = draft.fleet.states[name]
+        if host.status == "leaving" and chart.allows(state, "leave"):
+            draft.move_along(name, "leave", now)
+        elif host.status == "live" and state in ("lost", "leaving"):
+            draft.move_along(name, "back", now)
+    for name in sorted(missing & draft.entries.keys()):
+        state = draft.fleet.states[name]
+        if state != "rebooting" and chart.allows(state, "vanish"):
+            draft.move_along(name, "vanish", now)
+    _forget(draft, listed, now)
+
+
+def _add(draft: Draft, host: ListedHost, now: float) -> None:
+    shape = (host.accelerators, host.cores, host.memory_gb)
+    state = "leaving" if host.status == "leaving" else "up"
+    entry = HostEntry(SPARE, state, now, host.address, host.rack, host.zone, shape)  # type: ignore[arg-type]
+    draft.entries[host.name] = entry
+    draft.fleet.add(host.to_host(), state)  # type: ignore[arg-type]
+    draft.touched.update(draft.shortages)
+    draft.notes.append(Note("host.added", host.name, host.rack))
+
+
+def _forget(draft: Draft, listed: dict[str, ListedHost], now: float) -> None:
+    gone = [
+        name
+        for name in draft.fleet.in_state("lost")
+        if name not in listed
+        and draft.fleet.pool_of[name] == SPARE
+        and now - draft.entries[name].since > FORGET_AFTER_S
+    ]
+    for name in gone:
+        del draft.entries[name]
+        draft.fleet.remove(name)
+        draft.notes.append(Note("host.forgotten", name))
+
+
+def observe_workers(
+    draft: Draft, statuses: dict[str, WorkerStatus], now: float, settle_s: float = SETTLE_S
+) -> None:
+    """Take over what the workers in maintenance say of themselves.
+
+    A host that is empty goes on to its reboot, one with a new boot is back, and one that takes
+    too long is quarantined so that it holds up nobody.
+    """
+    waves = {wave.name: wave for wave in draft.declaration.waves}
+    for name, entry in list_in_maintenance(draft):
+        state = draft.fleet.states[name]
+        wave = waves.get(entry.wave)
+        status = statuses.get(name)
+        waited = now - entry.since
+        if state == "draining" and wave is None:
+            _finish_host(draft, name, "cancel", now, "")
+        elif state == "draining" and status and waited >= settle_s and _is_empty(status):
+            draft.move_along(name, "emptied", now)
+            draft.entries[name] = replace(draft.entries[name], boot=status.boot)
+        elif state == "rebooting" and status and status.boot > entry.boot:
+            _finish_host(draft, name, "back", now, "")
+        elif waited > _limit(wave, state):
+            _finish_host(draft, name, "stuck", now, f"{state} for {waited:.0f} s")
+
+
+def _is_empty(status: WorkerStatus) -> bool:
+    running = any(task.state == "running" for task in status.tasks)
+    return status.draining and status.in_flight == 0 and not running
+
+
+def _limit(wave: Wave | None, state: str) -> float:
+    if wave is None:
+        return 900.0
+    return wave.drain_limit_s if state == "draining" else wave.reboot_limit_s
+
+
+def _finish_host(draft: Draft, name: str, event: str, now: float, note: str) -> None:
+    """End a host's maintenance and enter it in its wave."""
+    wave = draft.entries[name].wave
+    draft.move_along(name, event, now, note)
+    draft.entries[name] = replace(draft.entries[name], wave="")
+    held = draft.waves.get(wave)
+    if held is None or event == "cancel":
+        return
+    if event == "back":
+        draft.waves[wave] = replace(held, maintained=[*held.maintained, name])
+    else:
+        draft.waves[wave] = replace(held, failed=[*held.failed, name])
--- a/tests/test_assignment.py
+++ b/tests/test_assignment.py
@@ -12,14 +12,14 @@
     RELEASE_AFTER_S,
     REPLACE_AFTER_S,
     Draft,
-    advance_waves,
     assign_touched,
     find_violations,
-    observe_list,
 )
 from foxtrestle.fleet import SPARE
+from foxtrestle.observation import observe_list
 from foxtrestle.platform import ListedHost
 from foxtrestle.records import FleetRecord
+from foxtrestle.waves import advance_waves
 from tests.fakes import LARGE, make_declaration, make_fleet, make_pool
 
 
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -10,9 +10,10 @@
 from foxtrestle.configuration import Configuration, apply
 from foxtrestle.daemon import Daemon, _check_nothing_cut
 from foxtrestle.dispatch import Dispatcher
-from foxtrestle.draft import Draft, find_violations, observe_list
+from foxtrestle.draft import Draft, find_violations
 from foxtrestle.events import Clock, Timeline
 from foxtrestle.messages import Answer
+from foxtrestle.observation import observe_list
 from foxtrestle.once import Router
 from foxtrestle.proxy import Proxy
 from foxtrestle.records import FleetRecord, encode_record
