Serve callers and operators over TLS in a test, and remember fewer answers

Change: a test with a certificate made for it; a range remembers 10,000 operations with their state beside the claims.

--- a/src/foxtrestle/operations.py
+++ b/src/foxtrestle/operations.py
@@ -32,7 +32,7 @@
 """Claims after which a range's record starts a new segment."""
 ANSWER_BYTES: Final = 8 << 20
 """Bytes of answers a daemon keeps for callers that ask again."""
-MAX_ENTRIES: Final = 50_000
+MAX_ENTRIES: Final = 10_000
 """Operations a range remembers with their state, beside the claims."""
 
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import json
+import ssl
 from contextlib import AsyncExitStack, asynccontextmanager
-from pathlib import Path  # noqa: TC003 - used by fixtures at run time
+from pathlib import Path
 
 import aiohttp
 import msgspec
@@ -19,6 +20,7 @@
 from foxtrestle.standins.keyvalue import Engine
 
 PLATFORM = 19000
+DATA = Path(__file__).parent / "data"
 TEXT = """
 [[teams]]
 name = "team-a"
@@ -281,6 +283,29 @@
         site.engine.faults.down = False
 
 
+async def test_callers_and_operators_are_served_over_tls_from_settings() -> None:
+    async with AsyncExitStack() as stack:
+        site = Site(stack)
+        certificate = str(DATA / "certificate.pem")
+        settings = msgspec.structs.replace(
+            site.settings(0), tls_certificate=certificate, tls_key=str(DATA / "key.pem")
+        )
+        platform = bind("127.0.0.1", PLATFORM)
+        app = site.fleet.build_platform(site.engine)
+        await stack.enter_async_context(listen(app, [platform]))
+        await stack.enter_async_context(open_daemon(settings))
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        trusted = ssl.create_default_context(cafile=certificate)
+        for url, status in (
+            ("https://127.0.0.1:19011/healthz", 200),
+            ("https://127.0.0.1:19010/s/x", 401),
+        ):
+            async with session.get(url, ssl=trusted) as response:
+                assert response.status == status
+        with pytest.raises(aiohttp.ClientError):
+            await session.get("http://127.0.0.1:19010/s/x")
+
+
 async def test_malformed_and_oversized_http_is_refused() -> None:
     async with open_site() as site:
         for raw in (b"GARBAGE\r\n\r\n", b"GET /s/x HTTP/1.1\r\nBad Header\r\n\r\n"):
