Keep a paused owner away from its successors' segments

Cause: a segment's key in the store carried its number only. An owner paused while it closed a segment could, on waking, replace the segment its successor had closed under the same number by its own, shorter one; the next owner then did not know keys that had run. Found by reading, not by a run. Change: the key carries the owner's epoch beside the number. A method of the ledger that nothing called is gone.

--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -259,7 +259,7 @@
 
         def make(keys: list[int] = keys) -> Ledger:
             ledger = Ledger()
-            ledger.add_segment(0, unpack_keys(pack_keys(keys)))
+            ledger.add_segment("0", unpack_keys(pack_keys(keys)))
             return ledger
 
         memory_points.append((float(number), measure_memory(make)))
--- a/src/foxtrestle/operations.py
+++ b/src/foxtrestle/operations.py
@@ -142,15 +142,11 @@
         """Claims not yet in a closed segment."""
         self.answer_bytes = 0
         """Bytes of answers kept."""
-        self._segments: dict[int, array[int]] = {}
+        self._segments: dict[str, array[int]] = {}
 
-    def add_segment(self, number: int, keys: array[int]) -> None:
-        """Add a closed segment; its keys are sorted."""
-        self._segments[number] = keys
-
-    def drop_segment(self, number: int) -> None:
-        """Forget a segment that is past its retention."""
-        self._segments.pop(number, None)
+    def add_segment(self, name: str, keys: array[int]) -> None:
+        """Add a closed segment under its name; its keys are sorted."""
+        self._segments[name] = keys
 
     def count_claims(self) -> int:
         """Return the number of claims known."""
--- a/src/foxtrestle/ranges.py
+++ b/src/foxtrestle/ranges.py
@@ -355,23 +355,24 @@
         """Move the tail into a segment: first the segment stands, then the head names it."""
         number, keys = self.record.segments, self.ledger.close_segment()
         segment = SegmentRecord(self._context.wall(), keys.tobytes())
-        path = f"{OPERATIONS}{self.number}/segments/{number:08d}"
+        # The epoch in the name keeps a paused owner that wakes away from its successors' segments.
+        name = f"{self.record.epoch:08d}-{number:08d}"
+        path = f"{OPERATIONS}{self.number}/segments/{name}"
         value = encode_record(segment)
         found = await self._context.store.get(path)
         await swap_surely(self._context.store, path, value, found.revision if found else ABSENT)
         left = self.ledger.tail - set(keys)
         await self._write(segments=number + 1, tail=pack_keys(left))
-        self.ledger.add_segment(number, keys)
+        self.ledger.add_segment(name, keys)
         self.ledger.tail -= set(keys)
 
     async def _load_segments(self) -> None:
         listing = await self._context.store.scan(f"{OPERATIONS}{self.number}/segments/")
         oldest = self._context.wall() - RETENTION_S
         for held in listing.records:
-            number = int(held.key.rpartition("/")[2])
             segment = decode_record(held.value, SegmentRecord, held.key)
             if segment.closed_at >= oldest:
-                self.ledger.add_segment(number, unpack_keys(segment.keys))
+                self.ledger.add_segment(held.key.rpartition("/")[2], unpack_keys(segment.keys))
             else:
                 await self._context.store.swap(held.key, None, held.revision)
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -315,6 +315,26 @@
     assert all([(await submit(new, key)).outcome == "may-have-run" for key in range(1, 11)])
 
 
+async def test_paused_owner_that_wakes_does_not_replace_the_new_owners_segment(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(ranges, "SEGMENT_KEYS", 4)
+    world = World()
+    old, new, third = (world.nodes[name] for name in ("n1", "n2", "n3"))
+    await old.own()
+    await submit(old, 1)
+    await new.own()
+    for key in range(2, 6):
+        await submit(new, key)
+    assert old.range is not None
+    with pytest.raises(RangeLost):
+        await old.range._close_segment()
+    await third.own()
+    assert third.range is not None
+    assert [(await submit(third, key)).status for key in range(1, 6)] == [409] * 5
+    assert set(world.executions.values()) == {1}
+
+
 def test_any_claim_and_any_takeover_share_a_witness() -> None:
     for number in range(1, 8):
         claim, seal = count_witnesses(number)
@@ -323,7 +343,7 @@
 
 def test_ledger_finds_keys_in_segments() -> None:
     ledger = Ledger()
-    ledger.add_segment(0, unpack_keys(pack_keys([5, 1, 9])))
+    ledger.add_segment("0", unpack_keys(pack_keys([5, 1, 9])))
     assert [ledger.is_claimed(key) for key in (1, 2, 9)] == [True, False, True]
 
 
