Serve swaps, domains and counters from one piece each

Cause: read over the whole change: giving larger hosts back and waves swapped hosts with the same six lines; domains were counted three times in a row when hosts came or went; a function only handed back its argument. Change: swap_hosts serves both; the draft counts domains once and passes them on; counters are copied where they are read. Behaviour is as it was.

--- a/src/foxtrestle/assignment.py
+++ b/src/foxtrestle/assignment.py
@@ -331,15 +331,27 @@
         host = choose_spare_host(fleet, pool, leaving=name)
         if host is None or fleet.hosts[host].shape >= fleet.hosts[name].shape:
             break
-        fleet.move(host, pool)
-        if fleet.slack_without(pool, name) < 0:
-            fleet.move(host, SPARE)
+        swap = swap_hosts(fleet, pool, host, name)
+        if swap is None:
             break
-        fleet.move(name, SPARE)
-        moves += [Move(host, SPARE, pool, "swap"), Move(name, pool, SPARE, "swap")]
+        moves += swap
     return moves
 
 
+def swap_hosts(fleet: Fleet, pool: str, stand_in: str, name: str) -> list[Move] | None:
+    """Put a spare host in the place of a member that is up, if the pool is then safe without it.
+
+    Returns:
+        The two moves, or None with everything left as it was.
+    """
+    fleet.move(stand_in, pool)
+    if fleet.slack_without(pool, name) < 0:
+        fleet.move(stand_in, SPARE)
+        return None
+    fleet.move(name, SPARE)
+    return [Move(stand_in, SPARE, pool, "swap"), Move(name, pool, SPARE, "swap")]
+
+
 def _explain(fleet: Fleet, pool: str, lacks: int) -> Shortage:
     wanted, level = fleet.pools[pool], fleet.level(pool)
     fitting = [host for host in fleet.hosts.values() if host.shape.fits(wanted)]
--- a/src/foxtrestle/daemon.py
+++ b/src/foxtrestle/daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import signal
 import sys
 import time
@@ -367,7 +366,7 @@
         add("balancer", "Requests sent and refused, all services.", self._sum_balancers)
         add("store_calls", "Calls to the platform's store.", lambda: self.store.calls)
         for name, counter in self.counts.items():
-            add(name, f"Counters of {name}.", partial(_read_counter, counter))
+            add(name, f"Counters of {name}.", counter.copy)
         add("violations", "Promises found broken.", lambda: self.checks.violations)
         add("state", "State of this daemon.", self._read_state)
 
@@ -392,10 +391,6 @@
         return self.checks.total()
 
 
-def _read_counter(counter: Counter[str]) -> Counter[str]:
-    return counter
-
-
 @asynccontextmanager
 async def open_daemon(settings: Settings) -> AsyncIterator[Daemon]:
     """Run a daemon until the context ends, which is a planned stop."""
@@ -458,7 +453,7 @@
 
 async def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
+    with suppress(asyncio.CancelledError):
         await task
 
 
--- a/src/foxtrestle/draft.py
+++ b/src/foxtrestle/draft.py
@@ -14,7 +14,7 @@
 from foxtrestle.assignment import (
     Assignment,
     assign,
-    compute_targets,
+    compute_target,
     count_domains,
     find_shape,
     list_oversized,
@@ -165,13 +165,16 @@
 
     def _count_domains(self) -> None:
         """Work targets and wave loads out anew if hosts that came or went changed the domains."""
-        domains = (count_domains(self.fleet), frozenset(self.fleet.usable))
-        if domains == self._domains:
+        domains = count_domains(self.fleet)
+        known = (domains, frozenset(self.fleet.usable))
+        if known == self._domains:
             return
-        self._domains, self._spare_chosen_for = domains, None
+        self._domains, self._spare_chosen_for = known, None
         self._evaluated = {}
-        self.targets = compute_targets(self.fleet)
-        self._loads = self._list_loads()
+        self.targets = {
+            name: compute_target(pool, domains[name]) for name, pool in self.fleet.pools.items()
+        }
+        self._loads = self._list_loads(domains)
         self._wanted = dict.fromkeys(self._loads, 0)
         for name, pool in self.fleet.pools.items():
             shape = find_shape(pool, self._loads)
@@ -186,9 +189,8 @@
             for shape, wanted in self._wanted.items()
         }
 
-    def _list_loads(self) -> dict[Shape, list[WaveLoad]]:
+    def _list_loads(self, domains: dict[str, int]) -> dict[Shape, list[WaveLoad]]:
         """List what a wave over all hosts has to do, by the shape of the hosts."""
-        domains = count_domains(self.fleet)
         loads: dict[Shape, list[WaveLoad]] = {host.shape: [] for host in self.fleet.hosts.values()}
         for name, pool in self.fleet.pools.items():
             shape = find_shape(pool, loads)
--- a/src/foxtrestle/maintenance.py
+++ b/src/foxtrestle/maintenance.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from foxtrestle.assignment import Move, choose_spare_host
+from foxtrestle.assignment import Move, choose_spare_host, swap_hosts
 from foxtrestle.fleet import SPARE
 
 if TYPE_CHECKING:
@@ -278,12 +278,7 @@
     stand_in = choose_spare_host(fleet, pool, leaving=name, prefer=maintained)
     if stand_in is None or stand_in in waiting:
         return None
-    fleet.move(stand_in, pool)
-    if fleet.slack_without(pool, name) < 0:
-        fleet.move(stand_in, SPARE)
-        return None
-    fleet.move(name, SPARE)
-    return [Move(stand_in, SPARE, pool, "swap"), Move(name, pool, SPARE, "swap")]
+    return swap_hosts(fleet, pool, stand_in, name)
 
 
 def _list_exchanges(fleet: Fleet, waiting: frozenset[str]) -> Iterator[_Exchange]:
