Empty the tail only when the segment stands

Cause: the answer to writing a segment was not looked at. If an earlier write of fewer keys, whose answer was lost, came between, the head gave up claims that stood nowhere. Found by reading. Change: a segment that was not written leaves the tail as it is. Measured: the new test fails without the change and passes with it; 19 tests of operations pass. Conclusion: kept.

--- a/src/foxtrestle/ranges.py
+++ b/src/foxtrestle/ranges.py
@@ -360,7 +360,11 @@
         path = f"{OPERATIONS}{self.number}/segments/{name}"
         value = encode_record(segment)
         found = await self._context.store.get(path)
-        await swap_surely(self._context.store, path, value, found.revision if found else ABSENT)
+        swap = await swap_surely(
+            self._context.store, path, value, found.revision if found else ABSENT
+        )
+        if not swap.done:
+            raise OutcomeUnknown("an earlier write came between", step="ranges.close", peer=path)
         left = self.ledger.tail - set(keys)
         await self._write(segments=number + 1, tail=pack_keys(left))
         self.ledger.add_segment(name, keys)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -29,6 +29,7 @@
 from foxtrestle.peers import PeerUnreachable
 from foxtrestle.ranges import Context, OwnedRange, RangeLost, answer_as_witness
 from foxtrestle.standins.keyvalue import DirectStore, Engine
+from foxtrestle.store import Record, StoreError, Swap
 from foxtrestle.upstream import Request
 
 KEYS = 5
@@ -335,6 +336,30 @@
     assert set(world.executions.values()) == {1}
 
 
+async def test_segment_that_was_not_written_does_not_empty_the_tail(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    world = World()
+    node, new = world.nodes["n1"], world.nodes["n2"]
+    await node.own()
+    await submit(node, 1)
+    assert node.range is not None
+    swap = Swap(False, Record("segment", b"an earlier write of fewer keys", 99))
+
+    real = ranges.swap_surely
+
+    async def refuse(store: Any, key: str, *arguments: Any, **options: Any) -> Swap:
+        return swap if "/segments/" in key else await real(store, key, *arguments, **options)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(ranges, "swap_surely", refuse)
+        with pytest.raises(StoreError):
+            await node.range._close_segment()
+    assert node.range.ledger.is_claimed(ranges.SEGMENT_KEYS)
+    await new.own()
+    assert (await submit(new, 1)).status == 409
+
+
 def test_any_claim_and_any_takeover_share_a_witness() -> None:
     for number in range(1, 8):
         claim, seal = count_witnesses(number)
