--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -24,13 +24,13 @@
 from foxtrestle.draft import Draft, assign_touched, find_violations
 from foxtrestle.events import Timestamp
 from foxtrestle.fleet import Shape
+from foxtrestle.host_client import ListedHost
 from foxtrestle.job_shard import JobRecord
 from foxtrestle.listener import bind, listen
 from foxtrestle.messages import Envelope, Load, Status, decode_envelope, encode_envelope
 from foxtrestle.observation import observe_list
 from foxtrestle.operations import Ledger, RangeRecord, pack_keys, unpack_keys
 from foxtrestle.placement import Board, Job, Task, decide
-from foxtrestle.platform import ListedHost
 from foxtrestle.records import (
     ConfigurationRecord,
     FleetRecord,
--- a/benches/fleet_run.py
+++ b/benches/fleet_run.py
@@ -25,7 +25,7 @@
     from collections.abc import Callable
 
     from foxtrestle.declaration import Declaration
-    from foxtrestle.platform import ListedHost
+    from foxtrestle.host_client import ListedHost
 
 DRAIN_S: Final = 60.0
 REBOOT_S: Final = 240.0
--- a/benches/fleets.py
+++ b/benches/fleets.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from foxtrestle.declaration import Declaration
     from foxtrestle.draft import Draft
-    from foxtrestle.platform import ListedHost
+    from foxtrestle.host_client import ListedHost
 
 SEEDS: Final = 200
 QUIET: Final = Rates(0.0, 0.0)
--- a/benches/scenario.py
+++ b/benches/scenario.py
@@ -8,7 +8,7 @@
 
 from foxtrestle.configuration import check_text
 from foxtrestle.declaration import Declaration, Pool, Team, Weights
-from foxtrestle.platform import ListedHost
+from foxtrestle.host_client import ListedHost
 
 EXAMPLES: Final = Path(__file__).parent.parent / "examples"
 TARGET_REGIONS: Final = 5
--- a/src/foxtrestle/daemon.py
+++ b/src/foxtrestle/daemon.py
@@ -24,6 +24,7 @@
 from foxtrestle.events import Clock, Timeline
 from foxtrestle.fleet_shard import FleetContext, FleetShard
 from foxtrestle.gossip import Gossip
+from foxtrestle.host_client import HostList, PlatformError, Workers
 from foxtrestle.http_store import HttpStore
 from foxtrestle.job_shard import JobShard
 from foxtrestle.listener import bind, listen
@@ -42,7 +43,6 @@
 from foxtrestle.once import RANGE_SHARD, Router
 from foxtrestle.operations import RANGES, WitnessMemory
 from foxtrestle.peers import Identity, PeerLinks, PeerServer
-from foxtrestle.platform import HostList, PlatformError, Workers
 from foxtrestle.proxy import Proxy
 from foxtrestle.range_shard import RangeShard, choose_witnesses
 from foxtrestle.ranges import Context, OwnedRange, answer_as_witness
--- a/src/foxtrestle/fleet_shard.py
+++ b/src/foxtrestle/fleet_shard.py
@@ -22,7 +22,7 @@
     from foxtrestle.checks import Checks
     from foxtrestle.configuration import Configuration
     from foxtrestle.events import Timeline
-    from foxtrestle.platform import HostList, Workers, WorkerStatus
+    from foxtrestle.host_client import HostList, Workers, WorkerStatus
     from foxtrestle.records import HostEntry
     from foxtrestle.store import Mirror, Store
 
--- a/src/foxtrestle/job_shard.py
+++ b/src/foxtrestle/job_shard.py
@@ -16,6 +16,7 @@
 from foxtrestle.chart import load_chart
 from foxtrestle.errors import FoxtrestleError
 from foxtrestle.fleet import Shape
+from foxtrestle.host_client import TaskOrder
 from foxtrestle.placement import (
     ENDED,
     ON_WORKER,
@@ -28,7 +29,6 @@
     note_success,
     order_waiting,
 )
-from foxtrestle.platform import TaskOrder
 from foxtrestle.records import (
     FLEETS,
     JOBS,
@@ -44,7 +44,7 @@
     from collections.abc import Callable, Iterable
 
     from foxtrestle.fleet_shard import FleetContext
-    from foxtrestle.platform import TaskReport, WorkerStatus
+    from foxtrestle.host_client import TaskReport, WorkerStatus
     from foxtrestle.store import Store
 
 LEASE_S: Final = 15.0
--- a/src/foxtrestle/observation.py
+++ b/src/foxtrestle/observation.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from foxtrestle.declaration import Wave
     from foxtrestle.draft import Draft
-    from foxtrestle.platform import ListedHost, WorkerStatus
+    from foxtrestle.host_client import ListedHost, WorkerStatus
 
 
 FORGET_AFTER_S: Final = 3600.0
--- a/src/foxtrestle/standins/hosts.py
+++ b/src/foxtrestle/standins/hosts.py
@@ -20,8 +20,8 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from foxtrestle.host_client import WORKER_PORT, ListedHost, TaskReport, WorkerStatus
 from foxtrestle.listener import bind, listen
-from foxtrestle.platform import WORKER_PORT, ListedHost, TaskReport, WorkerStatus
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Iterable
--- a/tests/test_assignment.py
+++ b/tests/test_assignment.py
@@ -16,8 +16,8 @@
     find_violations,
 )
 from foxtrestle.fleet import SPARE
+from foxtrestle.host_client import ListedHost
 from foxtrestle.observation import observe_list
-from foxtrestle.platform import ListedHost
 from foxtrestle.records import FleetRecord
 from foxtrestle.waves import advance_waves
 from tests.fakes import LARGE, make_declaration, make_fleet, make_pool
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -5,6 +5,7 @@
 from foxtrestle.assignment import assign, compute_targets
 from foxtrestle.declaration import Wave, Weights
 from foxtrestle.draft import Draft, assign_touched
+from foxtrestle.host_client import WorkerStatus
 from foxtrestle.maintenance import (
     WaveLoad,
     choose_hosts,
@@ -13,7 +14,6 @@
     compute_parallel,
 )
 from foxtrestle.observation import observe_list, observe_workers
-from foxtrestle.platform import WorkerStatus
 from foxtrestle.records import FleetRecord
 from foxtrestle.waves import advance_waves
 from tests.fakes import LARGE, make_declaration, make_fleet, make_pool
