--- /dev/null
+++ b/src/foxtrestle/control/__init__.py
@@ -0,0 +1,1 @@
+"""The controller of a region: ownership, recorded progress, links to workers, orders."""
--- /dev/null
+++ b/src/foxtrestle/control/controller.py
@@ -0,0 +1,380 @@
+"""The controller: follows what comes in, decides, records and gives orders, for one term."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from contextlib import AsyncExitStack, suppress
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from foxtrestle.control.hosts import HostOrders
+from foxtrestle.control.keys import CANCELS, INBOX, JOBS, PROGRESS
+from foxtrestle.control.ledger import Ledger
+from foxtrestle.control.link import WorkerLink
+from foxtrestle.control.log import log
+from foxtrestle.control.orders import CLOCK_DRIFT, HOLD_S, LAPSE_MARGIN_S, Orders
+from foxtrestle.control.ownership import GRACE_WITHOUT_STORE_S, LEASE_S
+from foxtrestle.platform.workers import ENTRIES, CallError, decode_worker
+from foxtrestle.scheduling.model import Job, Shape, WorkerInfo
+from foxtrestle.scheduling.placing import choose_placements
+from foxtrestle.scheduling.progress import decode_progress, restore
+from foxtrestle.scheduling.runs import add_job, end_job, place_run, release_steps, release_worker
+from foxtrestle.scheduling.state import Fleet, JobEntry, Worker
+from foxtrestle.store import Change, Compacted, Listing, Record, StoreError, Transaction
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from foxtrestle.control.ownership import Term
+    from foxtrestle.node.operators import OperatorMirror
+    from foxtrestle.node.settings import NodeSettings
+    from foxtrestle.platform.hosts import HostCalls
+    from foxtrestle.platform.store import PlatformStore
+    from foxtrestle.platform.workers import WorkerCalls
+    from foxtrestle.scheduling.placing import Placement
+
+ROUND_S: Final = 0.1
+"""Most seconds between two rounds of decisions: due times and silences need no event."""
+RETRY_S: Final = 0.2
+"""Mean pause after a failed read of the store, seconds."""
+TAKEOVER_S: Final = LEASE_S + GRACE_WITHOUT_STORE_S + HOLD_S * CLOCK_DRIFT + LAPSE_MARGIN_S
+"""Seconds after a takeover during which a worker out of reach may still run what an earlier
+controller placed: that one may have gone on extending leases until its grace was over."""
+FORGET_FACTOR: Final = 1.5
+"""How much longer than promised an ended job is kept."""
+FORGET_EVERY_S: Final = 5.0
+"""Seconds between two looks for ended jobs to forget."""
+FORGET_AT_ONCE: Final = 8
+"""Jobs forgotten in one transaction."""
+
+
+class Controller:
+    """Everything that one node does while it is the controller."""
+
+    def __init__(
+        self,
+        term: Term,
+        settings: NodeSettings,
+        store: PlatformStore,
+        workers: WorkerCalls,
+        hosts: HostCalls,
+        operators: OperatorMirror,
+    ) -> None:
+        """Create the controller of a term."""
+        self.fleet = Fleet(term.number)
+        """What it knows."""
+        self._term = term
+        self._settings = settings
+        self._store = store
+        self._calls = workers
+        self._operators = operators
+        self._started_at = time.monotonic()
+        self._ledger = Ledger(store, self.fleet, term)
+        self._orders = Orders(self.fleet, term, workers, self.wake, self._lose_worker)
+        self._hosts = HostOrders(
+            self.fleet, term, settings, store, hosts, operators, self._orders, self.wake
+        )
+        self._changed = asyncio.Event()
+        self._links: dict[str, asyncio.Task[None]] = {}
+        self._spawned: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        inbox, entries = await self._load()
+        loops = [
+            self._ledger.run(),
+            self._decide(),
+            self._follow(INBOX, inbox, self._take_inbox),
+            self._follow(ENTRIES, entries, self._take_entries),
+            self._hosts.run(),
+            self._forget(),
+        ]
+        async with AsyncExitStack() as stack:
+            tasks = [asyncio.create_task(loop) for loop in loops]
+            stack.push_async_callback(self._close, tasks)
+            await asyncio.gather(*tasks)
+
+    async def _close(self, tasks: list[asyncio.Task[None]]) -> None:
+        everything = [*tasks, *self._links.values(), *self._spawned]
+        for task in everything:
+            task.cancel()
+        await asyncio.gather(*everything, return_exceptions=True)
+
+    def wake(self) -> None:
+        """Have it decide again soon."""
+        self._changed.set()
+
+    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._spawned.add(task)
+        task.add_done_callback(self._spawned.discard)
+
+    # Taking over.
+
+    async def _load(self) -> tuple[int, int]:
+        """Read the whole state.
+
+        Returns:
+            Revisions from which to follow the inbox and the workers' entries.
+        """
+        now = time.monotonic()
+        inbox = await self._scan(INBOX)
+        progress = await self._scan(PROGRESS)
+        entries = await self._scan(ENTRIES)
+        self._load_entries(entries, now)
+        self._load_jobs(inbox, progress, now)
+        log("control.loaded", term=self._term.number, jobs=len(self.fleet.jobs),
+            active=len(self.fleet.active), workers=len(self.fleet.workers),
+            took_s=round(time.monotonic() - now, 3))  # fmt: skip
+        return inbox.revision, entries.revision
+
+    async def _scan(self, prefix: str) -> Listing:
+        while True:
+            try:
+                return await self._store.scan(prefix)
+            except StoreError as error:
+                log("control.load-failed", prefix=prefix, reason=error.reason)
+                await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
+
+    def _load_jobs(self, inbox: Listing, progress: Listing, now: float) -> None:
+        records = {record.key.removeprefix(PROGRESS): record for record in progress.records}
+        wall_ms = time.time() * 1000
+        for record in inbox.records:
+            if not record.key.startswith(JOBS):
+                continue
+            entry = self._add_job(record, now)
+            if entry is None:
+                continue
+            held = records.get(entry.job.id)
+            if held is not None:
+                entry.progress_revision = held.revision
+                restore(self.fleet, entry, decode_progress(held.value), wall_ms, now,
+                        self._find_worker)  # fmt: skip
+        for record in inbox.records:
+            if record.key.startswith(CANCELS):
+                self._cancel(record.key.removeprefix(CANCELS))
+
+    def _find_worker(self, worker_id: str) -> Worker:
+        worker = self.fleet.workers.get(worker_id)
+        if worker is None:
+            # Not listed any more, yet what was placed there may run until its lease lapses.
+            info = WorkerInfo(worker_id, "", "", "", True, Shape(), ())
+            worker = Worker(info, time.monotonic())
+            worker.gone = True
+            worker.lapse_at = self._started_at + TAKEOVER_S
+            self.fleet.workers[worker_id] = worker
+        return worker
+
+    # What comes in.
+
+    async def _follow(
+        self, prefix: str, revision: int, take: Callable[[list[Change]], None]
+    ) -> None:
+        """Follow a prefix; after a gap, read it whole and take in what differs."""
+        while True:
+            try:
+                changes, revision = await self._store.poll(prefix, revision)
+            except Compacted:
+                listing = await self._scan(prefix)
+                revision = listing.revision
+                changes = self._compare(prefix, listing)
+                log("control.relisted", prefix=prefix, changes=len(changes))
+            except StoreError as error:
+                log("control.watch-failed", prefix=prefix, reason=error.reason)
+                await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
+                continue
+            if changes:
+                take(changes)
+                self.wake()
+
+    def _compare(self, prefix: str, listing: Listing) -> list[Change]:
+        changes = [Change(record.key, record, record.revision) for record in listing.records]
+        if prefix == ENTRIES:
+            there = {record.key for record in listing.records}
+            missing = [
+                ENTRIES + worker_id
+                for worker_id, worker in self.fleet.workers.items()
+                if not worker.gone and ENTRIES + worker_id not in there
+            ]
+            changes += [Change(key, None, listing.revision) for key in missing]
+        return changes
+
+    def _take_inbox(self, changes: list[Change]) -> None:
+        now = time.monotonic()
+        for change in changes:
+            if change.record is None:
+                continue
+            if change.key.startswith(JOBS):
+                if change.key.removeprefix(JOBS) not in self.fleet.jobs:
+                    self._add_job(change.record, now)
+            elif change.key.startswith(CANCELS):
+                self._cancel(change.key.removeprefix(CANCELS))
+
+    def _add_job(self, record: Record, now: float) -> JobEntry | None:
+        try:
+            job = msgspec.msgpack.decode(record.value, type=Job)
+        except msgspec.DecodeError as error:
+            log("job.unreadable", key=record.key, reason=str(error))
+            return None
+        entry = JobEntry(job, record.revision, now)
+        add_job(self.fleet, entry)
+        log("job.seen", job=job.id, queue=job.queue, pool=job.pool, revision=record.revision)
+        return entry
+
+    def _cancel(self, job: str) -> None:
+        entry = self.fleet.jobs.get(job)
+        if entry is None or entry.cancel_asked:
+            return
+        entry.cancel_asked = True
+        if entry.ended:
+            return
+        log("job.cancelled", job=job)
+        for stop in end_job(self.fleet, entry, "cancelled"):
+            self._spawn(self._orders.stop(stop))
+        self._ledger.wake()
+
+    def _load_entries(self, listing: Listing, now: float) -> None:
+        for record in listing.records:
+            self._take_entry(record, now)
+
+    def _take_entries(self, changes: list[Change]) -> None:
+        now = time.monotonic()
+        for change in changes:
+            if change.record is not None:
+                self._take_entry(change.record, now)
+                continue
+            worker = self.fleet.workers.get(change.key.removeprefix(ENTRIES))
+            if worker is not None and not worker.gone:
+                worker.gone = True
+                log("worker.entry-gone", worker=worker.info.id, pool=worker.info.pool,
+                    runs=len(worker.runs))  # fmt: skip
+
+    def _take_entry(self, record: Record, now: float) -> None:
+        try:
+            info = decode_worker(record.key, record.value)
+        except CallError as error:
+            log("worker.unreadable", key=record.key, reason=error.reason)
+            return
+        worker = self.fleet.workers.get(info.id)
+        if worker is None:
+            worker = Worker(info, now)
+            worker.lapse_at = self._started_at + TAKEOVER_S
+            self.fleet.workers[info.id] = worker
+            log("worker.seen", worker=info.id, pool=info.pool, host=info.host,
+                address=info.address)  # fmt: skip
+        elif info.draining != worker.info.draining:
+            log("worker.draining" if info.draining else "worker.ready", worker=info.id)
+        worker.info = info
+        worker.gone = False
+        self._link(worker)
+
+    # Workers.
+
+    def _link(self, worker: Worker) -> None:
+        held = self._links.get(worker.info.id)
+        if held is not None and not held.done():
+            return
+        link = WorkerLink(
+            self.fleet, worker, self._term, self._calls, self._ledger, self._orders,
+            self.wake, self._lose_worker,
+        )  # fmt: skip
+        task = asyncio.create_task(link.run())
+        task.add_done_callback(self._note_link_end)
+        self._links[worker.info.id] = task
+
+    def _note_link_end(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            log("link.failed", reason=repr(task.exception()))
+
+    def _lose_worker(self, worker: Worker, why: str) -> None:
+        """Give up what was placed on a worker whose life or lease is certainly over."""
+        freed = release_worker(self.fleet, worker, time.monotonic())
+        worker.known = False
+        log("worker.released", worker=worker.info.id, reason=why, runs=freed)
+        if worker.gone or why != "lease lapsed":
+            worker.gone = True
+            self.fleet.workers.pop(worker.info.id, None)
+            self._links.pop(worker.info.id, None)
+        self._ledger.wake()
+        self.wake()
+
+    def _release_lapsed(self, now: float) -> None:
+        """Give up what was placed on workers that have no link and whose lease has lapsed."""
+        for worker in list(self.fleet.workers.values()):
+            if worker.gone and now > worker.lapse_at and worker.info.id not in self._links:
+                self._lose_worker(worker, "lease lapsed")
+
+    # Deciding.
+
+    async def _decide(self) -> None:
+        while True:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._changed.wait(), ROUND_S)
+            self._changed.clear()
+            self._decide_once()
+
+    def _decide_once(self) -> None:
+        now = time.monotonic()
+        self.fleet.configuration = self._operators.configuration
+        wall_ms = time.time() * 1000
+        for entry in self.fleet.active.values():
+            release_steps(entry, wall_ms, now)
+        self._release_lapsed(now)
+        if self._ledger.away_since or not self._term.is_valid():
+            # What is started must be recorded first, and cannot be now.
+            return
+        for placement in choose_placements(self.fleet, now):
+            self._carry_out(placement, now)
+        self._hosts.decide(now)
+
+    def _carry_out(self, placement: Placement, now: float) -> None:
+        starts = []
+        for task, worker in placement.members:
+            run = place_run(self.fleet, task, worker, placement.run, now)
+            starts.append((task, run, worker))
+            log("run.placed", job=placement.job, rep=task.key.repetition, step=task.key.step,
+                index=task.key.number, run=run.number, worker=worker.info.id,
+                waited_s=round(now - task.waiting_since, 3))  # fmt: skip
+
+        async def start_recorded() -> None:
+            await self._ledger.record([placement.job])
+            await asyncio.gather(*(self._orders.start(*start) for start in starts))
+
+        self._spawn(start_recorded())
+
+    # Ended jobs.
+
+    async def _forget(self) -> None:
+        """Delete ended jobs some time after the platform allows it."""
+        keep_ms = self._settings.bounds.keep_status_s * FORGET_FACTOR * 1000
+        while True:
+            await asyncio.sleep(FORGET_EVERY_S)
+            limit = time.time() * 1000 - keep_ms
+            old = [
+                entry
+                for entry in self.fleet.jobs.values()
+                if entry.ended_ms and entry.ended_ms < limit
+                and entry.job.id not in self.fleet.dirty
+            ][:FORGET_AT_ONCE]  # fmt: skip
+            if old:
+                await self._forget_jobs(old)
+
+    async def _forget_jobs(self, entries: list[JobEntry]) -> None:
+        conditions = {PROGRESS + entry.job.id: entry.progress_revision for entry in entries}
+        keys = [
+            key
+            for entry in entries
+            for key in (PROGRESS + entry.job.id, JOBS + entry.job.id)
+        ]  # fmt: skip
+        keys += [CANCELS + entry.job.id for entry in entries if entry.cancel_asked]
+        try:
+            await self._store.commit(Transaction(conditions, removals=tuple(keys)))
+        except StoreError as error:
+            log("job.forget-failed", jobs=len(entries), reason=str(error))
+            return
+        for entry in entries:
+            self.fleet.jobs.pop(entry.job.id, None)
+            log("job.forgotten", job=entry.job.id)
--- /dev/null
+++ b/src/foxtrestle/control/keys.py
@@ -0,0 +1,22 @@
+"""Keys under which foxtrestle keeps what must last."""
+
+from __future__ import annotations
+
+from typing import Final
+
+ROOT: Final = "foxtrestle/"
+"""Prefix of everything."""
+LOCK: Final = ROOT + "control/lock"
+"""The controller, under its lease."""
+TERM: Final = ROOT + "control/term"
+"""Number of the newest term, which stays when the lock goes."""
+PENDING: Final = ROOT + "control/pending"
+"""Jobs of each queue that have not begun."""
+INBOX: Final = ROOT + "inbox/"
+"""Prefix of what nodes tell the controller."""
+JOBS: Final = INBOX + "job/"
+"""Prefix of accepted jobs."""
+CANCELS: Final = INBOX + "cancel/"
+"""Prefix of cancellations."""
+PROGRESS: Final = ROOT + "progress/"
+"""Prefix of the jobs' progress."""
--- /dev/null
+++ b/src/foxtrestle/control/link.py
@@ -0,0 +1,200 @@
+"""Link to one worker: extends its lease, takes in what runs and what has ended."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Final
+
+from foxtrestle.control.log import log
+from foxtrestle.control.orders import compute_expiry_ms, compute_lapse
+from foxtrestle.platform.http import CallError
+from foxtrestle.platform.workers import OrderRefused, OtherLife
+from foxtrestle.scheduling.placing import HOLD_WAIT_S
+from foxtrestle.scheduling.runs import confirm_run, drop_run, record_end, requeue
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from foxtrestle.control.ledger import Ledger
+    from foxtrestle.control.orders import Orders
+    from foxtrestle.control.ownership import Term
+    from foxtrestle.platform.workers import WorkerCalls
+    from foxtrestle.scheduling.model import WorkerReport
+    from foxtrestle.scheduling.runs import StopOrder
+    from foxtrestle.scheduling.state import Fleet, Worker
+
+RETRY_S: Final = 0.2
+"""Seconds between holds while a worker does not answer."""
+RECORD_WAIT_S: Final = 1.0
+"""Seconds to wait for ends to be recorded before the lease is extended again."""
+MAX_ENDS: Final = 500
+"""Ends that a worker lists at once; set by the platform."""
+RESTOP_S: Final = 1.0
+"""Seconds after which a stop that was answered and had no effect is sent again."""
+
+
+class WorkerLink:
+    """Keeps one worker's lease and the picture of what runs there."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        worker: Worker,
+        term: Term,
+        calls: WorkerCalls,
+        ledger: Ledger,
+        orders: Orders,
+        wake: Callable[[], None],
+        lose_worker: Callable[[Worker, str], None],
+    ) -> None:
+        """Create a link that has not called yet."""
+        self._fleet = fleet
+        self._worker = worker
+        self._term = term
+        self._calls = calls
+        self._ledger = ledger
+        self._orders = orders
+        self._wake = wake
+        self._lose_worker = lose_worker
+        self._unrecorded = False
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Hold until the worker's life or the term is over."""
+        worker = self._worker
+        while self._term.may_hold():
+            sent_at = time.monotonic()
+            try:
+                report = await self._hold(sent_at)
+            except OtherLife:
+                self._lose_worker(worker, "another life at its address")
+                return
+            except OrderRefused as refusal:
+                if refusal.refusal == "fence":
+                    self._term.lose("a worker has seen a higher term")
+                    return
+                log("hold.refused", worker=worker.info.id, reason=refusal.refusal)
+                await asyncio.sleep(RETRY_S)
+            except CallError as error:
+                if self._note_silence(error):
+                    return
+                await asyncio.sleep(RETRY_S)
+            else:
+                await self._take(report, sent_at)
+
+    async def _hold(self, sent_at: float) -> WorkerReport:
+        worker = self._worker
+        fresh = sent_at - worker.contact_at < HOLD_WAIT_S * 2
+        wait_ms = int(HOLD_WAIT_S * 1000) if worker.known and fresh and not self._unrecorded else 0
+        expires_ms = None
+        if worker.known:
+            expires_ms = compute_expiry_ms(worker, sent_at)
+            worker.lapse_at = max(worker.lapse_at, compute_lapse(sent_at))
+        return await self._calls.hold(
+            worker.info,
+            self._term.number,
+            worker.acknowledged,
+            expires_ms=expires_ms,
+            wait_ms=wait_ms,
+        )
+
+    def _note_silence(self, error: CallError) -> bool:
+        """Note that a hold had no answer; give the worker up once its lease has lapsed.
+
+        Returns:
+            Whether the worker was given up.
+        """
+        worker = self._worker
+        now = time.monotonic()
+        if now - worker.contact_at > 1.0:
+            log("worker.silent", worker=worker.info.id, reason=error.reason,
+                silent_s=round(min(now - worker.contact_at, 1e6), 2))  # fmt: skip
+        if worker.lapse_at and now > worker.lapse_at:
+            self._lose_worker(worker, "lease lapsed")
+            return worker.gone
+        return False
+
+    async def _take(self, report: WorkerReport, sent_at: float) -> None:
+        worker = self._worker
+        now = time.monotonic()
+        worker.contact_at = now
+        worker.clock_offset_ms = report.clock_ms - now * 1000
+        jobs: set[str] = set()
+        stops: list[StopOrder] = []
+        for end in report.ends:
+            if end.number <= worker.seen_end:
+                continue
+            worker.seen_end = end.number
+            jobs.add(end.key.job)
+            log("run.ended", job=end.key.job, rep=end.key.repetition, step=end.key.step,
+                index=end.key.number, run=end.run, how=end.kind, worker=worker.info.id)  # fmt: skip
+            stops += record_end(self._fleet, worker, end, now)
+        for seen in report.running:
+            stop = confirm_run(self._fleet, seen, worker, now)
+            if stop is not None:
+                log("run.unknown", job=seen.key.job, run=seen.run, worker=worker.info.id)
+                stops.append(stop)
+        if len(report.ends) < MAX_ENDS:
+            self._settle(report, sent_at, now)
+            if not worker.known:
+                worker.known = True
+                log("worker.known", worker=worker.info.id, runs=len(worker.runs))
+                self._wake()
+        for stop in stops:
+            self._spawn_stop(stop)
+        if report.ends or jobs:
+            self._wake()
+            await self._record({end.key.job for end in report.ends}, report)
+
+    async def _record(self, jobs: set[str], report: WorkerReport) -> None:
+        """Acknowledge ends once they are recorded; go on holding if that takes long."""
+        known = [job for job in jobs if job in self._fleet.jobs]
+        try:
+            await asyncio.wait_for(self._ledger.record(known), RECORD_WAIT_S)
+        except TimeoutError:
+            self._unrecorded = True
+            return
+        self._unrecorded = False
+        self._worker.acknowledged = max(end.number for end in report.ends)
+
+    def _settle(self, report: WorkerReport, sent_at: float, now: float) -> None:
+        """Drop runs that the worker should list and does not."""
+        listed = {(seen.key, seen.run) for seen in report.running}
+        worker = self._worker
+        for (key, number), run in list(worker.runs.items()):
+            if (key, number) in listed:
+                if run.state == "stopping" and now - run.confirmed_at > RESTOP_S:
+                    run.confirmed_at = now
+                    found = self._fleet.find_run(key, number)
+                    if found is not None:
+                        self._spawn(self._orders.stop_run(*found, worker))
+                continue
+            # Before the first answer under this term, no start can be under way: what an
+            # earlier controller sent is refused from now on.
+            before_term = not worker.known
+            if not before_term and not (0 < run.confirmed_at < sent_at):
+                continue
+            found = self._fleet.find_run(key, number)
+            if found is None:
+                continue
+            log("run.absent", job=key.job, step=key.step, index=key.number, run=number,
+                worker=worker.info.id, state=run.state)  # fmt: skip
+            task, _ = found
+            drop_run(task, number, worker)
+            requeue(self._fleet.jobs[key.job], task, now)
+            self._fleet.mark(key.job)
+            self._wake()
+
+    def _spawn_stop(self, stop: StopOrder) -> None:
+        found = self._fleet.find_run(stop.key, stop.run)
+        if found is not None and found[1].state == "stopping":
+            return
+        if found is not None:
+            found[1].move("stop")
+        self._spawn(self._orders.stop(stop))
+
+    def _spawn(self, coroutine: object) -> None:
+        task = asyncio.ensure_future(coroutine)  # type: ignore[call-overload]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/foxtrestle/control/log.py
@@ -0,0 +1,80 @@
+"""Structured log lines on standard output that never block the loop."""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections import deque
+from typing import TYPE_CHECKING, Any, Final
+
+import msgspec
+from eliot import add_destinations, log_message, remove_destination
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+BUFFER_LINES: Final = 4096
+"""Lines held while the reader of standard output is slow; further ones are counted and dropped."""
+
+
+class LogWriter:
+    """Destination of all log messages: standard output without blocking, bounded."""
+
+    def __init__(self, descriptor: int | None = None) -> None:
+        """Create a writer to a file descriptor, standard output by default."""
+        self.dropped = 0
+        """Lines dropped because the buffer was full."""
+        self._descriptor = sys.stdout.fileno() if descriptor is None else descriptor
+        self._lines: deque[bytes] = deque()
+        self._reported = 0
+        self._encoder = msgspec.json.Encoder(enc_hook=str)
+        os.set_blocking(self._descriptor, False)
+
+    def __call__(self, message: Mapping[str, Any]) -> None:
+        """Take one message."""
+        if len(self._lines) >= BUFFER_LINES:
+            self.dropped += 1
+            return
+        self._lines.append(self._encoder.encode(message) + b"\n")
+        self.flush()
+
+    def flush(self) -> None:
+        """Write as much as the reader takes now."""
+        while self._lines:
+            line = self._lines[0]
+            try:
+                written = os.write(self._descriptor, line)
+            except BlockingIOError:
+                return
+            except OSError:
+                # The reader is gone; what it will never read is counted.
+                self.dropped += len(self._lines)
+                self._lines.clear()
+                return
+            if written < len(line):
+                self._lines[0] = line[written:]
+                return
+            self._lines.popleft()
+
+
+def start_logging(node: str) -> LogWriter:
+    """Send all log messages to standard output, each with the node's name."""
+    writer = LogWriter()
+
+    def write(message: Mapping[str, Any]) -> None:
+        # Tree positions say nothing here: every line stands alone.
+        kept = {k: v for k, v in message.items() if k not in {"task_uuid", "task_level"}}
+        writer({"node": node, **kept})
+
+    add_destinations(write)
+    return writer
+
+
+def stop_logging(destination: Any) -> None:
+    """Stop sending messages to a destination."""
+    remove_destination(destination)
+
+
+def log(event: str, **fields: Any) -> None:
+    """Write one line: an event's name and its fields."""
+    log_message(message_type=event, **fields)
--- /dev/null
+++ b/src/foxtrestle/control/orders.py
@@ -0,0 +1,201 @@
+"""Orders to workers: starts and stops, sent again until their outcome is known."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Final
+
+from foxtrestle.control.log import log
+from foxtrestle.platform.http import CallError, MalformedAnswer, NoAnswer
+from foxtrestle.platform.workers import OrderRefused, OtherLife
+from foxtrestle.scheduling.model import StartOrder
+from foxtrestle.scheduling.runs import drop_run, requeue
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from foxtrestle.control.ownership import Term
+    from foxtrestle.platform.workers import WorkerCalls
+    from foxtrestle.scheduling.model import TaskKey
+    from foxtrestle.scheduling.runs import StopOrder
+    from foxtrestle.scheduling.state import Fleet, Run, Task, Worker
+
+HOLD_S: Final = 5.0
+"""Seconds for which everything on a worker is leased at a time. Long enough for a new controller
+to take over (2 s of lock, a second to load), short enough that a cut-off worker's tasks are free
+again soon."""
+CLOCK_DRIFT: Final = 1.02
+"""Factor by which a worker's clock may be slow; set by the platform."""
+LAPSE_MARGIN_S: Final = 0.2
+"""Seconds added to the computed end of a lease, for the age of the clock reading."""
+CALL_TIMEOUT_S: Final = 0.3
+"""Seconds for a worker to answer an order; a round trip takes 2 to 4 ms."""
+ATTEMPTS: Final = 3
+"""How often an order is sent before its worker counts as out of reach."""
+FULL_PAUSE_S: Final = 0.3
+"""Seconds a worker that refused for want of room gets nothing new."""
+
+
+def compute_lapse(sent_at: float) -> float:
+    """Return the time after which a lease extended at `sent_at` has certainly lapsed."""
+    return sent_at + HOLD_S * CLOCK_DRIFT + LAPSE_MARGIN_S
+
+
+def compute_expiry_ms(worker: Worker, now: float) -> int:
+    """Return the end of a lease that is extended now, on the worker's clock."""
+    return int(now * 1000 + worker.clock_offset_ms + HOLD_S * 1000)
+
+
+class Orders:
+    """Sends starts and stops and tells the state what became of them."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        term: Term,
+        calls: WorkerCalls,
+        wake: Callable[[], None],
+        lose_worker: Callable[[Worker, str], None],
+    ) -> None:
+        """Create a sender for one term.
+
+        Args:
+            fleet: The state.
+            term: The ownership under which orders are given.
+            calls: Client of the workers.
+            wake: Has the controller decide again.
+            lose_worker: Called when a worker's life is certainly over.
+        """
+        self._fleet = fleet
+        self._term = term
+        self._calls = calls
+        self._wake = wake
+        self._lose_worker = lose_worker
+        self._stops: set[asyncio.Task[None]] = set()
+
+    async def start(self, task: Task, run: Run, worker: Worker) -> None:
+        """Start a run that is recorded."""
+        entry = self._fleet.jobs[task.key.job]
+        order = StartOrder(
+            task.key, run.number, entry.job.spec.text, self._term.number, task.checkpoint
+        )
+        sent = False
+        for _ in range(ATTEMPTS):
+            if not self._term.is_valid() or task.runs.get(run.number) is not run:
+                return
+            if run.state != "recorded":
+                return
+            now = time.monotonic()
+            worker.lapse_at = max(worker.lapse_at, compute_lapse(now))
+            try:
+                await self._calls.start(
+                    worker.info, order, compute_expiry_ms(worker, now), CALL_TIMEOUT_S
+                )
+            except OrderRefused as refusal:
+                if self._take_refusal(task, run, worker, refusal, sent=sent):
+                    return
+            except OtherLife:
+                self._lose_worker(worker, "another life at its address")
+                return
+            except (NoAnswer, MalformedAnswer) as error:
+                sent = True
+                log("start.unanswered", job=task.key.job, worker=worker.info.id,
+                    reason=error.reason)  # fmt: skip
+            except CallError as error:
+                log("start.failed", job=task.key.job, worker=worker.info.id, reason=error.reason)
+            else:
+                self._confirm(run)
+                return
+        await self._give_up(task, run, worker, sent=sent)
+
+    def _confirm(self, run: Run) -> None:
+        if run.state == "recorded":
+            run.move("confirm")
+        run.confirmed_at = time.monotonic()
+
+    def _take_refusal(
+        self, task: Task, run: Run, worker: Worker, refusal: OrderRefused, *, sent: bool
+    ) -> bool:
+        """Take in a refusal.
+
+        Returns:
+            Whether the order is settled.
+        """
+        reason = refusal.refusal
+        log("start.refused", job=task.key.job, step=task.key.step, index=task.key.number,
+            run=run.number, worker=worker.info.id, reason=reason)  # fmt: skip
+        if reason == "fence":
+            self._term.lose("a worker has seen a higher term")
+            return True
+        if reason == "late":
+            return False
+        if reason == "old" or sent:
+            # The run has been there, or an earlier copy of the order may still arrive: the
+            # worker's lists tell, and a stop bars what has not come yet.
+            self._confirm(run)
+            self._stop_later(task, run, worker)
+            return True
+        worker.full_until = time.monotonic() + FULL_PAUSE_S
+        self._drop(task, run, worker)
+        return True
+
+    def _stop_later(self, task: Task, run: Run, worker: Worker) -> None:
+        stop = asyncio.create_task(self.stop_run(task, run, worker))
+        self._stops.add(stop)
+        stop.add_done_callback(self._stops.discard)
+
+    async def _give_up(self, task: Task, run: Run, worker: Worker, *, sent: bool) -> None:
+        """Settle a start without an answer: stop it, which bars a late copy, or leave it."""
+        if not sent:
+            log("start.given-up", job=task.key.job, worker=worker.info.id, run=run.number)
+            self._drop(task, run, worker)
+            return
+        await self.stop_run(task, run, worker)
+
+    def _drop(self, task: Task, run: Run, worker: Worker) -> None:
+        drop_run(task, run.number, worker)
+        requeue(self._fleet.jobs[task.key.job], task, time.monotonic())
+        self._fleet.mark(task.key.job)
+        self._wake()
+
+    async def stop(self, order: StopOrder) -> None:
+        """Stop a run, known or not."""
+        worker = self._fleet.workers.get(order.worker)
+        if worker is None:
+            return
+        found = self._fleet.find_run(order.key, order.run)
+        if found is None:
+            await self._send_stop(worker, order.key, order.run)
+            return
+        await self.stop_run(*found, worker)
+
+    async def stop_run(self, task: Task, run: Run, worker: Worker) -> None:
+        """Stop a run; its end, or its absence from a later list, settles it."""
+        if run.state == "ended":
+            return
+        run.move("stop")
+        run.confirmed_at = 0.0
+        if await self._send_stop(worker, task.key, run.number):
+            run.confirmed_at = time.monotonic()
+
+    async def _send_stop(self, worker: Worker, key: TaskKey, number: int) -> bool:
+        for _ in range(ATTEMPTS):
+            if not self._term.is_valid():
+                return False
+            try:
+                await self._calls.stop(worker.info, key, number, self._term.number, CALL_TIMEOUT_S)
+            except OrderRefused as refusal:
+                log("stop.refused", worker=worker.info.id, run=number, reason=refusal.refusal)
+                if refusal.refusal == "fence":
+                    self._term.lose("a worker has seen a higher term")
+                    return False
+                return refusal.refusal == "old"
+            except OtherLife:
+                self._lose_worker(worker, "another life at its address")
+                return False
+            except CallError as error:
+                log("stop.unanswered", worker=worker.info.id, run=number, reason=error.reason)
+            else:
+                return True
+        return False
--- /dev/null
+++ b/src/foxtrestle/control/ownership.py
@@ -0,0 +1,237 @@
+"""Ownership of the control of a region: one controller at a time, with a term that only rises."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+import uuid
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from foxtrestle.control.keys import LOCK, TERM
+from foxtrestle.control.log import log
+from foxtrestle.store import (
+    ABSENT,
+    Compacted,
+    Conflict,
+    OutcomeUnknown,
+    Record,
+    StoreError,
+    Transaction,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from foxtrestle.platform.store import PlatformStore
+
+LEASE_S: Final = 2.0
+"""Seconds after which a silent controller loses its lock; the store grants 1 s at the least, and
+a renewal every third of it rides out single lost answers."""
+RENEW_S: Final = 0.6
+"""Seconds between renewals."""
+LEASE_MARGIN_S: Final = 0.15
+"""Seconds by which a controller takes its lease as over before the store does."""
+RACE_PAUSE_S: Final = 0.1
+"""Longest random pause before a free lock is tried, seconds; spreads the nodes' calls."""
+RETRY_S: Final = 0.3
+"""Mean pause after a failed call, seconds."""
+GRACE_WITHOUT_STORE_S: Final = 5.0
+"""Seconds after the end of its lease for which a controller that cannot reach the store goes on
+extending the workers' leases: nothing new starts, but a short outage kills nothing."""
+
+
+class LockRecord(msgspec.Struct, frozen=True):
+    """Value of the lock."""
+
+    node: str
+    """Name of the controller's node."""
+    nonce: str
+    """Random text that tells this acquisition from all others."""
+
+
+class Term:
+    """One ownership, from its acquisition to its end."""
+
+    def __init__(self, number: int, lock: Record, valid_until: float) -> None:
+        """Create a term that has just been acquired."""
+        self.number = number
+        """Number of the term; fences all orders."""
+        self.lock = lock
+        """The lock as written."""
+        self.valid_until = valid_until
+        """Monotonic time up to which no other controller can exist, unless the lock was taken
+        away from outside."""
+        self.lost = asyncio.Event()
+        """Set once another controller may exist or has been heard of."""
+
+    def is_valid(self) -> bool:
+        """Tell whether orders may be given now."""
+        return not self.lost.is_set() and time.monotonic() < self.valid_until
+
+    def may_hold(self) -> bool:
+        """Tell whether workers' leases may be extended now."""
+        limit = self.valid_until + GRACE_WITHOUT_STORE_S
+        return not self.lost.is_set() and time.monotonic() < limit
+
+    def lose(self, why: str) -> None:
+        """End the term."""
+        if not self.lost.is_set():
+            log("control.lost", term=self.number, reason=why)
+            self.lost.set()
+
+
+class Ownership:
+    """Follows the lock and takes it when it is free."""
+
+    def __init__(
+        self, store: PlatformStore, node: str, work: Callable[[Term], Awaitable[None]]
+    ) -> None:
+        """Create an ownership that holds nothing.
+
+        Args:
+            store: The platform's store.
+            node: Name of this node.
+            work: Called with each term acquired; ends soon after the term is lost.
+        """
+        self.term: Term | None = None
+        """The term held by this node."""
+        self._store = store
+        self._node = node
+        self._work = work
+        self._closing = False
+
+    async def run(self) -> None:
+        """Acquire the lock whenever it is free, until cancelled."""
+        while not self._closing:
+            try:
+                await self._wait_until_free()
+                await asyncio.sleep(random.uniform(0, RACE_PAUSE_S))
+                if self._closing:
+                    return
+                term = await self._acquire()
+                if term is not None:
+                    await self._serve(term)
+            except StoreError as error:
+                log("control.store-failed", step=error.step, reason=error.reason)
+                await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
+
+    async def close(self) -> None:
+        """Give the lock up, so that another node takes over at once."""
+        self._closing = True
+        term = self.term
+        if term is None:
+            return
+        term.lose("planned stop")
+        conditions = {LOCK: term.lock.revision}
+        try:
+            await self._store.commit(Transaction(conditions, removals=(LOCK,)))
+        except StoreError as error:
+            log("control.release-failed", term=term.number, reason=str(error))
+
+    async def _wait_until_free(self) -> None:
+        record = await self._store.get(LOCK)
+        revision = record.revision if record else ABSENT
+        while record is not None:
+            try:
+                changes, revision = await self._store.poll(LOCK, revision)
+            except Compacted:
+                record = await self._store.get(LOCK)
+                revision = record.revision if record else ABSENT
+                continue
+            for change in changes:
+                if change.key == LOCK:
+                    record = change.record
+
+    async def _acquire(self) -> Term | None:
+        held = await self._store.get(TERM)
+        number = int(held.value) + 1 if held else 1
+        sent_at = time.monotonic()
+        lease = await self._store.grant(LEASE_S)
+        value = msgspec.json.encode(LockRecord(self._node, uuid.uuid4().hex[:12]))
+        transaction = Transaction(
+            conditions={LOCK: ABSENT, TERM: held.revision if held else ABSENT},
+            puts={LOCK: value, TERM: str(number).encode()},
+            lease=lease,
+            leased=frozenset({LOCK}),
+        )
+        try:
+            revision = await self._store.commit(transaction)
+        except Conflict as conflict:
+            log("control.race-lost", term=number, lock=LOCK in conflict.records)
+            return None
+        except OutcomeUnknown:
+            found = await self._store.get(LOCK)
+            if found is None or found.value != value:
+                return None
+            revision = found.revision
+        self._lease = lease
+        valid_until = sent_at + LEASE_S - LEASE_MARGIN_S
+        return Term(number, Record(LOCK, value, revision), valid_until)
+
+    async def _serve(self, term: Term) -> None:
+        self.term = term
+        log("control.acquired", term=term.number, revision=term.lock.revision)
+        work = asyncio.ensure_future(self._work(term))
+        duties = [
+            asyncio.create_task(self._renew(term)),
+            asyncio.create_task(self._watch_lock(term)),
+        ]
+        try:
+            await term.lost.wait()
+        finally:
+            self.term = None
+            for task in [work, *duties]:
+                task.cancel()
+            results = await asyncio.gather(work, *duties, return_exceptions=True)
+            for result in results:
+                if isinstance(result, Exception):
+                    log("control.failed", term=term.number, reason=repr(result))
+            log("control.stopped", term=term.number)
+
+    async def _renew(self, term: Term) -> None:
+        """Renew the lease; lose the term when the store says it is over or is away too long."""
+        while term.may_hold():
+            sent_at = time.monotonic()
+            try:
+                kept = await self._store.keep_alive(self._lease)
+            except StoreError as error:
+                log("control.renewal-failed", term=term.number, reason=error.reason)
+                await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S))
+                continue
+            if not kept:
+                term.lose("lease is over")
+                return
+            term.valid_until = sent_at + LEASE_S - LEASE_MARGIN_S
+            await asyncio.sleep(RENEW_S)
+        term.lose("store away too long")
+
+    async def _watch_lock(self, term: Term) -> None:
+        """Lose the term as soon as the lock changes."""
+        revision = term.lock.revision
+        while True:
+            try:
+                changes, revision = await self._store.poll(LOCK, revision)
+            except Compacted:
+                found = await self._read_lock()
+                if found is not None and found.revision != term.lock.revision:
+                    term.lose("lock replaced")
+                revision = found.revision if found else revision
+                await asyncio.sleep(RETRY_S)
+                continue
+            except StoreError as error:
+                log("control.watch-failed", term=term.number, reason=error.reason)
+                await asyncio.sleep(RETRY_S)
+                continue
+            if any(change.key == LOCK for change in changes):
+                term.lose("lock gone or replaced")
+                return
+
+    async def _read_lock(self) -> Record | None:
+        try:
+            return await self._store.get(LOCK)
+        except StoreError as error:
+            log("control.watch-failed", reason=error.reason)
+            return None
--- /dev/null
+++ b/src/foxtrestle/node/process.py
@@ -0,0 +1,165 @@
+"""One node: assembles its parts, serves, and stops in order."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+import sys
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING, Final
+
+from returns.result import Failure
+
+from foxtrestle.control.controller import Controller
+from foxtrestle.control.log import log, start_logging
+from foxtrestle.control.ownership import Ownership
+from foxtrestle.listener import bind, listen
+from foxtrestle.node.health import StoreHealth
+from foxtrestle.node.intake import Intake
+from foxtrestle.node.operators import OperatorMirror
+from foxtrestle.platform.front import build_front, build_ready
+from foxtrestle.platform.hosts import HostCalls
+from foxtrestle.platform.http import open_session
+from foxtrestle.platform.settings import find_settings, parse_settings
+from foxtrestle.platform.store import PlatformStore
+from foxtrestle.platform.workers import WorkerCalls
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from socket import socket
+
+    from foxtrestle.control.ownership import Term
+    from foxtrestle.node.settings import NodeSettings
+
+STORE_TIMEOUT_S: Final = 0.8
+"""Seconds for the store to answer; it takes 4 ms, up to 0.3 s when it is slow."""
+LOOK_AWAY_S: Final = 2.5
+"""Seconds a stopping node goes on serving: the platform looks every second and leaves a node
+alone after two refusals."""
+CLOSE_S: Final = 2.0
+"""Seconds that requests in flight get after that; together with the rest below the platform's
+grace of 6 s."""
+
+
+class Node:
+    """Parts of one node."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        """Create a node that does nothing yet."""
+        self.settings = settings
+        """Its settings."""
+        self.stopping = False
+        """Whether a planned stop is under way."""
+        self.controller: Controller | None = None
+        """The controller, while this node has the lock."""
+
+    def is_ready(self) -> bool:
+        """Tell whether clients should come here."""
+        return (
+            not self.stopping
+            and self.operators.configuration is not None
+            and not self.health.away
+        )  # fmt: skip
+
+    async def serve(self, stop: asyncio.Event) -> None:
+        """Serve until a stop is asked for, and stop in order."""
+        settings = self.settings
+        async with AsyncExitStack() as stack:
+            session = await stack.enter_async_context(open_session())
+            store = PlatformStore(settings.store_address, session, STORE_TIMEOUT_S)
+            workers = WorkerCalls(session)
+            hosts = HostCalls(settings.hosts_address, settings.name, session, STORE_TIMEOUT_S)
+            self.operators = OperatorMirror(store, self._wake_controller)
+            self.health = StoreHealth(store)
+
+            async def control(term: Term) -> None:
+                self.controller = Controller(
+                    term, settings, store, workers, hosts, self.operators
+                )  # fmt: skip
+                try:
+                    await self.controller.run()
+                except Exception as error:
+                    log("control.failed", term=term.number, reason=repr(error))
+                    term.lose("controller failed")
+                    raise
+                finally:
+                    self.controller = None
+
+            ownership = Ownership(store, settings.name, control)
+            intake = Intake(store, self.operators)
+            ready = build_ready(self.is_ready)
+            front = build_front(intake, self.operators, lambda: self.health.away)
+            await stack.enter_async_context(listen(ready, [_bind(settings.ready_address)]))
+            for loop in (self.operators.follow(), self.health.follow(), ownership.run()):
+                stack.push_async_callback(_cancel, asyncio.create_task(_watch(loop)))
+            await stack.enter_async_context(
+                listen(front, [_bind(settings.client_address)], stop_limit_s=CLOSE_S)
+            )
+            log("node.started", zone=settings.zone)
+            await stop.wait()
+            log("node.stopping")
+            self.stopping = True
+            await ownership.close()
+            await asyncio.sleep(LOOK_AWAY_S)
+        log("node.stopped")
+
+    def _wake_controller(self) -> None:
+        if self.controller is not None:
+            self.controller.wake()
+
+
+async def _watch(loop: Awaitable[None]) -> None:
+    try:
+        await loop
+    except Exception as error:
+        # A part that dies takes the node with it: the platform starts it again, clean.
+        log("node.failed", reason=repr(error))
+        signal.raise_signal(signal.SIGTERM)
+        raise
+
+
+async def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+def _bind(address: str) -> socket:
+    ip, _, port = address.rpartition(":")
+    return bind(ip, int(port))
+
+
+async def _run(settings: NodeSettings) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _note_reload)
+    await Node(settings).serve(stop)
+
+
+def _note_reload() -> None:
+    """Check a changed settings file; what changed takes effect at the next start."""
+    result = parse_settings(find_settings().read_text(encoding="utf-8"))
+    if isinstance(result, Failure):
+        log("settings.refused", faults=[str(fault) for fault in result.failure()])
+    else:
+        log("settings.reloaded")
+
+
+def main() -> int:
+    """Start a node with the settings file that the platform names."""
+    result = parse_settings(find_settings().read_text(encoding="utf-8"))
+    if isinstance(result, Failure):
+        for fault in result.failure():
+            print(fault, file=sys.stderr)
+        return 2
+    settings = result.unwrap()
+    start_logging(settings.name)
+    gc.freeze()
+    asyncio.run(_run(settings))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/foxtrestle/node/settings.py
@@ -0,0 +1,69 @@
+"""Settings of a node."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Bounds(msgspec.Struct, frozen=True, kw_only=True):
+    """Time limits that the users' contract sets; all are settings of the platform."""
+
+    stop_grace_s: float = 6.0
+    """Seconds between SIGTERM and SIGKILL."""
+    longest_hold_s: float = 10.0
+    """Longest lease that a worker grants, seconds on its clock."""
+    drain_s: float = 2.0
+    """Seconds after which a leaving worker must get nothing new."""
+    turn_s: float = 3.0
+    """Seconds that must lie between orders for hosts from two controllers."""
+    stop_task_s: float = 0.9
+    """Longest time a worker takes to stop a run."""
+    early_s: float = 0.25
+    """Seconds by which a task may start before it is due."""
+    keep_status_s: float = 120.0
+    """Seconds for which an ended job's state can be asked for."""
+    move_s: float = 1.5
+    """Seconds a host takes to join another pool."""
+    maintenance_s: float = 2.0
+    """Seconds a host is away for maintenance."""
+    far_factor: float = 2.0
+    """How many times longer a task takes away from its data, or a gang over racks."""
+    save_s: float = 2.0
+    """Seconds of work between two checkpoints."""
+    absence_s: float = 4.5
+    """Seconds after which a lasting task counts as away whatever the cause."""
+    pace_s: float = 0.1
+    """Seconds after its start from which a run can be paced."""
+    harm_s: float = 4.0
+    """Seconds for which a serving task may be over its target because of others."""
+    heartbeat_s: float = 1.5
+    """Seconds between two heartbeats of a worker; its entry goes after three missed ones."""
+
+
+class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Everything a node is told when it starts."""
+
+    name: str
+    """Name of the node."""
+    zone: str
+    """Availability zone of the node."""
+    client_address: str
+    """`ip:port` for clients."""
+    ready_address: str
+    """`ip:port` at which the platform asks whether the node is ready."""
+    store_address: str
+    """`ip:port` of the platform's store."""
+    hosts_address: str = ""
+    """`ip:port` of the platform's interface for hosts; empty if there is none."""
+    advice_address: str = ""
+    """`ip:port` of the policy service; empty if there is none."""
+    lease_min_s: float = 1.0
+    """Shortest lease that the store grants, seconds."""
+    host_orders_per_s: float = 64.0
+    """Orders for hosts that the platform takes from all nodes together, per second."""
+    processor_share: float = 1.0
+    """Cores that this process may use."""
+    link_mbps: float = 1000.0
+    """Bandwidth of the host's link."""
+    bounds: Bounds = Bounds()
+    """Time limits of the contract."""
--- /dev/null
+++ b/src/foxtrestle/platform/hosts.py
@@ -0,0 +1,134 @@
+"""The platform's hosts: their list, moves between pools, maintenance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from foxtrestle.platform.http import CallError, call, decode
+from foxtrestle.scheduling.model import HostInfo, HostState, Shape
+
+if TYPE_CHECKING:
+    import aiohttp
+
+
+class _Capacity(msgspec.Struct):
+    cpu: int = 0
+    memMb: int = 0
+    gpu: int = 0
+
+
+class _Machine(msgspec.Struct):
+    machine: str
+    pool: str
+    state: HostState
+    zone: str = ""
+    labels: tuple[str, ...] = ()
+    capacity: _Capacity = msgspec.field(default_factory=_Capacity)
+    id: str | None = ""
+
+
+class _Page(msgspec.Struct):
+    machines: list[_Machine] = []
+    nextToken: str | None = None
+
+
+class _Refused(msgspec.Struct):
+    reason: str = ""
+
+
+class HostRefused(CallError):
+    """The platform refused an order for a host and did nothing."""
+
+    def __init__(self, refusal: str, *, step: str, peer: str) -> None:
+        """Create an error that carries the platform's reason."""
+        super().__init__(f"refused: {refusal}", step=step, peer=peer)
+        self.refusal = refusal
+        """`fence`, `busy`, `wave`, or the status where no reason was given."""
+
+
+class HostCalls:
+    """Client of the platform's hosts."""
+
+    def __init__(
+        self, address: str, node: str, session: aiohttp.ClientSession, timeout_s: float
+    ) -> None:
+        """Create a client.
+
+        Args:
+            address: `ip:port` of the platform's interface for hosts.
+            node: Name of this node, which orders carry.
+            session: Session of this process.
+            timeout_s: Seconds to wait for an answer.
+        """
+        self.calls = 0
+        """Calls made."""
+        self._base = f"http://{address}/-/"
+        self._node = node
+        self._session = session
+        self._timeout_s = timeout_s
+
+    async def list_hosts(self) -> list[HostInfo]:
+        """Read the whole list; it lags."""
+        hosts: list[HostInfo] = []
+        query: dict[str, str] = {}
+        while True:
+            self.calls += 1
+            reply = await call(
+                self._session,
+                "GET",
+                self._base + "machines",
+                step="hosts.list",
+                timeout_s=self._timeout_s,
+                query=query,
+            )
+            if reply.status != 200:
+                raise CallError(f"status {reply.status}", step="hosts.list", peer=self._base)
+            page = decode(reply.body, _Page, step="hosts.list", peer=self._base)
+            hosts += [_to_host(machine) for machine in page.machines]
+            if not page.nextToken:
+                return hosts
+            query = {"pageToken": page.nextToken}
+
+    async def move(self, host: str, pool: str, token: int) -> None:
+        """Move a host to a pool: what runs there dies, a new worker joins the pool."""
+        await self._order("machine-move", {"machine": host, "pool": pool}, token)
+
+    async def maintain(self, host: str, wave: int, token: int) -> None:
+        """Begin a host's maintenance: what runs there dies, a new worker joins its pool."""
+        await self._order("machine-upkeep", {"machine": host, "wave": wave}, token)
+
+    async def _order(self, path: str, body: dict[str, str | int], token: int) -> None:
+        step = f"hosts.{path}"
+        self.calls += 1
+        reply = await call(
+            self._session,
+            "POST",
+            self._base + path,
+            step=step,
+            timeout_s=self._timeout_s,
+            body=msgspec.json.encode(body),
+            headers={
+                "Foxtrestle-Duty-Holder": self._node,
+                "Foxtrestle-Fencing-Token": str(token),
+            },
+        )
+        if reply.status == 200:
+            return
+        reason = str(reply.status)
+        if reply.status == 409:
+            reason = decode(reply.body, _Refused, step=step, peer=self._base).reason or reason
+        raise HostRefused(reason, step=step, peer=str(body["machine"]))
+
+
+def _to_host(machine: _Machine) -> HostInfo:
+    return HostInfo(
+        name=machine.machine,
+        pool=machine.pool,
+        state=machine.state,
+        zone=machine.zone,
+        labels=machine.labels,
+        room=Shape(machine.capacity.cpu, machine.capacity.memMb, machine.capacity.gpu),
+        worker=machine.id or "",
+    )
--- /dev/null
+++ b/src/foxtrestle/platform/http.py
@@ -0,0 +1,106 @@
+"""HTTP calls to the platform: one session, one way to time out, one mapping of failures."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final, TypeVar
+
+import aiohttp
+import msgspec
+
+from foxtrestle.errors import FoxtrestleError
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+T = TypeVar("T")
+
+KEEP_ALIVE_S: Final = 60.0
+"""Seconds an idle connection is kept; new connections to workers are priced by the platform."""
+CONNECTIONS_PER_HOST: Final = 16
+"""Most connections to one address: some wait in watches, the rest carry calls."""
+CONNECT_TIMEOUT_S: Final = 0.5
+"""Seconds to connect; links on the platform take a few milliseconds."""
+JSON_HEADERS: Final = {"Content-Type": "application/json"}
+
+
+class CallError(FoxtrestleError):
+    """A call that certainly was not carried out: it was refused, or never reached the peer."""
+
+
+class NoAnswer(CallError):
+    """A call that was sent and got no answer; it may be carried out, also later."""
+
+
+class MalformedAnswer(CallError):
+    """An answer that does not have the form the platform documents."""
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """Status and body of an answer."""
+
+    status: int
+    """HTTP status."""
+    body: bytes
+    """The body, as sent."""
+
+
+def open_session() -> aiohttp.ClientSession:
+    """Open the session that all calls to the platform share."""
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        limit_per_host=CONNECTIONS_PER_HOST,
+        keepalive_timeout=KEEP_ALIVE_S,
+        enable_cleanup_closed=False,
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+    )
+
+
+async def call(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    *,
+    step: str,
+    timeout_s: float,
+    body: bytes | None = None,
+    headers: Mapping[str, str] = {},
+    query: Mapping[str, str] | None = None,
+) -> Reply:
+    """Make one call and read its whole answer.
+
+    Raises:
+        CallError: The call was not carried out.
+        NoAnswer: The call may have been carried out.
+    """
+    timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+    sent = {**JSON_HEADERS, **headers} if body is not None else dict(headers)
+    try:
+        async with session.request(
+            method, url, data=body, headers=sent, params=query, timeout=timeout
+        ) as response:
+            return Reply(response.status, await response.read())
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        raise CallError(_describe(error), step=step, peer=url) from error
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        raise NoAnswer(_describe(error), step=step, peer=url) from error
+
+
+def decode(body: bytes, kind: type[T], *, step: str, peer: str) -> T:
+    """Decode a JSON body.
+
+    Raises:
+        MalformedAnswer: The body does not fit; the reason names the field.
+    """
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as error:
+        raise MalformedAnswer(str(error), step=step, peer=peer) from error
+
+
+def _describe(error: BaseException) -> str:
+    return str(error) or type(error).__name__
--- /dev/null
+++ b/src/foxtrestle/platform/operators.py
@@ -0,0 +1,98 @@
+"""What operators write into the store: the configuration and maintenance waves."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+import msgspec
+
+from foxtrestle.platform.http import decode
+from foxtrestle.scheduling.model import FleetConfiguration, Pool, Queue, Wave
+
+OPERATORS: Final = "op/"
+"""Prefix of everything that operators write."""
+CONFIGURATION: Final = "op/config"
+"""Key of the configuration."""
+WAVES: Final = "op/wave/"
+"""Prefix of the waves."""
+WAVE_STATUS: Final = "status/wave/"
+"""Prefix of what the system tells about waves."""
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    pathPrefix: str
+    service: str
+    targetLatencyMs: float = 0
+    priority: int = 0
+    maxAttempts: int = 1
+    stretch: float = 1.0
+    advice: Any = None
+
+
+class _Service(msgspec.Struct):
+    name: str
+    rejectsOverload: bool = True
+    headroom: bool = False
+
+
+class _Limits(msgspec.Struct):
+    maxBodyBytes: int = 262_144
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Wave(msgspec.Struct):
+    wave: int
+    machines: tuple[str, ...]
+    withinS: float
+    upperLimit: int
+
+
+def decode_configuration(value: bytes, revision: int) -> FleetConfiguration:
+    """Decode the configuration.
+
+    Raises:
+        MalformedAnswer: It does not have the documented form; the reason names the field.
+    """
+    raw = decode(value, _Configuration, step="operators.decode", peer=CONFIGURATION)
+    queues = tuple(
+        Queue(
+            name=route.name,
+            host=route.host,
+            prefix=route.pathPrefix,
+            pool=route.service,
+            priority=route.priority,
+            max_attempts=route.maxAttempts,
+            stretch=route.stretch,
+            target_ms=int(route.targetLatencyMs),
+            advised=bool(route.advice),
+        )
+        for route in raw.routes
+    )
+    pools = {
+        service.name: Pool(service.name, service.rejectsOverload, service.headroom)
+        for service in raw.services
+    }
+    return FleetConfiguration(raw.version, revision, queues, pools, raw.limits.maxBodyBytes)
+
+
+def decode_wave(key: str, value: bytes) -> Wave:
+    """Decode a wave.
+
+    Raises:
+        MalformedAnswer: It does not have the documented form.
+    """
+    raw = decode(value, _Wave, step="operators.decode", peer=key)
+    return Wave(raw.wave, raw.machines, raw.withinS, raw.upperLimit)
+
+
+def encode_wave_status(*, completed: bool) -> bytes:
+    """Encode what operators are told about a wave."""
+    return msgspec.json.encode({"state": "completed" if completed else "running"})
--- /dev/null
+++ b/src/foxtrestle/platform/settings.py
@@ -0,0 +1,117 @@
+"""The settings file that the platform lays beside each process."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Final
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from foxtrestle._fields import Fault
+from foxtrestle.node.settings import Bounds, NodeSettings
+
+SETTINGS_VARIABLE: Final = "FOXTRESTLE_SETTINGS"
+"""Environment variable that holds the path of the settings file."""
+
+
+class _Listen(msgspec.Struct):
+    front: str
+    ready: str
+    control: str = ""
+
+
+class _Limits(msgspec.Struct):
+    memoryMb: int = 300
+    linkMbps: float = 1000.0
+    cpuShare: float = 0.5
+    cores: float = 2
+
+
+class _Bounds(msgspec.Struct):
+    graceS: float = 6
+    maxHoldMs: float = 10_000
+    drainMs: float = 2000
+    leaseMs: float = 3000
+    stop_ms: float = 900
+    early_ms: float = 250
+    status_s: float = 120
+    move_s: float = 1.5
+    upkeep_s: float = 2
+    far_x: float = 2
+    save_s: float = 2
+    notice_ms: float = 4500
+    pace_ms: float = 100
+    harm_ms: float = 4000
+
+
+class _Platform(msgspec.Struct):
+    address: str
+    ttl_min_ms: float = 1000
+    writes_per_s: float = 400
+    reads_per_s: float = 2000
+
+
+class _Cloud(msgspec.Struct):
+    address: str = ""
+    dutyPerS: float = 64.0
+
+
+class _File(msgspec.Struct):
+    nodeName: str
+    zone: str
+    platform: _Platform
+    listenAddrs: _Listen
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    cloudApi: _Cloud = msgspec.field(default_factory=_Cloud)
+    advice: str = ""
+    heartbeatMs: float = 1500
+
+
+def find_settings() -> Path:
+    """Return the path of the settings file that the platform names."""
+    return Path(os.environ.get(SETTINGS_VARIABLE, "/etc/foxtrestle/local.toml"))
+
+
+def parse_settings(text: str) -> Result[NodeSettings, list[Fault]]:
+    """Check the text of a settings file; keys that are not known are ignored."""
+    try:
+        raw = msgspec.convert(tomllib.loads(text), type=_File, strict=False)
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        return Failure([Fault("settings file", str(error))])
+    bounds = raw.bounds
+    return Success(
+        NodeSettings(
+            name=raw.nodeName,
+            zone=raw.zone,
+            client_address=raw.listenAddrs.front,
+            ready_address=raw.listenAddrs.ready,
+            store_address=raw.platform.address,
+            hosts_address=raw.cloudApi.address,
+            advice_address=raw.advice,
+            lease_min_s=raw.platform.ttl_min_ms / 1000,
+            host_orders_per_s=raw.cloudApi.dutyPerS,
+            processor_share=raw.limits.cpuShare * raw.limits.cores,
+            link_mbps=raw.limits.linkMbps,
+            bounds=Bounds(
+                stop_grace_s=bounds.graceS,
+                longest_hold_s=bounds.maxHoldMs / 1000,
+                drain_s=bounds.drainMs / 1000,
+                turn_s=bounds.leaseMs / 1000,
+                stop_task_s=bounds.stop_ms / 1000,
+                early_s=bounds.early_ms / 1000,
+                keep_status_s=bounds.status_s,
+                move_s=bounds.move_s,
+                maintenance_s=bounds.upkeep_s,
+                far_factor=bounds.far_x,
+                save_s=bounds.save_s,
+                absence_s=bounds.notice_ms / 1000,
+                pace_s=bounds.pace_ms / 1000,
+                harm_s=bounds.harm_ms / 1000,
+                heartbeat_s=raw.heartbeatMs / 1000,
+            ),
+        )
+    )
--- /dev/null
+++ b/src/foxtrestle/platform/store.py
@@ -0,0 +1,226 @@
+"""The platform's store: items, ranges, watches, transactions and leases."""
+
+from __future__ import annotations
+
+import base64
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from foxtrestle.platform.http import CallError, NoAnswer, Reply, call, decode
+from foxtrestle.store import (
+    Change,
+    Compacted,
+    Conflict,
+    LeaseEnded,
+    Listing,
+    OutcomeUnknown,
+    RateExceeded,
+    Record,
+    StoreError,
+    Transaction,
+)
+
+if TYPE_CHECKING:
+    import aiohttp
+
+WATCH_WAIT_S: Final = 20.0
+"""Seconds a watch waits at the store; each return is a priced call, the store allows 30."""
+WATCH_MARGIN_S: Final = 2.0
+"""Seconds beyond the wait after which a watch counts as lost."""
+
+
+class _Item(msgspec.Struct):
+    tlsKey: str = ""
+    value: str = ""  # base64
+    revision: int = 0
+    gone: bool = False
+
+
+class _Page(msgspec.Struct):
+    items: list[_Item] = []
+    more: bool = False
+    at: int = 0
+
+
+class _One(_Item):
+    at: int = 0
+
+
+class _Events(msgspec.Struct):
+    events: list[_Item] = []
+    at: int = 0
+
+
+class _Committed(msgspec.Struct):
+    revision: int = 0
+    items: list[_Item] = []
+
+
+class _Lease(msgspec.Struct):
+    lease: int = 0
+    ttl_ms: float = 0
+
+
+class PlatformStore:
+    """Client of the platform's store."""
+
+    def __init__(self, address: str, session: aiohttp.ClientSession, timeout_s: float) -> None:
+        """Create a client.
+
+        Args:
+            address: `ip:port` of the store.
+            session: Session of this process.
+            timeout_s: Seconds to wait for an answer other than a watch's.
+        """
+        self.calls = {"write": 0, "read": 0, "watch": 0, "lease": 0}
+        """Calls made, by kind."""
+        self._base = f"http://{address}/-/"
+        self._session = session
+        self._timeout_s = timeout_s
+
+    async def get(self, key: str, *, stale: bool = False) -> Record | None:
+        """Read one key; a stale read is cheaper and may be seconds old."""
+        self.calls["read"] += 1
+        query = {"tlsKey": key} | ({"stale": "1"} if stale else {})
+        reply = await self._call("GET", "kv-key", query=query)
+        if reply.status == 404:
+            return None
+        item = decode(reply.body, _One, step="store.get", peer=self._base)
+        return _to_record(item)
+
+    async def scan(self, prefix: str) -> Listing:
+        """Read every key under a prefix; a watch from its revision on misses nothing."""
+        records: list[Record] = []
+        revision = 0
+        query = {"pathPrefix": prefix}
+        while True:
+            self.calls["read"] += 1
+            reply = await self._call("GET", "kv-range", query=query)
+            page = decode(reply.body, _Page, step="store.scan", peer=self._base)
+            records += [_to_record(item) for item in page.items]
+            # Pages are read one after another: changes since the first one come by the watch.
+            revision = revision or page.at
+            if not page.more or not page.items:
+                return Listing(records, revision)
+            query = {"pathPrefix": prefix, "dependsOn": page.items[-1].tlsKey}
+
+    async def poll(self, prefix: str, after: int) -> tuple[list[Change], int]:
+        """Wait for changes under a prefix after a revision.
+
+        Returns:
+            The changes, none if there were none in time, and the revision to go on from.
+
+        Raises:
+            Compacted: The store has dropped the history asked for.
+        """
+        self.calls["watch"] += 1
+        query = {
+            "pathPrefix": prefix,
+            "dependsOn": str(after),  # the revision to go on from, not a dependency
+            "waitMs": str(int(WATCH_WAIT_S * 1000)),
+        }
+        reply = await self._call(
+            "GET", "kv-watch", query=query, timeout_s=WATCH_WAIT_S + WATCH_MARGIN_S
+        )
+        events = decode(reply.body, _Events, step="store.watch", peer=self._base)
+        return [_to_change(item) for item in events.events], max(after, events.at)
+
+    async def commit(self, transaction: Transaction) -> int:
+        """Carry out a transaction whole or not at all.
+
+        Returns:
+            The revision it gave to everything it wrote.
+
+        Raises:
+            Conflict: A condition did not hold; carries the records as they are.
+            LeaseEnded: The lease named is over.
+        """
+        self.calls["write"] += 1
+        body = {
+            "expectedRev": [
+                {"tlsKey": key, "revision": revision}
+                for key, revision in transaction.conditions.items()
+            ],
+            "put": [
+                {"tlsKey": key, "value": base64.b64encode(value).decode()}
+                | ({"lease": transaction.lease} if key in transaction.leased else {})
+                for key, value in transaction.puts.items()
+            ],
+            "remove": list(transaction.removals),
+        }
+        reply = await self._call("POST", "kv-txn", body=msgspec.json.encode(body))
+        if reply.status == 404:
+            raise LeaseEnded("the lease is over", step="store.commit", peer=self._base)
+        answer = decode(reply.body, _Committed, step="store.commit", peer=self._base)
+        if reply.status == 412:
+            records = {item.tlsKey: _to_record(item) for item in answer.items if item.revision}
+            raise Conflict(records, step="store.commit", peer=self._base)
+        return answer.revision
+
+    async def grant(self, ttl_s: float) -> int:
+        """Take out a lease."""
+        self.calls["lease"] += 1
+        body = msgspec.json.encode({"ttl_ms": int(ttl_s * 1000)})
+        reply = await self._call("POST", "kv-lease", body=body)
+        return decode(reply.body, _Lease, step="store.grant", peer=self._base).lease
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew a lease; False if it has ended."""
+        self.calls["lease"] += 1
+        reply = await self._call("POST", f"kv-keep/{lease}", body=b"{}")
+        return reply.status != 404
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        self.calls["lease"] += 1
+        await self._call("DELETE", f"kv-lease-end/{lease}")
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes | None = None,
+        query: dict[str, str] | None = None,
+        timeout_s: float | None = None,
+    ) -> Reply:
+        step = f"store.{path.split('/', maxsplit=1)[0]}"
+        try:
+            reply = await call(
+                self._session,
+                method,
+                self._base + path,
+                step=step,
+                timeout_s=timeout_s or self._timeout_s,
+                body=body,
+                query=query,
+            )
+        except NoAnswer as error:
+            raise OutcomeUnknown(error.reason, step=step, peer=self._base) from error
+        except CallError as error:
+            raise StoreError(error.reason, step=step, peer=self._base) from error
+        _check_status(reply, step, self._base)
+        return reply
+
+
+def _check_status(reply: Reply, step: str, peer: str) -> None:
+    if reply.status in {200, 404, 412}:
+        return
+    if reply.status == 410:
+        raise Compacted("older changes are gone", step=step, peer=peer)
+    if reply.status == 429:
+        raise RateExceeded("over the call rate", step=step, peer=peer)
+    # 503 says that nothing was done, and so do the refusals 400 and 403.
+    reason = f"status {reply.status}: {reply.body[:200].decode(errors='replace')}"
+    if reply.status in {400, 403, 503}:
+        raise StoreError(reason, step=step, peer=peer)
+    raise OutcomeUnknown(reason, step=step, peer=peer)
+
+
+def _to_record(item: _Item) -> Record:
+    return Record(item.tlsKey, base64.b64decode(item.value), item.revision)
+
+
+def _to_change(item: _Item) -> Change:
+    return Change(item.tlsKey, None if item.gone else _to_record(item), item.revision)
--- /dev/null
+++ b/src/foxtrestle/scheduling/placing.py
@@ -0,0 +1,205 @@
+"""Where waiting tasks run."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from foxtrestle.scheduling.model import Shape
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from foxtrestle.scheduling.model import Step
+    from foxtrestle.scheduling.state import Fleet, JobEntry, Task, Worker
+
+SUSPECT_JOBS: Final = 2
+"""Jobs that failed on a worker, without a success between, after which it is avoided. One failure
+may be the job's own fault; two jobs failing in a row by chance is rare (0.2 % x 0.2 %)."""
+HOLD_WAIT_S: Final = 1.0
+"""Seconds a hold waits at a worker for an end; more makes cut-off workers known later."""
+SILENCE_S: Final = HOLD_WAIT_S + 0.7
+"""Seconds without an answer after which a worker gets nothing new: one hold and its time-out."""
+
+
+class Placement(msgspec.Struct, frozen=True):
+    """A decision to start a run of some tasks; several tasks only for a gang."""
+
+    job: str
+    """Id of the job."""
+    run: int
+    """Number of the run."""
+    members: tuple[tuple[Task, Worker], ...]
+    """Each task and its worker."""
+
+
+class _Claims:
+    """Room claimed by decisions of this round that the state does not show yet."""
+
+    def __init__(self) -> None:
+        self.used: dict[str, Shape] = {}
+        self.spread: Counter[tuple[str, int, int, str]] = Counter()
+
+    def add(self, task: Task, worker: Worker) -> None:
+        held = self.used.get(worker.info.id, Shape())
+        shape = task.step.shape
+        cpu = 0 if task.step.fills else shape.cpu
+        self.used[worker.info.id] = Shape(
+            held.cpu + cpu, held.memory_mb + shape.memory_mb, held.gpu + shape.gpu
+        )
+        key = task.key
+        self.spread[key.job, key.repetition, key.step, worker.info.id] += 1
+
+
+def is_usable(worker: Worker, now: float) -> bool:
+    """Tell whether a worker may get something new."""
+    return (
+        worker.known
+        and not worker.gone
+        and not worker.cordoned
+        and not worker.info.draining
+        and now >= worker.full_until
+        and now - worker.contact_at < SILENCE_S
+    )
+
+
+def order_jobs(entries: Iterable[JobEntry]) -> list[JobEntry]:
+    """Order jobs by priority, and within one by when they are due."""
+
+    def rank(entry: JobEntry) -> tuple[int, float, str]:
+        due = entry.job.accepted_ms + entry.job.target_ms
+        return entry.job.priority, due, entry.job.id
+
+    return sorted((entry for entry in entries if entry.ready), key=rank)
+
+
+def choose_placements(fleet: Fleet, now: float) -> list[Placement]:
+    """Choose a worker for every waiting task that has room somewhere."""
+    if fleet.configuration is None:
+        return []
+    by_pool: dict[str, list[Worker]] = {}
+    for worker in fleet.workers.values():
+        if is_usable(worker, now):
+            by_pool.setdefault(worker.info.pool, []).append(worker)
+    claims = _Claims()
+    placements: list[Placement] = []
+    for entry in order_jobs(fleet.active.values()):
+        workers = by_pool.get(entry.job.pool, [])
+        if workers:
+            placements += _place_job(entry, workers, claims)
+    return placements
+
+
+def _place_job(entry: JobEntry, workers: list[Worker], claims: _Claims) -> list[Placement]:
+    placements: list[Placement] = []
+    gangs: set[tuple[int, int]] = set()
+    tasks = sorted(entry.ready.values(), key=lambda task: (-task.step.shape.cpu, task.key))
+    refused: set[int] = set()
+    for task in tasks:
+        key = task.key
+        if task.step.gang:
+            if (key.repetition, key.step) not in gangs:
+                gangs.add((key.repetition, key.step))
+                placements += _place_gang(entry, task, workers, claims)
+            continue
+        if key.step in refused:
+            continue
+        worker = choose_worker(task, entry, workers, claims)
+        if worker is None:
+            refused.add(key.step)
+            continue
+        claims.add(task, worker)
+        placements.append(Placement(entry.job.id, task.starts + 1, ((task, worker),)))
+    return placements
+
+
+def _place_gang(
+    entry: JobEntry, task: Task, workers: list[Worker], claims: _Claims
+) -> list[Placement]:
+    """Place a gang whole, in one rack if it is slower over several and a rack has the room."""
+    where = (task.key.repetition, task.key.step)
+    members = [
+        other
+        for other in entry.tasks.values()
+        if (other.key.repetition, other.key.step) == where and not other.done
+    ]
+    if any(member.runs for member in members):
+        return []
+    groups = [workers]
+    if task.step.same_rack:
+        racks = sorted({label for worker in workers for label in worker.info.labels})
+        groups = [[w for w in workers if rack in w.info.labels] for rack in racks] + groups
+    for group in groups:
+        chosen = _choose_all(entry, members, group, claims)
+        if chosen:
+            run = max(member.starts for member in members) + 1
+            return [Placement(entry.job.id, run, tuple(chosen))]
+    return []
+
+
+def _choose_all(
+    entry: JobEntry, members: list[Task], workers: list[Worker], claims: _Claims
+) -> list[tuple[Task, Worker]]:
+    tried = _Claims()
+    tried.used = dict(claims.used)
+    tried.spread = claims.spread.copy()
+    chosen: list[tuple[Task, Worker]] = []
+    for member in members:
+        worker = choose_worker(member, entry, workers, tried)
+        if worker is None:
+            return []
+        tried.add(member, worker)
+        chosen.append((member, worker))
+    claims.used = tried.used
+    claims.spread = tried.spread
+    return chosen
+
+
+def choose_worker(
+    task: Task, entry: JobEntry, workers: list[Worker], claims: _Claims
+) -> Worker | None:
+    """Choose the worker for one task: near its data, trusted, and with the least room to spare."""
+    best: Worker | None = None
+    best_rank: tuple[bool, bool, int, str] | None = None
+    for worker in workers:
+        if not _may_run(task, entry, worker, claims):
+            continue
+        rank = _rank(task.step, worker, claims)
+        if best_rank is None or rank < best_rank:
+            best, best_rank = worker, rank
+    return best
+
+
+def _rank(step: Step, worker: Worker, claims: _Claims) -> tuple[bool, bool, int, str]:
+    far = bool(step.data_rack) and step.data_rack not in worker.info.labels
+    suspect = len(worker.failed_jobs) >= SUSPECT_JOBS
+    claimed = claims.used.get(worker.info.id, Shape())
+    left = worker.info.room.cpu - worker.used.cpu - claimed.cpu
+    return suspect, far, left, worker.info.id
+
+
+def _may_run(task: Task, entry: JobEntry, worker: Worker, claims: _Claims) -> bool:
+    step = task.step
+    if step.label and step.label not in worker.info.labels:
+        return False
+    claimed = claims.used.get(worker.info.id, Shape())
+    wanted = Shape(
+        claimed.cpu + step.shape.cpu,
+        claimed.memory_mb + step.shape.memory_mb,
+        claimed.gpu + step.shape.gpu,
+    )
+    if not worker.fits(wanted, fills=step.fills):
+        return False
+    key = task.key
+    if step.max_per_worker:
+        there = claims.spread[key.job, key.repetition, key.step, worker.info.id]
+        there += sum(
+            1
+            for other, _ in worker.runs
+            if (other.job, other.repetition, other.step) == (key.job, key.repetition, key.step)
+        )
+        if there >= step.max_per_worker:
+            return False
+    return not any(run.worker == worker.info.id for run in task.runs.values())
--- /dev/null
+++ b/src/foxtrestle/scheduling/progress.py
@@ -0,0 +1,154 @@
+"""The record of a job's progress in the store, and the state that follows from it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from foxtrestle.scheduling.model import JobState, TaskKey
+from foxtrestle.scheduling.runs import release_steps
+from foxtrestle.scheduling.state import Run, Worker
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from foxtrestle.scheduling.state import Fleet, JobEntry, Task
+
+
+class TaskRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A task that has ever been started."""
+
+    repetition: int
+    """Number of the due time."""
+    step: int
+    """Number of the step."""
+    number: int
+    """Number within the step."""
+    starts: int
+    """Runs so far."""
+    failures: int
+    """Runs that ended `failed`."""
+    done: bool
+    """Whether a run ended `done`."""
+    runs: list[tuple[int, str]]
+    """Runs that may be there: number and worker."""
+    checkpoint: str = ""
+    """Newest saved progress."""
+
+
+class Progress(msgspec.Struct, frozen=True):
+    """Progress of a job."""
+
+    state: JobState
+    """State of the job."""
+    tasks: list[TaskRecord]
+    """Tasks that have ever been started."""
+    ended_ms: int = 0
+    """Wall time of the end, milliseconds; 0 before."""
+
+
+def encode_progress(entry: JobEntry) -> bytes:
+    """Encode a job's progress; of an ended job only what a late end could change."""
+    tasks = [
+        _to_record(task)
+        for task in entry.tasks.values()
+        if task.starts and (not entry.ended or task.runs)
+    ]
+    return msgspec.msgpack.encode(Progress(entry.state, tasks, entry.ended_ms))
+
+
+def decode_progress(value: bytes) -> Progress:
+    """Decode a job's progress."""
+    return msgspec.msgpack.decode(value, type=Progress)
+
+
+def _to_record(task: Task) -> TaskRecord:
+    key = task.key
+    runs = [(run.number, run.worker) for run in task.runs.values()]
+    checkpoint = "" if task.done else task.checkpoint
+    return TaskRecord(
+        key.repetition,
+        key.step,
+        key.number,
+        task.starts,
+        task.failures,
+        task.done,
+        runs,
+        checkpoint,
+    )
+
+
+def restore(
+    fleet: Fleet,
+    entry: JobEntry,
+    progress: Progress,
+    wall_ms: float,
+    now: float,
+    find_worker: Callable[[str], Worker],
+) -> None:
+    """Bring a job to where its record says it is.
+
+    Args:
+        fleet: State to which runs are added.
+        entry: The job without tasks.
+        progress: The record.
+        wall_ms: Wall time, milliseconds.
+        now: Monotonic time, seconds.
+        find_worker: Returns the worker of an id, also of one that is not listed any more.
+    """
+    entry.ended_ms = progress.ended_ms
+    records = {(one.repetition, one.step, one.number): one for one in progress.tasks}
+    entry.begun = bool(records) or progress.state != "queued"
+    before = -1
+    # Each pass may release steps whose dependencies the pass before has found done.
+    while len(entry.tasks) != before:
+        before = len(entry.tasks)
+        release_steps(entry, wall_ms, now)
+        for key, task in entry.tasks.items():
+            record = records.pop((key.repetition, key.step, key.number), None)
+            if record is not None:
+                _restore_task(entry, task, record, now, find_worker)
+    # Runs of steps that the clock does not release yet, and of jobs that have ended.
+    for record in records.values():
+        _restore_rest(entry, record, now, find_worker)
+    entry.state = progress.state
+    if entry.ended:
+        entry.ready.clear()
+        fleet.active.pop(entry.job.id, None)
+
+
+def _restore_task(
+    entry: JobEntry,
+    task: Task,
+    record: TaskRecord,
+    now: float,
+    find_worker: Callable[[str], Worker],
+) -> None:
+    task.starts = record.starts
+    task.failures = record.failures
+    task.checkpoint = record.checkpoint
+    if record.done:
+        task.done = True
+        entry.open_tasks[record.repetition, record.step] -= 1
+        entry.ready.pop(task.key, None)
+    for number, worker_id in record.runs:
+        worker = find_worker(worker_id)
+        run = Run(number, worker_id, now)
+        task.runs[number] = run
+        worker.runs[task.key, number] = run
+        worker.take(task.step)
+        entry.ready.pop(task.key, None)
+
+
+def _restore_rest(
+    entry: JobEntry, record: TaskRecord, now: float, find_worker: Callable[[str], Worker]
+) -> None:
+    from foxtrestle.scheduling.state import Task  # noqa: PLC0415 - a type above
+
+    key = TaskKey(entry.job.id, record.repetition, record.step, record.number)
+    task = Task(key, entry.job.spec.steps[record.step], now)
+    entry.tasks[key] = task
+    entry.released.add((record.repetition, record.step))
+    entry.open_tasks.setdefault((record.repetition, record.step), task.step.count)
+    _restore_task(entry, task, record, now, find_worker)
--- /dev/null
+++ b/src/foxtrestle/scheduling/runs.py
@@ -0,0 +1,220 @@
+"""What starts, reports and ends mean for jobs: changes of the state, without I/O."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from foxtrestle.scheduling.model import TaskKey
+from foxtrestle.scheduling.state import Run, Task
+
+if TYPE_CHECKING:
+    from foxtrestle.scheduling.model import EndedRun, Job, RunningTask
+    from foxtrestle.scheduling.state import Fleet, JobEntry, Worker
+
+
+class StopOrder(msgspec.Struct, frozen=True):
+    """A run that has to be stopped."""
+
+    worker: str
+    """Id of the worker."""
+    key: TaskKey
+    """The task."""
+    run: int
+    """Number of the run."""
+
+
+def add_job(fleet: Fleet, entry: JobEntry) -> None:
+    """Take a job in."""
+    fleet.jobs[entry.job.id] = entry
+    if not entry.ended:
+        fleet.active[entry.job.id] = entry
+
+
+def release_steps(entry: JobEntry, wall_ms: float, now: float) -> None:
+    """Add the tasks of steps whose dependencies are done and whose time has come."""
+    if entry.ended:
+        return
+    steps = entry.job.spec.steps
+    for repetition in range(entry.count_repetitions()):
+        if wall_ms < compute_due_ms(entry.job, repetition):
+            break
+        for number, step in enumerate(steps):
+            if (repetition, number) in entry.released:
+                continue
+            if not all(_is_step_done(entry, repetition, other) for other in step.depends_on):
+                continue
+            entry.released.add((repetition, number))
+            entry.open_tasks[repetition, number] = step.count
+            for index in range(step.count):
+                key = TaskKey(entry.job.id, repetition, number, index)
+                task = Task(key, step, now)
+                entry.tasks[key] = task
+                entry.ready[key] = task
+
+
+def compute_due_ms(job: Job, repetition: int) -> float:
+    """Return the wall time at which a repetition may start, milliseconds."""
+    if not job.spec.repeat_count:
+        return 0.0
+    return job.spec.first_due_ms + repetition * job.spec.interval_ms
+
+
+def _is_step_done(entry: JobEntry, repetition: int, step: int) -> bool:
+    return entry.open_tasks.get((repetition, step)) == 0
+
+
+def place_run(fleet: Fleet, task: Task, worker: Worker, number: int, now: float) -> Run:
+    """Note that a run is to be started on a worker."""
+    entry = fleet.jobs[task.key.job]
+    run = Run(number, worker.info.id, now)
+    task.starts = max(task.starts, number)
+    task.runs[number] = run
+    worker.runs[task.key, number] = run
+    worker.take(task.step)
+    entry.ready.pop(task.key, None)
+    entry.begun = True
+    if entry.state == "queued":
+        entry.state = "running"
+    fleet.mark(task.key.job)
+    return run
+
+
+def confirm_run(fleet: Fleet, seen: RunningTask, worker: Worker, now: float) -> StopOrder | None:
+    """Take in that a worker lists a run.
+
+    Returns:
+        An order to stop it, if nothing wants it to run.
+    """
+    found = fleet.find_run(seen.key, seen.run)
+    if found is None or found[1].worker != worker.info.id:
+        return StopOrder(worker.info.id, seen.key, seen.run)
+    task, run = found
+    run.move("confirm")
+    run.confirmed_at = run.confirmed_at or now
+    if run.percent != seen.percent:
+        run.percent = seen.percent
+        run.progressed_at = now
+    run.usage = seen.usage
+    if seen.checkpoint:
+        task.checkpoint = seen.checkpoint
+    return None
+
+
+def record_end(fleet: Fleet, worker: Worker, end: EndedRun, now: float) -> list[StopOrder]:
+    """Take in that a run has ended.
+
+    Returns:
+        Orders to stop runs that are not wanted any more.
+    """
+    entry = fleet.jobs.get(end.key.job)
+    task = entry.tasks.get(end.key) if entry else None
+    if entry is None or task is None:
+        return []
+    known = end.run in task.runs
+    drop_run(task, end.run, worker)
+    fleet.mark(end.key.job)
+    if end.checkpoint:
+        task.checkpoint = end.checkpoint
+    if end.kind == "done":
+        worker.successes += 1
+        worker.failed_jobs.clear()
+    if entry.ended or task.done:
+        return []
+    if end.kind == "done" and not task.step.lasting:
+        return _finish(fleet, entry, task, now)
+    if end.kind == "failed" and known:
+        worker.failed_jobs.add(end.key.job)
+        if not task.step.lasting:
+            task.failures += 1
+            if task.failures >= entry.job.max_attempts:
+                return end_job(fleet, entry, "failed")
+    requeue(entry, task, now)
+    return []
+
+
+def drop_run(task: Task, number: int, worker: Worker | None) -> None:
+    """Forget a run that is certainly over."""
+    run = task.runs.pop(number, None)
+    if run is not None:
+        run.move("end")
+    if worker is not None and worker.runs.pop((task.key, number), None) is not None:
+        worker.give(task.step)
+
+
+def requeue(entry: JobEntry, task: Task, now: float) -> None:
+    """Let a task wait for its next start, if no run of it is left."""
+    if task.runs or task.done or entry.ended:
+        return
+    task.waiting_since = now
+    entry.ready[task.key] = task
+
+
+def _finish(fleet: Fleet, entry: JobEntry, task: Task, now: float) -> list[StopOrder]:
+    """Count a task as done; with a gang all of its members."""
+    key = task.key
+    members = [task]
+    if task.step.gang:
+        members = [
+            other
+            for other in entry.tasks.values()
+            if (other.key.repetition, other.key.step) == (key.repetition, key.step)
+        ]
+    stops: list[StopOrder] = []
+    for member in members:
+        if member.done:
+            continue
+        member.done = True
+        entry.ready.pop(member.key, None)
+        entry.open_tasks[key.repetition, key.step] -= 1
+        stops += list_stops(member)
+    if _is_job_done(entry):
+        entry.state = "completed"
+        fleet.active.pop(entry.job.id, None)
+    return stops
+
+
+def _is_job_done(entry: JobEntry) -> bool:
+    expected = entry.count_repetitions() * len(entry.job.spec.steps)
+    return len(entry.open_tasks) == expected and not any(entry.open_tasks.values())
+
+
+def list_stops(task: Task) -> list[StopOrder]:
+    """Return orders that stop every run of a task."""
+    return [StopOrder(run.worker, task.key, run.number) for run in task.runs.values()]
+
+
+def end_job(fleet: Fleet, entry: JobEntry, state: str) -> list[StopOrder]:
+    """End a job as `failed` or `cancelled`.
+
+    Returns:
+        Orders to stop all that runs of it.
+    """
+    if entry.ended:
+        return []
+    entry.state = "failed" if state == "failed" else "cancelled"
+    entry.ready.clear()
+    fleet.active.pop(entry.job.id, None)
+    fleet.mark(entry.job.id)
+    return [order for task in entry.tasks.values() for order in list_stops(task)]
+
+
+def release_worker(fleet: Fleet, worker: Worker, now: float) -> int:
+    """Give up all runs of a worker that is certainly over.
+
+    Returns:
+        How many there were.
+    """
+    count = 0
+    for key, run in list(fleet.list_runs(worker.info.id)):
+        entry = fleet.jobs.get(key.job)
+        task = entry.tasks.get(key) if entry else None
+        if entry is None or task is None:
+            continue
+        drop_run(task, run.number, worker)
+        requeue(entry, task, now)
+        fleet.mark(key.job)
+        count += 1
+    worker.runs.clear()
+    return count
--- /dev/null
+++ b/src/foxtrestle/scheduling/state.py
@@ -0,0 +1,298 @@
+"""What the controller knows: jobs with their tasks and runs, workers, hosts, configuration."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from foxtrestle.chart import load_chart
+from foxtrestle.scheduling.model import ENDED_JOB, Shape, TaskKey
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from foxtrestle.scheduling.model import (
+        FleetConfiguration,
+        HostInfo,
+        Job,
+        JobState,
+        Step,
+        Wave,
+        WorkerInfo,
+    )
+
+RUN_CHART: Final = load_chart("run")
+"""States of a run."""
+
+
+class Run:
+    """One run of a task on a worker."""
+
+    __slots__ = (
+        "confirmed_at",
+        "number",
+        "percent",
+        "placed_at",
+        "progressed_at",
+        "state",
+        "usage",
+        "worker",
+    )
+
+    def __init__(self, number: int, worker: str, placed_at: float) -> None:
+        """Create a run that is about to be recorded."""
+        self.number = number
+        """Number of the run."""
+        self.worker = worker
+        """Id of the worker."""
+        self.state = RUN_CHART.start
+        """State in the chart `run`."""
+        self.placed_at = placed_at
+        """Monotonic time of the decision, seconds."""
+        self.confirmed_at = 0.0
+        """Monotonic time at which the worker first confirmed it, seconds; 0 before."""
+        self.percent = -1
+        """Share of the work done, as last reported; -1 before the first report."""
+        self.progressed_at = placed_at
+        """Monotonic time at which `percent` last changed, seconds."""
+        self.usage = 0
+        """What the worker last told of its use, see `RunningTask.usage`."""
+
+    def move(self, event: str) -> None:
+        """Follow the chart."""
+        self.state = RUN_CHART.move(self.state, event)
+
+
+class Task:
+    """One task of a job."""
+
+    __slots__ = (
+        "checkpoint",
+        "done",
+        "failures",
+        "key",
+        "runs",
+        "starts",
+        "step",
+        "waiting_since",
+    )
+
+    def __init__(self, key: TaskKey, step: Step, now: float) -> None:
+        """Create a task that has not started."""
+        self.key = key
+        """Its name."""
+        self.step = step
+        """The step it belongs to."""
+        self.starts = 0
+        """Runs so far; the newest has this number."""
+        self.failures = 0
+        """Runs that ended `failed`."""
+        self.done = False
+        """Whether a run ended `done`."""
+        self.checkpoint = ""
+        """Newest saved progress."""
+        self.runs: dict[int, Run] = {}
+        """Runs that may be there, by number; more than one only for speculative steps."""
+        self.waiting_since = now
+        """Monotonic time since which it waits for a start, seconds."""
+
+
+class JobEntry:
+    """A job and its tasks."""
+
+    __slots__ = (
+        "begun",
+        "cancel_asked",
+        "created_at",
+        "ended_ms",
+        "job",
+        "open_tasks",
+        "progress_revision",
+        "ready",
+        "released",
+        "revision",
+        "state",
+        "tasks",
+    )
+
+    def __init__(self, job: Job, revision: int, now: float) -> None:
+        """Create an entry without tasks; `runs.release_steps` adds those whose turn has come."""
+        self.job = job
+        """The job as accepted."""
+        self.revision = revision
+        """Store revision of the accepted job."""
+        self.progress_revision = 0
+        """Store revision of the progress record; 0 if there is none."""
+        self.state: JobState = "queued"
+        """State as clients may see it once it is recorded."""
+        self.cancel_asked = False
+        """Whether its client cancelled it."""
+        self.begun = False
+        """Whether any task was ever started."""
+        self.created_at = now
+        """Monotonic time at which the controller learned of it, seconds."""
+        self.ended_ms = 0
+        """Wall time at which it ended, milliseconds; 0 before."""
+        self.tasks: dict[TaskKey, Task] = {}
+        """Tasks of released steps."""
+        self.open_tasks: dict[tuple[int, int], int] = {}
+        """Tasks not done, by repetition and step; only of released steps."""
+        self.released: set[tuple[int, int]] = set()
+        """Repetitions and steps whose tasks may start."""
+        self.ready: dict[TaskKey, Task] = {}
+        """Tasks that wait for a start."""
+
+    @property
+    def ended(self) -> bool:
+        """Whether the state never changes again."""
+        return self.state in ENDED_JOB
+
+    def count_repetitions(self) -> int:
+        """Return how many times the steps run."""
+        return max(1, self.job.spec.repeat_count)
+
+
+class Worker:
+    """A worker and what the controller has placed on it."""
+
+    __slots__ = (
+        "acknowledged",
+        "clock_offset_ms",
+        "contact_at",
+        "cordoned",
+        "failed_jobs",
+        "first_seen",
+        "full_until",
+        "gone",
+        "info",
+        "known",
+        "lapse_at",
+        "runs",
+        "seen_end",
+        "successes",
+        "used",
+    )
+
+    def __init__(self, info: WorkerInfo, now: float) -> None:
+        """Create a worker that nothing is placed on and that has not answered yet."""
+        self.info = info
+        """Its description."""
+        self.runs: dict[tuple[TaskKey, int], Run] = {}
+        """Runs that may be there."""
+        self.used = Shape()
+        """Room that they take."""
+        self.known = False
+        """Whether it has answered this controller, so that all that runs there is known."""
+        self.gone = False
+        """Whether its entry has disappeared."""
+        self.cordoned = False
+        """Whether its host is being emptied."""
+        self.contact_at = -1e9
+        """Monotonic time of its last answer, seconds."""
+        self.first_seen = now
+        """Monotonic time at which it was first seen, seconds."""
+        self.lapse_at = 0.0
+        """Monotonic time after which nothing that was leased there runs, seconds."""
+        self.clock_offset_ms = 0.0
+        """Its clock less ours when its answer arrived, milliseconds."""
+        self.acknowledged = 0
+        """Newest end that is recorded."""
+        self.failed_jobs: set[str] = set()
+        """Jobs that failed there since its last success."""
+        self.successes = 0
+        """Runs that ended `done` there."""
+        self.full_until = 0.0
+        """Monotonic time before which it gets nothing new because it refused for want of room."""
+        self.seen_end = 0
+        """Newest end taken in, recorded or not."""
+
+    def fits(self, shape: Shape, *, fills: bool) -> bool:
+        """Tell whether there is room for a task."""
+        room, used = self.info.room, self.used
+        return (
+            (fills or used.cpu + shape.cpu <= room.cpu)
+            and used.memory_mb + shape.memory_mb <= room.memory_mb
+            and used.gpu + shape.gpu <= room.gpu
+        )
+
+    def take(self, step: Step) -> None:
+        """Count a task in."""
+        self._count(step, 1)
+
+    def give(self, step: Step) -> None:
+        """Count a task out."""
+        self._count(step, -1)
+
+    def _count(self, step: Step, sign: int) -> None:
+        used, shape = self.used, step.shape
+        cpu = 0 if step.fills else shape.cpu
+        self.used = Shape(
+            used.cpu + sign * cpu,
+            used.memory_mb + sign * shape.memory_mb,
+            used.gpu + sign * shape.gpu,
+        )
+
+
+class WaveEntry:
+    """A maintenance wave and how far it is."""
+
+    __slots__ = (
+        "completed",
+        "done",
+        "revision",
+        "told",
+        "wave",
+    )
+
+    def __init__(self, wave: Wave, revision: int) -> None:
+        """Create an entry of a wave that has not begun."""
+        self.wave = wave
+        """What operators asked for."""
+        self.revision = revision
+        """Store revision of the request."""
+        self.done: set[str] = set()
+        """Hosts whose maintenance has been ordered and confirmed."""
+        self.completed = False
+        """Whether all hosts are through."""
+        self.told = ""
+        """State that operators were last told."""
+
+
+class Fleet:
+    """Everything the controller knows."""
+
+    def __init__(self, term: int) -> None:
+        """Create the state of a controller that knows nothing yet."""
+        self.term = term
+        """Number of this controller's ownership, which fences orders."""
+        self.configuration: FleetConfiguration | None = None
+        """The newest configuration."""
+        self.jobs: dict[str, JobEntry] = {}
+        """Jobs by id."""
+        self.active: dict[str, JobEntry] = {}
+        """Jobs that have not ended."""
+        self.workers: dict[str, Worker] = {}
+        """Workers by id."""
+        self.hosts: dict[str, HostInfo] = {}
+        """Hosts by name, from the lagging list."""
+        self.waves: dict[int, WaveEntry] = {}
+        """Waves by number."""
+        self.dirty: dict[str, None] = {}
+        """Ids of jobs whose progress must be recorded, oldest change first."""
+
+    def find_run(self, key: TaskKey, number: int) -> tuple[Task, Run] | None:
+        """Return a run that may be there."""
+        entry = self.jobs.get(key.job)
+        task = entry.tasks.get(key) if entry else None
+        run = task.runs.get(number) if task else None
+        return (task, run) if task and run else None
+
+    def list_runs(self, worker: str) -> Iterator[tuple[TaskKey, Run]]:
+        """List what may run on a worker."""
+        held = self.workers.get(worker)
+        if held is not None:
+            for (key, _), run in list(held.runs.items()):
+                yield key, run
+
+    def mark(self, job: str) -> None:
+        """Have a job's progress recorded."""
+        self.dirty[job] = None
--- a/src/foxtrestle/store.py
+++ b/src/foxtrestle/store.py
@@ -82,6 +82,35 @@
     """A watch asked for changes older than the store keeps."""
 
 
+class LeaseEnded(StoreError):
+    """A write named a lease that is over; nothing was written."""
+
+
+class Conflict(StoreError):
+    """A condition of a transaction did not hold; nothing was written."""
+
+    def __init__(self, records: dict[str, Record], *, step: str, peer: str = "") -> None:
+        """Create an error that carries the records under the conditions as they are."""
+        super().__init__("a condition did not hold", step=step, peer=peer)
+        self.records = records
+        """Record of each conditioned key that exists."""
+
+
+class Transaction(msgspec.Struct, frozen=True):
+    """Writes that take effect together, if every condition holds."""
+
+    conditions: dict[str, int]
+    """Revision that each key must have; `ABSENT` if it must not exist."""
+    puts: dict[str, bytes] = {}
+    """New values by key."""
+    removals: tuple[str, ...] = ()
+    """Keys to delete."""
+    lease: int = 0
+    """Lease of the keys in `leased`."""
+    leased: frozenset[str] = frozenset()
+    """Keys of `puts` that go when the lease ends."""
+
+
 class Store(Protocol):
     """What the project asks of the platform's key-value service."""
 
