--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -162,7 +162,7 @@
         if worker is None:
             # Not listed any more, yet what was placed there may run until its lease lapses.
             info = WorkerInfo(worker_id, "", "", "", True, Shape(), ())
-            worker = Worker(info, time.monotonic())
+            worker = Worker(info, 0, time.monotonic())
             worker.gone = True
             worker.lapse_at = self._started_at + TAKEOVER_S
             self.fleet.workers[worker_id] = worker
@@ -221,6 +221,7 @@
             return None
         entry = JobEntry(job, record.revision, now)
         add_job(self.fleet, entry)
+        self._hosts.note_job(entry)
         log("job.seen", job=job.id, queue=job.queue, pool=job.pool, revision=record.revision)
         return entry
 
@@ -260,7 +261,7 @@
             return
         worker = self.fleet.workers.get(info.id)
         if worker is None:
-            worker = Worker(info, now)
+            worker = Worker(info, record.revision, now)
             worker.lapse_at = self._started_at + TAKEOVER_S
             self.fleet.workers[info.id] = worker
             log("worker.seen", worker=info.id, pool=info.pool, host=info.host,
@@ -268,11 +269,20 @@
         elif info.draining != worker.info.draining:
             log("worker.draining" if info.draining else "worker.ready", worker=info.id)
         worker.info = info
+        worker.revision = record.revision
         worker.gone = False
+        self._end_older_lives(worker)
         self._link(worker)
 
     # Workers.
 
+    def _end_older_lives(self, worker: Worker) -> None:
+        """A host's new worker says that its former ones have ended."""
+        for other in list(self.fleet.workers.values()):
+            same_host = worker.info.host and other.info.host == worker.info.host
+            if same_host and other is not worker and other.revision < worker.revision:
+                self._lose_worker(other, "its host has a new worker")
+
     def _link(self, worker: Worker) -> None:
         held = self._links.get(worker.info.id)
         if held is not None and not held.done():
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -3,14 +3,30 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
+from foxtrestle.control.keys import LOCK, WAVE_RECORDS
 from foxtrestle.control.log import log
+from foxtrestle.platform.hosts import HostRefused
 from foxtrestle.platform.http import CallError
+from foxtrestle.platform.operators import WAVE_STATUS, encode_wave_status
+from foxtrestle.scheduling.hosts import HostPlan, is_back, view_hosts
+from foxtrestle.scheduling.maintaining import (
+    choose_for_wave,
+    choose_stops,
+    count_away,
+    list_open,
+)
+from foxtrestle.scheduling.scaling import PoolLoad, choose_moves, compute_needs
+from foxtrestle.scheduling.state import WaveEntry
+from foxtrestle.store import StoreError, Transaction
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
 
     from foxtrestle.control.orders import Orders
     from foxtrestle.control.ownership import Term
@@ -18,10 +34,27 @@
     from foxtrestle.node.settings import NodeSettings
     from foxtrestle.platform.hosts import HostCalls
     from foxtrestle.platform.store import PlatformStore
-    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.hosts import HostView
+    from foxtrestle.scheduling.scaling import PoolNeed
+    from foxtrestle.scheduling.state import Fleet, JobEntry
 
 LIST_S: Final = 1.0
 """Seconds between two reads of the host list, which itself lags by about as much."""
+ATTEMPTS: Final = 4
+"""How often an order without an answer is sent again; repeating one does nothing more."""
+RETRY_S: Final = 0.3
+"""Mean pause before an order is sent again, seconds."""
+STEP_S: Final = 0.1
+"""Least seconds between two looks at the hosts."""
+MISSING_S: Final = 6.0
+"""Seconds after which a host that is not listed counts as removed."""
+
+
+class WaveRecord(msgspec.Struct, frozen=True):
+    """Progress of a wave, kept for the next controller."""
+
+    done: list[str]
+    """Hosts whose maintenance is ordered and confirmed."""
 
 
 class HostOrders:
@@ -39,6 +72,8 @@
         wake: Callable[[], None],
     ) -> None:
         """Create the part of a controller that orders hosts."""
+        self.loads: dict[str, PoolLoad] = {}
+        """Recent demand by pool."""
         self._fleet = fleet
         self._term = term
         self._settings = settings
@@ -48,18 +83,259 @@
         self._orders = orders
         self._wake = wake
         self._started_at = time.monotonic()
+        self._looked_at = 0.0
+        self._seen_at: dict[str, float] = {}
+        self._spawned: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Follow the host list until cancelled."""
+        await self._load_waves()
         while True:
             try:
                 hosts = await self._calls.list_hosts()
             except CallError as error:
                 log("hosts.list-failed", reason=error.reason)
             else:
+                now = time.monotonic()
+                self._seen_at.update(dict.fromkeys((host.name for host in hosts), now))
                 self._fleet.hosts = {host.name: host for host in hosts}
                 self._wake()
             await asyncio.sleep(LIST_S)
 
+    async def _load_waves(self) -> None:
+        while True:
+            try:
+                listing = await self._store.scan(WAVE_RECORDS)
+                break
+            except StoreError as error:
+                log("control.load-failed", prefix=WAVE_RECORDS, reason=error.reason)
+                await asyncio.sleep(RETRY_S)
+        self._recorded = {
+            int(record.key.removeprefix(WAVE_RECORDS)): (
+                msgspec.json.decode(record.value, type=WaveRecord),
+                record.revision,
+            )
+            for record in listing.records
+        }
+        self._loaded = True
+
+    _loaded = False
+
+    def note_job(self, entry: JobEntry) -> None:
+        """Take the size of a new job into account."""
+        sizes = [view.room.cpu for view in self._fleet.hosts.values() if view.room.cpu]
+        if not sizes:
+            return
+        widest = max(step.count * step.shape.cpu for step in entry.job.spec.steps if not step.fills)
+        load = self.loads.setdefault(entry.job.pool, PoolLoad())
+        load.sizes.append(widest * len(sizes) / sum(sizes))
+
+    # Deciding.
+
     def decide(self, now: float) -> None:
         """Give the orders that are due now."""
+        fleet = self._fleet
+        if not self._loaded or not fleet.hosts or now - self._looked_at < STEP_S:
+            return
+        self._looked_at = now
+        self._take_waves()
+        views = view_hosts(fleet)
+        self._advance(views, now)
+        views = view_hosts(fleet)
+        needs = compute_needs(fleet, views, self.loads, now)
+        self._plan_waves(views, needs, now)
+        self._plan_moves(views, needs, now)
+
+    def _take_waves(self) -> None:
+        for number, (wave, _) in self._operators.waves.items():
+            if number in self._fleet.waves:
+                continue
+            entry = WaveEntry(wave, 0)
+            held = self._recorded.get(number)
+            if held is not None:
+                entry.done = set(held[0].done)
+                entry.revision = held[1]
+            self._fleet.waves[number] = entry
+            self._spawn(self._tell(entry))
+
+    def _advance(self, views: dict[str, HostView], now: float) -> None:
+        """Move plans on."""
+        bounds = self._settings.bounds
+        for plan in list(self._fleet.plans.values()):
+            view = views.get(plan.host)
+            if view is None:
+                if now - self._seen_at.get(plan.host, now) > MISSING_S:
+                    self._drop(plan, "host is not listed", now)
+                continue
+            if plan.state == "emptying":
+                self._empty(plan, view, views, now)
+            elif plan.state == "changing":
+                away_s = bounds.maintenance_s if plan.wave else bounds.move_s
+                if is_back(view, away_s, now):
+                    log("host.back", host=plan.host, pool=view.pool, wave=plan.wave,
+                        took_s=round(now - plan.changed_at, 2))  # fmt: skip
+                    plan.move("back", now)
+                    self._fleet.plans.pop(plan.host, None)
+
+    def _empty(
+        self, plan: HostPlan, view: HostView, views: dict[str, HostView], now: float
+    ) -> None:
+        worker = view.worker
+        if worker is not None and not worker.gone and worker.runs:
+            worker.cordoned = True
+            if plan.wave:
+                self._stop_rest(plan, view, now)
+            return
+        if not self._may_order(now):
+            return
+        if plan.wave:
+            entry = self._fleet.waves[plan.wave]
+            if count_away(entry, views) >= entry.wave.max_parallel:
+                return
+        if worker is not None:
+            worker.cordoned = True
+            plan.old_worker = worker.info.id
+        plan.move("empty", now)
+        self._spawn(self._order(plan))
+
+    def _may_order(self, now: float) -> bool:
+        """Tell whether orders for hosts may be given: not soon after another controller's."""
+        settled = now - self._started_at > self._settings.bounds.turn_s
+        return self._term.is_valid() and (settled or self._term.number == 1)
+
+    def _stop_rest(self, plan: HostPlan, view: HostView, now: float) -> None:
+        if view.worker is None:
+            return
+        emptying_s = now - plan.changed_at
+        save_s = self._settings.bounds.save_s
+        for stop in choose_stops(self._fleet, view.worker, emptying_s, save_s, now):
+            log("run.evacuated", job=stop.key.job, step=stop.key.step, index=stop.key.number,
+                run=stop.run, worker=stop.worker, wave=plan.wave)  # fmt: skip
+            found = self._fleet.find_run(stop.key, stop.run)
+            if found is not None:
+                found[1].move("stop")
+                found[1].confirmed_at = 0.0
+            self._spawn(self._orders.stop(stop))
+
+    def _plan_waves(
+        self, views: dict[str, HostView], needs: dict[str, PoolNeed], now: float
+    ) -> None:
+        spare = {name: need.have - need.wanted + 0.0 for name, need in needs.items()}
+        for entry in list_open(self._fleet.waves.values(), self._fleet.configuration):
+            _, seen_at = self._operators.waves[entry.wave.number]
+            for name in entry.wave.hosts:
+                gone = now - max(self._seen_at.get(name, 0.0), self._started_at) > MISSING_S
+                if name not in views and gone and name not in entry.done:
+                    log("wave.host-gone", wave=entry.wave.number, host=name)
+                    entry.done.add(name)
+            for view in choose_for_wave(entry, views, spare, now - seen_at):
+                self._plan(view, view.pool, entry.wave.number, now)
+            if entry.done.issuperset(entry.wave.hosts):
+                entry.completed = True
+                log("wave.completed", wave=entry.wave.number, took_s=round(now - seen_at, 2))
+                self._spawn(self._tell(entry))
+
+    def _plan_moves(
+        self, views: dict[str, HostView], needs: dict[str, PoolNeed], now: float
+    ) -> None:
+        configuration = self._fleet.configuration
+        if configuration is None:
+            return
+        reserve = next((name for name, p in configuration.pools.items() if p.reserve), "")
+        for move in choose_moves(needs, view_hosts(self._fleet), reserve, now):
+            log("host.move-decided", host=move.host, pool=move.pool,
+                needs={name: [round(n.demand, 2), n.wanted, n.have] for name, n in needs.items()},
+            )  # fmt: skip
+            self._plan(views[move.host], move.pool, 0, now)
+
+    def _plan(self, view: HostView, pool: str, wave: int, now: float) -> None:
+        old = view.worker.info.id if view.worker is not None else view.info.worker
+        plan = HostPlan(view.info.name, pool, wave, old, now)
+        self._fleet.plans[plan.host] = plan
+        if view.worker is not None:
+            view.worker.cordoned = True
+        log("host.planned", host=plan.host, pool=pool, wave=wave,
+            runs=len(view.worker.runs) if view.worker is not None else 0)  # fmt: skip
+
+    # Ordering.
+
+    async def _order(self, plan: HostPlan) -> None:
+        """Give one order until its outcome is known."""
+        for _ in range(ATTEMPTS):
+            if not self._term.is_valid():
+                break
+            try:
+                if plan.wave:
+                    await self._calls.maintain(plan.host, plan.wave, self._term.number)
+                else:
+                    await self._calls.move(plan.host, plan.pool, self._term.number)
+            except HostRefused as refusal:
+                self._take_refusal(plan, refusal)
+                return
+            except CallError as error:
+                log("host.order-unanswered", host=plan.host, wave=plan.wave, pool=plan.pool,
+                    reason=error.reason)  # fmt: skip
+                await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
+            else:
+                self._accept(plan)
+                return
+        # Whether it was carried out shows in the list; until then the host counts as away.
+        plan.move("accepted", time.monotonic())
+
+    def _accept(self, plan: HostPlan) -> None:
+        now = time.monotonic()
+        log("host.ordered", host=plan.host, pool=plan.pool, wave=plan.wave, term=self._term.number)
+        plan.move("accepted", now)
+        if plan.wave:
+            entry = self._fleet.waves[plan.wave]
+            entry.done.add(plan.host)
+            self._spawn(self._record(entry))
+
+    def _take_refusal(self, plan: HostPlan, refusal: HostRefused) -> None:
+        now = time.monotonic()
+        log("host.order-refused", host=plan.host, wave=plan.wave, pool=plan.pool,
+            reason=refusal.refusal)  # fmt: skip
+        if refusal.refusal == "wave":
+            self._fleet.waves[plan.wave].done.add(plan.host)
+        if refusal.refusal in {"wave", "400"} or not plan.wave:
+            self._drop(plan, refusal.refusal, now)
+            return
+        plan.move("refused", now)
+
+    def _drop(self, plan: HostPlan, why: str, now: float) -> None:
+        log("host.plan-dropped", host=plan.host, pool=plan.pool, wave=plan.wave, reason=why)
+        plan.move("drop", now)
+        self._fleet.plans.pop(plan.host, None)
+        worker = self._fleet.workers.get(plan.old_worker)
+        if worker is not None:
+            worker.cordoned = False
+
+    async def _record(self, entry: WaveEntry) -> None:
+        """Keep a wave's progress for the next controller; losing it costs repeated orders only."""
+        key = f"{WAVE_RECORDS}{entry.wave.number}"
+        value = msgspec.json.encode(WaveRecord(sorted(entry.done)))
+        conditions = {LOCK: self._term.lock.revision}
+        try:
+            await self._store.commit(Transaction(conditions, {key: value}))
+        except StoreError as error:
+            log("wave.record-failed", wave=entry.wave.number, reason=str(error))
+
+    async def _tell(self, entry: WaveEntry) -> None:
+        """Tell operators how far a wave is, until the store has it."""
+        key = f"{WAVE_STATUS}{entry.wave.number}"
+        value = encode_wave_status(completed=entry.completed)
+        while not self._term.lost.is_set():
+            try:
+                await self._store.commit(
+                    Transaction({LOCK: self._term.lock.revision}, {key: value})
+                )
+            except StoreError as error:
+                log("wave.tell-failed", wave=entry.wave.number, reason=str(error))
+                await asyncio.sleep(random.uniform(RETRY_S, RETRY_S * 3))
+            else:
+                return
+
+    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._spawned.add(task)
+        task.add_done_callback(self._spawned.discard)
--- /dev/null
+++ b/src/foxtrestle/scheduling/hosts.py
@@ -0,0 +1,100 @@
+"""Hosts as the controller sees them: plans, workers, what they carry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from foxtrestle.chart import load_chart
+
+if TYPE_CHECKING:
+    from foxtrestle.scheduling.model import HostInfo
+    from foxtrestle.scheduling.state import Fleet, Worker
+
+PLAN_CHART: Final = load_chart("plan")
+"""States of a plan."""
+LIST_LAG_S: Final = 2.5
+"""Seconds for which the host list may still show what was before an order: its lag of about 0.8 s,
+the second between two reads, and a margin."""
+
+
+class HostPlan:
+    """What is to become of one host."""
+
+    __slots__ = ("changed_at", "host", "old_worker", "pool", "state", "wave")
+
+    def __init__(self, host: str, pool: str, wave: int, old_worker: str, now: float) -> None:
+        """Create a plan that begins with emptying the host."""
+        self.host = host
+        """Name of the host."""
+        self.pool = pool
+        """Pool it goes to, or stays in when it is maintained."""
+        self.wave = wave
+        """Number of the wave it is maintained for; 0 for a move."""
+        self.old_worker = old_worker
+        """Id of its worker before the order; empty if it had none."""
+        self.state = PLAN_CHART.start
+        """State in the chart `plan`."""
+        self.changed_at = now
+        """Monotonic time of the last change of state, seconds."""
+
+    def move(self, event: str, now: float) -> None:
+        """Follow the chart."""
+        self.state = PLAN_CHART.move(self.state, event)
+        self.changed_at = now
+
+
+class HostView(msgspec.Struct, frozen=True):
+    """A host with what is known of it now."""
+
+    info: HostInfo
+    """What the list says."""
+    worker: Worker | None
+    """Its newest worker; None while it has none."""
+    plan: HostPlan | None
+    """What is to become of it."""
+    pool: str
+    """Pool it is in, by its worker if it has one."""
+
+    def is_up(self) -> bool:
+        """Tell whether the host serves its pool now."""
+        return self.worker is not None and not self.worker.gone and self.worker.known
+
+    def is_idle(self) -> bool:
+        """Tell whether nothing may run there."""
+        return self.worker is None or not self.worker.runs
+
+
+def view_hosts(fleet: Fleet) -> dict[str, HostView]:
+    """Join the host list with the workers and the plans."""
+    newest: dict[str, Worker] = {}
+    for worker in fleet.workers.values():
+        host = worker.info.host
+        held = newest.get(host)
+        if host and (held is None or worker.revision > held.revision):
+            newest[host] = worker
+    views = {}
+    for name, info in fleet.hosts.items():
+        last = newest.get(name)
+        live = last if last is not None and not last.gone else None
+        pool = live.info.pool if live is not None else info.pool
+        views[name] = HostView(info, last, fleet.plans.get(name), pool)
+    return views
+
+
+def is_back(view: HostView, away_s: float, now: float) -> bool:
+    """Tell whether a host that was ordered away serves again, or is off in its new pool.
+
+    Args:
+        view: The host.
+        away_s: Seconds that the platform needs for the order.
+        now: Monotonic time, seconds.
+    """
+    plan = view.plan
+    if plan is None:
+        return True
+    worker = view.worker
+    if worker is not None and not worker.gone and worker.info.id != plan.old_worker:
+        return True
+    return now - plan.changed_at > away_s + LIST_LAG_S and view.info.state == "up"
--- /dev/null
+++ b/src/foxtrestle/scheduling/maintaining.py
@@ -0,0 +1,151 @@
+"""Which hosts of a maintenance wave are emptied and maintained next."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from foxtrestle.scheduling.model import TaskKey
+from foxtrestle.scheduling.runs import StopOrder
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from foxtrestle.scheduling.hosts import HostView
+    from foxtrestle.scheduling.model import FleetConfiguration
+    from foxtrestle.scheduling.state import Fleet, Run, Task, WaveEntry, Worker
+
+URGENT_S: Final = 4.0
+"""Seconds for which an emptied host's other tasks may run on before they are stopped."""
+AWAY_S: Final = 5.0
+"""Seconds that one host's maintenance takes from its choice to its return, about: emptying, two
+seconds away, and the time until its worker is known."""
+LATE_MARGIN_S: Final = 3.0
+"""Seconds before the end of a wave's time at which all its hosts should be through."""
+
+
+def choose_for_wave(
+    entry: WaveEntry,
+    views: dict[str, HostView],
+    spare: dict[str, float],
+    elapsed_s: float,
+) -> list[HostView]:
+    """Choose hosts of a wave to empty now.
+
+    Hosts that are off or idle go first; then those whose pool can do without them; when time
+    runs short, any.
+
+    Args:
+        entry: The wave.
+        views: All hosts.
+        spare: For each pool, the hosts' worth of room it can do without.
+        elapsed_s: Seconds since operators asked for the wave.
+    """
+    wave = entry.wave
+    waiting = [
+        views[name]
+        for name in wave.hosts
+        if name in views and name not in entry.done and views[name].plan is None
+    ]
+    busy = sum(1 for name in wave.hosts if _is_under_way(views.get(name), wave.number))
+    room = max(0, wave.max_parallel - busy)
+    rounds_left = -(-len(waiting) // max(1, wave.max_parallel))
+    time_left = wave.within_s - LATE_MARGIN_S - elapsed_s
+    forced = time_left < (rounds_left + 1) * AWAY_S
+    chosen: list[HostView] = []
+    left = dict(spare)
+    for view in sorted(waiting, key=_rank):
+        if len(chosen) >= room:
+            break
+        if view.info.state in {"moving", "upkeep", "down"}:
+            continue
+        costs = 1.0 if view.is_up() else 0.0
+        if not forced and costs and left.get(view.pool, 0.0) < costs:
+            continue
+        left[view.pool] = left.get(view.pool, 0.0) - costs
+        chosen.append(view)
+    return chosen
+
+
+def _rank(view: HostView) -> tuple[bool, int, str]:
+    used = view.worker.used.cpu if view.worker is not None else 0
+    return view.is_up(), used, view.info.name
+
+
+def _is_under_way(view: HostView | None, wave: int) -> bool:
+    return view is not None and view.plan is not None and view.plan.wave == wave
+
+
+def count_away(entry: WaveEntry, views: dict[str, HostView]) -> int:
+    """Count hosts of a wave that are in maintenance, or may be."""
+    away = 0
+    for name in entry.wave.hosts:
+        view = views.get(name)
+        if view is None:
+            continue
+        ordered = view.plan is not None and view.plan.state in {"ordering", "changing"}
+        if view.info.state == "upkeep" or (ordered and _is_under_way(view, entry.wave.number)):
+            away += 1
+    return away
+
+
+def choose_stops(
+    fleet: Fleet, worker: Worker, emptying_s: float, save_s: float, now: float
+) -> list[StopOrder]:
+    """Choose what to stop on a worker whose host is being emptied.
+
+    Lasting tasks are stopped as their step's budget allows; tasks that save their progress at
+    once; others when they have had their time.
+    """
+    stops: list[StopOrder] = []
+    taken: dict[tuple[str, int, int], int] = {}
+    for (key, _), run in sorted(worker.runs.items()):
+        found = fleet.find_run(key, run.number)
+        if found is None or run.state != "running":
+            continue
+        task, _ = found
+        where = (key.job, key.repetition, key.step)
+        if task.step.lasting:
+            if count_absent(fleet, key) + taken.get(where, 0) >= max(1, task.step.max_absent):
+                continue
+            taken[where] = taken.get(where, 0) + 1
+        elif not _may_stop(task, run, emptying_s, save_s, now):
+            continue
+        stops.append(StopOrder(worker.info.id, key, run.number))
+    return stops
+
+
+def _may_stop(task: Task, run: Run, emptying_s: float, save_s: float, now: float) -> bool:
+    if task.step.checkpoints:
+        return now - run.confirmed_at > save_s
+    return emptying_s > URGENT_S
+
+
+def count_absent(fleet: Fleet, key: TaskKey) -> int:
+    """Count tasks of a lasting step that are not at work."""
+    entry = fleet.jobs[key.job]
+    absent = 0
+    for number in range(entry.job.spec.steps[key.step].count):
+        task = entry.tasks.get(TaskKey(key.job, key.repetition, key.step, number))
+        if task is None or not any(_is_at_work(fleet, run) for run in task.runs.values()):
+            absent += 1
+    return absent
+
+
+def _is_at_work(fleet: Fleet, run: Run) -> bool:
+    worker = fleet.workers.get(run.worker)
+    return (
+        run.state == "running"
+        and run.percent >= 100
+        and worker is not None
+        and not worker.gone
+        and not worker.info.draining
+    )
+
+
+def list_open(
+    waves: Iterable[WaveEntry], configuration: FleetConfiguration | None
+) -> list[WaveEntry]:
+    """List waves that are not completed, oldest first."""
+    if configuration is None:
+        return []
+    return sorted((w for w in waves if not w.completed), key=lambda entry: entry.wave.number)
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from foxtrestle.scheduling.hosts import HostPlan
     from foxtrestle.scheduling.model import (
         FleetConfiguration,
         HostInfo,
@@ -166,16 +167,19 @@
         "info",
         "known",
         "lapse_at",
+        "revision",
         "runs",
         "seen_end",
         "successes",
         "used",
     )
 
-    def __init__(self, info: WorkerInfo, now: float) -> None:
+    def __init__(self, info: WorkerInfo, revision: int, now: float) -> None:
         """Create a worker that nothing is placed on and that has not answered yet."""
         self.info = info
         """Its description."""
+        self.revision = revision
+        """Store revision of its entry; of two workers of a host the newer has the higher."""
         self.runs: dict[tuple[TaskKey, int], Run] = {}
         """Runs that may be there."""
         self.used = Shape()
@@ -276,6 +280,8 @@
         """Hosts by name, from the lagging list."""
         self.waves: dict[int, WaveEntry] = {}
         """Waves by number."""
+        self.plans: dict[str, HostPlan] = {}
+        """What is to become of hosts, by host."""
         self.dirty: dict[str, None] = {}
         """Ids of jobs whose progress must be recorded, oldest change first."""
 
