Share hosts by present demand first, and empty busy hosts of pools with too many

Cause: a pool that had been busy seconds ago kept hosts for its margin while another had a queue. Change: share_hosts gives present demand first, margins after; hosts of pools with too many are emptied.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -13,7 +13,7 @@
 from foxtrestle.control.hosts import HostOrders
 from foxtrestle.control.keys import CANCELS, INBOX, JOBS, PROGRESS
 from foxtrestle.control.ledger import Ledger
-from foxtrestle.control.link import WorkerLink
+from foxtrestle.control.link import LAPSED, WorkerLink
 from foxtrestle.control.log import log
 from foxtrestle.control.orders import CLOCK_DRIFT, HOLD_S, LAPSE_MARGIN_S, Orders
 from foxtrestle.control.ownership import GRACE_WITHOUT_STORE_S, LEASE_S
@@ -75,10 +75,19 @@
         self._ledger = Ledger(store, self.fleet, term)
         self._orders = Orders(self.fleet, term, workers, self.wake, self._lose_worker)
         self._hosts = HostOrders(
-            self.fleet, term, settings, store, hosts, operators, self._orders, self.wake
+            self.fleet,
+            term,
+            settings,
+            store,
+            hosts,
+            operators,
+            self._orders,
+            self.wake,
+            self._lose_worker,
         )
         self._changed = asyncio.Event()
         self._links: dict[str, asyncio.Task[None]] = {}
+        self._ended_lives: set[str] = set()
         self._spawned: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -259,6 +268,8 @@
         except CallError as error:
             log("worker.unreadable", key=record.key, reason=error.reason)
             return
+        if info.id in self._ended_lives:
+            return
         worker = self.fleet.workers.get(info.id)
         if worker is None:
             worker = Worker(info, record.revision, now)
@@ -304,7 +315,9 @@
         freed = release_worker(self.fleet, worker, time.monotonic())
         worker.known = False
         log("worker.released", worker=worker.info.id, reason=why, runs=freed)
-        if worker.gone or why != "lease lapsed":
+        if why != LAPSED:
+            self._ended_lives.add(worker.info.id)
+        if worker.gone or why != LAPSED:
             worker.gone = True
             self.fleet.workers.pop(worker.info.id, None)
             self._links.pop(worker.info.id, None)
@@ -315,7 +328,7 @@
         """Give up what was placed on workers that have no link and whose lease has lapsed."""
         for worker in list(self.fleet.workers.values()):
             if worker.gone and now > worker.lapse_at and worker.info.id not in self._links:
-                self._lose_worker(worker, "lease lapsed")
+                self._lose_worker(worker, LAPSED)
 
     # Deciding.
 
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -21,7 +21,7 @@
     count_away,
     list_open,
 )
-from foxtrestle.scheduling.scaling import PoolLoad, choose_moves, compute_needs
+from foxtrestle.scheduling.scaling import PoolLoad, choose_drops, choose_moves, compute_needs
 from foxtrestle.scheduling.state import WaveEntry
 from foxtrestle.store import StoreError, Transaction
 
@@ -36,7 +36,7 @@
     from foxtrestle.platform.store import PlatformStore
     from foxtrestle.scheduling.hosts import HostView
     from foxtrestle.scheduling.scaling import PoolNeed
-    from foxtrestle.scheduling.state import Fleet, JobEntry
+    from foxtrestle.scheduling.state import Fleet, JobEntry, Worker
 
 LIST_S: Final = 1.0
 """Seconds between two reads of the host list, which itself lags by about as much."""
@@ -70,6 +70,7 @@
         operators: OperatorMirror,
         orders: Orders,
         wake: Callable[[], None],
+        lose_worker: Callable[[Worker, str], None],
     ) -> None:
         """Create the part of a controller that orders hosts."""
         self.loads: dict[str, PoolLoad] = {}
@@ -82,6 +83,7 @@
         self._operators = operators
         self._orders = orders
         self._wake = wake
+        self._lose_worker = lose_worker
         self._started_at = time.monotonic()
         self._looked_at = 0.0
         self._seen_at: dict[str, float] = {}
@@ -242,6 +244,8 @@
         if configuration is None:
             return
         reserve = next((name for name, p in configuration.pools.items() if p.reserve), "")
+        for host in choose_drops(needs, views, reserve):
+            self._drop(self._fleet.plans[host], "not needed any more", now)
         for move in choose_moves(needs, view_hosts(self._fleet), reserve, now):
             log("host.move-decided", host=move.host, pool=move.pool,
                 needs={name: [round(n.demand, 2), n.wanted, n.have] for name, n in needs.items()},
@@ -286,6 +290,9 @@
         now = time.monotonic()
         log("host.ordered", host=plan.host, pool=plan.pool, wave=plan.wave, term=self._term.number)
         plan.move("accepted", now)
+        worker = self._fleet.workers.get(plan.old_worker)
+        if worker is not None:
+            self._lose_worker(worker, "its host was ordered away")
         if plan.wave:
             entry = self._fleet.waves[plan.wave]
             entry.done.add(plan.host)
--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -28,6 +28,8 @@
 """Seconds between holds while a worker does not answer."""
 RECORD_WAIT_S: Final = 1.0
 """Seconds to wait for ends to be recorded before the lease is extended again."""
+LAPSED: Final = "lease lapsed"
+"""Reason for giving up a worker that may come back, unlike one whose life is over."""
 MAX_ENDS: Final = 500
 """Ends that a worker lists at once; set by the platform."""
 RESTOP_S: Final = 1.0
@@ -58,6 +60,7 @@
         self._wake = wake
         self._lose_worker = lose_worker
         self._unrecorded = False
+        self._silent = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -107,17 +110,20 @@
         """
         worker = self._worker
         now = time.monotonic()
-        if now - worker.contact_at > 1.0:
-            log("worker.silent", worker=worker.info.id, reason=error.reason,
-                silent_s=round(min(now - worker.contact_at, 1e6), 2))  # fmt: skip
+        if not self._silent:
+            self._silent = True
+            log("worker.silent", worker=worker.info.id, reason=error.reason)
         if worker.lapse_at and now > worker.lapse_at:
-            self._lose_worker(worker, "lease lapsed")
+            self._lose_worker(worker, LAPSED)
             return worker.gone
         return False
 
     async def _take(self, report: WorkerReport, sent_at: float) -> None:
         worker = self._worker
         now = time.monotonic()
+        if self._silent:
+            self._silent = False
+            log("worker.answers", worker=worker.info.id)
         worker.contact_at = now
         worker.clock_offset_ms = report.clock_ms - now * 1000
         jobs: set[str] = set()
--- a/src/foxtrestle/scheduling/scaling.py
+++ b/src/foxtrestle/scheduling/scaling.py
@@ -19,6 +19,8 @@
 WINDOW_S: Final = 4.0
 """Seconds over which a pool's peak is taken; an unneeded host costs less for that long than two
 moves do."""
+RECENT_S: Final = 1.0
+"""Seconds over which a pool's present demand is taken; about the length of one task."""
 JOB_MARGIN: Final = 1.0
 """Largest recent jobs for which room is kept besides."""
 LARGE_JOBS: Final = 12
@@ -47,20 +49,18 @@
                 self._samples.popleft()
         self._samples.append((now, demand))
 
-    def peak(self, now: float) -> float:
-        """Return the largest demand of the window."""
-        while len(self._samples) > 1 and self._samples[0][0] < now - WINDOW_S:
-            self._samples.popleft()
-        return self._samples[0][1] if self._samples else 0.0
+    def peak(self, now: float, window_s: float) -> float:
+        """Return the largest demand of the newest seconds, `WINDOW_S` at most."""
+        return next((size for at, size in self._samples if at >= now - window_s), 0.0)
 
 
 class PoolNeed(msgspec.Struct, frozen=True):
     """What a pool has and needs, in hosts."""
 
     demand: float
-    """Room that placed and waiting tasks take."""
+    """Room that placed and waiting tasks take, the most of the last second."""
     wanted: int
-    """Hosts it should have."""
+    """Hosts it should have if there are enough."""
     have: int
     """Hosts that serve it or are on their way to it."""
 
@@ -122,10 +122,11 @@
             continue
         load = loads.setdefault(name, PoolLoad())
         load.note(now, demand.get(name, 0.0))
-        peak = load.peak(now)
+        peak = load.peak(now, WINDOW_S)
+        recent = load.peak(now, RECENT_S)
         largest = max(load.sizes, default=0.0) * JOB_MARGIN
         wanted = max(1, ceil(peak * (1 + MARGIN) + largest))
-        needs[name] = PoolNeed(demand.get(name, 0.0), wanted, _count_hosts(name, views, now))
+        needs[name] = PoolNeed(recent, wanted, _count_hosts(name, views, now))
     return needs
 
 
@@ -141,11 +142,41 @@
     return count
 
 
+def share_hosts(needs: dict[str, PoolNeed], total: int) -> dict[str, int]:
+    """Share hosts among pools: first what present demand takes, then what they want besides.
+
+    Args:
+        needs: What the pools need.
+        total: Hosts there are.
+
+    Returns:
+        Hosts of each pool; what is left over can be off.
+    """
+    base = {name: max(1, ceil(need.demand)) for name, need in needs.items()}
+    if sum(base.values()) > total:
+        return _share(base, total)
+    extra = {name: max(0, need.wanted - base[name]) for name, need in needs.items()}
+    left = total - sum(base.values())
+    if sum(extra.values()) > left:
+        extra = _share(extra, left)
+    return {name: base[name] + extra[name] for name in needs}
+
+
+def _share(wishes: dict[str, int], total: int) -> dict[str, int]:
+    """Share a total in proportion to wishes, by largest remainder."""
+    whole = sum(wishes.values())
+    if not whole:
+        return dict.fromkeys(wishes, 0)
+    exact = {name: wish * total / whole for name, wish in wishes.items()}
+    shares = {name: int(share) for name, share in exact.items()}
+    rest = sorted(wishes, key=lambda name: (shares[name] - exact[name], name))
+    for name in rest[: total - sum(shares.values())]:
+        shares[name] += 1
+    return shares
+
+
 def choose_moves(
-    needs: dict[str, PoolNeed],
-    views: dict[str, HostView],
-    reserve: str,
-    now: float,
+    needs: dict[str, PoolNeed], views: dict[str, HostView], reserve: str, now: float
 ) -> list[HostMove]:
     """Choose hosts to move: into pools that lack some, out of pools that have too many.
 
@@ -155,18 +186,19 @@
         reserve: Name of the pool whose hosts are off; empty if there is none.
         now: Monotonic time, seconds.
     """
+    targets = share_hosts(needs, sum(1 for view in views.values() if view.info.state != "down"))
+    have = {name: need.have for name, need in needs.items()}
     moves: list[HostMove] = []
     taken: set[str] = set()
-    have = {name: need.have for name, need in needs.items()}
     lacking = sorted(
-        (name for name, need in needs.items() if need.have < need.wanted),
-        key=lambda name: (needs[name].have - needs[name].wanted, name),
+        (name for name in needs if have[name] < targets[name]),
+        key=lambda name: (have[name] - targets[name], name),
     )
     for name in lacking:
-        while have[name] < needs[name].wanted:
-            view = _find_off(views, reserve, taken) or _find_surplus(
-                needs, have, views, taken, name, now
-            )
+        while have[name] < targets[name]:
+            view = _find_off(views, reserve, taken)
+            if view is None:
+                view = _find_surplus(targets, have, views, taken, now)
             if view is None:
                 break
             taken.add(view.info.name)
@@ -176,9 +208,9 @@
             moves.append(HostMove(view.info.name, name))
     if not reserve:
         return moves
-    for name, need in needs.items():
-        while have[name] > need.wanted:
-            view = _find_idle(views, name, taken, now)
+    for name in needs:
+        while have[name] > targets[name]:
+            view = _find_free(views, name, taken, now, idle=True)
             if view is None:
                 break
             taken.add(view.info.name)
@@ -187,6 +219,28 @@
     return moves
 
 
+def choose_drops(needs: dict[str, PoolNeed], views: dict[str, HostView], reserve: str) -> list[str]:
+    """Choose hosts whose planned move is not needed any more; their names."""
+    targets = share_hosts(needs, sum(1 for view in views.values() if view.info.state != "down"))
+    have = {name: need.have for name, need in needs.items()}
+    drops: list[str] = []
+    for name, view in views.items():
+        plan = view.plan
+        if plan is None or plan.wave or plan.state != "emptying":
+            continue
+        if plan.pool == reserve:
+            needless = view.pool in have and have[view.pool] < targets[view.pool]
+        else:
+            needless = have.get(plan.pool, 0) > targets.get(plan.pool, 0)
+        if needless:
+            drops.append(name)
+            if plan.pool in have:
+                have[plan.pool] -= 1
+            if view.pool in have:
+                have[view.pool] += 1
+    return drops
+
+
 def _find_off(views: dict[str, HostView], reserve: str, taken: set[str]) -> HostView | None:
     for name, view in views.items():
         if name in taken or view.plan is not None or not reserve:
@@ -197,29 +251,39 @@
 
 
 def _find_surplus(
-    needs: dict[str, PoolNeed],
+    targets: dict[str, int],
     have: dict[str, int],
     views: dict[str, HostView],
     taken: set[str],
-    pool: str,
     now: float,
 ) -> HostView | None:
-    for name, need in needs.items():
-        if name == pool or have[name] <= need.wanted:
-            continue
-        view = _find_idle(views, name, taken, now)
+    """Find the least busy host of the pools that have most too many."""
+    for name in sorted(targets, key=lambda name: (targets[name] - have[name], name)):
+        if have[name] <= targets[name]:
+            break
+        view = _find_free(views, name, taken, now, idle=False)
         if view is not None:
             return view
     return None
 
 
-def _find_idle(
-    views: dict[str, HostView], pool: str, taken: set[str], now: float
+def _find_free(
+    views: dict[str, HostView], pool: str, taken: set[str], now: float, *, idle: bool
 ) -> HostView | None:
-    """Find a host of a pool on which nothing runs."""
+    """Find the least busy host of a pool that carries no lasting task, or an idle one."""
+    found: HostView | None = None
     for name, view in views.items():
         if name in taken or view.plan is not None or view.pool != pool:
             continue
-        if view.worker is not None and is_usable(view.worker, now) and view.is_idle():
-            return view
-    return None
+        worker = view.worker
+        if worker is None or not is_usable(worker, now):
+            continue
+        if (idle and worker.runs) or worker.lasting:
+            continue
+        if found is None or worker.used.cpu < _used(found):
+            found = view
+    return found
+
+
+def _used(view: HostView) -> int:
+    return view.worker.used.cpu if view.worker is not None else 0
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -167,6 +167,7 @@
         "info",
         "known",
         "lapse_at",
+        "lasting",
         "revision",
         "runs",
         "seen_end",
@@ -184,6 +185,8 @@
         """Runs that may be there."""
         self.used = Shape()
         """Room that they take."""
+        self.lasting = 0
+        """Lasting tasks that may be there."""
         self.known = False
         """Whether it has answered this controller, so that all that runs there is known."""
         self.gone = False
@@ -227,6 +230,7 @@
         self._count(step, -1)
 
     def _count(self, step: Step, sign: int) -> None:
+        self.lasting += sign if step.lasting else 0
         used, shape = self.used, step.shape
         cpu = 0 if step.fills else shape.cpu
         self.used = Shape(
