--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -139,7 +139,7 @@
         for seen in report.running:
             stop = confirm_run(self._fleet, seen, worker, now)
             if stop is not None:
-                log("run.unknown", job=seen.key.job, run=seen.run, worker=worker.info.id)
+                log("run.unwanted", job=seen.key.job, run=seen.run, worker=worker.info.id)
                 stops.append(stop)
         if len(report.ends) < MAX_ENDS:
             self._settle(report, sent_at, now)
--- a/src/foxtrestle/platform/store.py
+++ b/src/foxtrestle/platform/store.py
@@ -24,9 +24,11 @@
 if TYPE_CHECKING:
     import aiohttp
 
-WATCH_WAIT_S: Final = 20.0
-"""Seconds a watch waits at the store; each return is a priced call, the store allows 30."""
-WATCH_MARGIN_S: Final = 2.0
+WATCH_WAIT_S: Final = 1.0
+"""Seconds a watch waits at the store. A watch may be cut without a sign (seen on kovacs scale-1: no
+change was heard of for 20 s), so this bounds how long a change stays unheard; a return is one
+priced call."""
+WATCH_MARGIN_S: Final = 0.8
 """Seconds beyond the wait after which a watch counts as lost."""
 
 
--- a/src/foxtrestle/scheduling/runs.py
+++ b/src/foxtrestle/scheduling/runs.py
@@ -91,6 +91,8 @@
     if found is None or found[1].worker != worker.info.id:
         return StopOrder(worker.info.id, seen.key, seen.run)
     task, run = found
+    if run.state != "stopping" and (task.done or fleet.jobs[seen.key.job].ended):
+        return StopOrder(worker.info.id, seen.key, seen.run)
     run.move("confirm")
     run.confirmed_at = run.confirmed_at or now
     if run.percent != seen.percent:
