--- a/src/foxtrestle/scheduling/scaling.py
+++ b/src/foxtrestle/scheduling/scaling.py
@@ -135,8 +135,9 @@
     for view in views.values():
         plan = view.plan
         if plan is not None:
-            # A maintained host comes back; it counts while it is away only for a moment.
-            count += plan.pool == pool
+            # A host in maintenance takes nothing now; if it were counted, a pool with no other
+            # host would have its tasks wait until it is back.
+            count += plan.pool == pool and not plan.wave
         elif view.pool == pool and view.worker is not None and is_usable(view.worker, now):
             count += 1
     return count
