Keep ended jobs apart, so that a new controller loads only live ones

Change: an ended job leaves one small record; listings get 6 s; nodes with thin links or slow processors let others take the lock first; repeated failures are logged once.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -11,10 +11,10 @@
 import msgspec
 
 from foxtrestle.control.hosts import HostOrders
-from foxtrestle.control.keys import CANCELS, INBOX, JOBS, PROGRESS
+from foxtrestle.control.keys import CANCELS, ENDED, INBOX, JOBS, PROGRESS
 from foxtrestle.control.ledger import Ledger
 from foxtrestle.control.link import LAPSED, WorkerLink
-from foxtrestle.control.log import log
+from foxtrestle.control.log import Outage, log
 from foxtrestle.control.orders import CLOCK_DRIFT, HOLD_S, LAPSE_MARGIN_S, Orders
 from foxtrestle.control.ownership import GRACE_WITHOUT_STORE_S, LEASE_S
 from foxtrestle.platform.workers import ENTRIES, CallError, decode_worker
@@ -45,9 +45,9 @@
 controller placed: that one may have gone on extending leases until its grace was over."""
 FORGET_FACTOR: Final = 1.5
 """How much longer than promised an ended job is kept."""
-FORGET_EVERY_S: Final = 5.0
-"""Seconds between two looks for ended jobs to forget."""
-FORGET_AT_ONCE: Final = 8
+FORGET_EVERY_S: Final = 60.0
+"""Seconds between two looks for ended jobs to forget; a fraction of how long they are kept."""
+FORGET_AT_ONCE: Final = 15
 """Jobs forgotten in one transaction."""
 
 
@@ -130,9 +130,9 @@
             Revisions from which to follow the inbox and the workers' entries.
         """
         now = time.monotonic()
-        inbox = await self._scan(INBOX)
+        inbox, entries = await asyncio.gather(self._scan(INBOX), self._scan(ENTRIES))
+        # After the inbox: a job that ends in between is in neither, and is not wanted.
         progress = await self._scan(PROGRESS)
-        entries = await self._scan(ENTRIES)
         self._load_entries(entries, now)
         self._load_jobs(inbox, progress, now)
         log("control.loaded", term=self._term.number, jobs=len(self.fleet.jobs),
@@ -141,11 +141,14 @@
         return inbox.revision, entries.revision
 
     async def _scan(self, prefix: str) -> Listing:
+        outage = Outage("store", f"load {prefix}")
         while True:
             try:
-                return await self._store.scan(prefix)
+                listing = await self._store.scan(prefix)
+                outage.note_success()
+                return listing
             except StoreError as error:
-                log("control.load-failed", prefix=prefix, reason=error.reason)
+                outage.note_failure(error)
                 await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
 
     def _load_jobs(self, inbox: Listing, progress: Listing, now: float) -> None:
@@ -183,16 +186,18 @@
         self, prefix: str, revision: int, take: Callable[[list[Change]], None]
     ) -> None:
         """Follow a prefix; after a gap, read it whole and take in what differs."""
+        outage = Outage("store", f"watch {prefix}")
         while True:
             try:
                 changes, revision = await self._store.poll(prefix, revision)
+                outage.note_success()
             except Compacted:
                 listing = await self._scan(prefix)
                 revision = listing.revision
                 changes = self._compare(prefix, listing)
                 log("control.relisted", prefix=prefix, changes=len(changes))
             except StoreError as error:
-                log("control.watch-failed", prefix=prefix, reason=error.reason)
+                outage.note_failure(error)
                 await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
                 continue
             if changes:
@@ -371,33 +376,28 @@
     # Ended jobs.
 
     async def _forget(self) -> None:
-        """Delete ended jobs some time after the platform allows it."""
+        """Delete the final states of jobs some time after the platform allows it."""
         keep_ms = self._settings.bounds.keep_status_s * FORGET_FACTOR * 1000
+        outage = Outage("store", "forget")
         while True:
             await asyncio.sleep(FORGET_EVERY_S)
             limit = time.time() * 1000 - keep_ms
-            old = [
-                entry
-                for entry in self.fleet.jobs.values()
-                if entry.ended_ms and entry.ended_ms < limit
-                and entry.job.id not in self.fleet.dirty
-            ][:FORGET_AT_ONCE]  # fmt: skip
-            if old:
-                await self._forget_jobs(old)
-
-    async def _forget_jobs(self, entries: list[JobEntry]) -> None:
-        conditions = {PROGRESS + entry.job.id: entry.progress_revision for entry in entries}
-        keys = [
-            key
-            for entry in entries
-            for key in (PROGRESS + entry.job.id, JOBS + entry.job.id)
-        ]  # fmt: skip
-        keys += [CANCELS + entry.job.id for entry in entries if entry.cancel_asked]
-        try:
-            await self._store.commit(Transaction(conditions, removals=tuple(keys)))
-        except StoreError as error:
-            log("job.forget-failed", jobs=len(entries), reason=str(error))
-            return
-        for entry in entries:
-            self.fleet.jobs.pop(entry.job.id, None)
-            log("job.forgotten", job=entry.job.id)
+            try:
+                listing = await self._store.scan(ENDED, stale=True)
+                old = [
+                    record
+                    for record in listing.records
+                    if decode_progress(record.value).ended_ms < limit
+                ]
+                while old:
+                    await self._forget_jobs(old[:FORGET_AT_ONCE])
+                    old = old[FORGET_AT_ONCE:]
+                outage.note_success()
+            except StoreError as error:
+                outage.note_failure(error)
+
+    async def _forget_jobs(self, records: list[Record]) -> None:
+        conditions = {record.key: record.revision for record in records}
+        await self._store.commit(Transaction(conditions, removals=tuple(conditions)))
+        for record in records:
+            log("job.forgotten", job=record.key.removeprefix(ENDED))
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from foxtrestle.control.keys import LOCK, WAVE_RECORDS
-from foxtrestle.control.log import log
+from foxtrestle.control.log import Outage, log
 from foxtrestle.platform.hosts import HostRefused
 from foxtrestle.platform.http import CallError
 from foxtrestle.platform.operators import WAVE_STATUS, encode_wave_status
@@ -92,12 +92,14 @@
     async def run(self) -> None:
         """Follow the host list until cancelled."""
         await self._load_waves()
+        outage = Outage("hosts", "list")
         while True:
             try:
                 hosts = await self._calls.list_hosts()
             except CallError as error:
-                log("hosts.list-failed", reason=error.reason)
+                outage.note_failure(error)
             else:
+                outage.note_success()
                 now = time.monotonic()
                 self._seen_at.update(dict.fromkeys((host.name for host in hosts), now))
                 self._fleet.hosts = {host.name: host for host in hosts}
--- a/src/foxtrestle/control/keys.py
+++ b/src/foxtrestle/control/keys.py
@@ -21,4 +21,7 @@
 CANCELS: Final = INBOX + "cancel/"
 """Prefix of cancellations."""
 PROGRESS: Final = ROOT + "progress/"
-"""Prefix of the jobs' progress."""
+"""Prefix of the progress of jobs that have not ended; with the inbox, all that a new controller
+has to read."""
+ENDED: Final = ROOT + "ended/"
+"""Prefix of the final states of ended jobs, kept for clients that ask."""
--- a/src/foxtrestle/control/ledger.py
+++ b/src/foxtrestle/control/ledger.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from foxtrestle.control.keys import LOCK, PENDING, PROGRESS
-from foxtrestle.control.log import log
+from foxtrestle.control.keys import CANCELS, ENDED, JOBS, LOCK, PENDING, PROGRESS
+from foxtrestle.control.log import Outage, log
 from foxtrestle.scheduling.progress import encode_progress
 from foxtrestle.store import Conflict, StoreError, Transaction
 
@@ -21,11 +21,15 @@
 
     from foxtrestle.control.ownership import Term
     from foxtrestle.platform.store import PlatformStore
-    from foxtrestle.scheduling.state import Fleet
-
-MAX_JOBS: Final = 15
-"""Jobs in one transaction: a condition and a write each, beside the lock and the queues' counts;
-the platform allows 32 entries."""
+    from foxtrestle.scheduling.state import Fleet, JobEntry
+
+MAX_ENTRIES: Final = 30
+"""Conditions, writes and removals of jobs in one transaction: the platform allows 32, the lock and
+the queues' counts take the rest."""
+PROGRESS_ENTRIES: Final = 2
+"""Entries of a job's progress: a condition and a write."""
+ARCHIVE_ENTRIES: Final = 5
+"""Entries of a job's end: a condition, a write and three removals."""
 GATHER_S: Final = 0.004
 """Seconds a batch waits for further changes; about one answer of the store."""
 RETRY_S: Final = 0.1
@@ -44,6 +48,7 @@
         self._store = store
         self._fleet = fleet
         self._term = term
+        self._outage = Outage("store", "ledger")
         self._changed = asyncio.Event()
         self._waiting: dict[str, list[asyncio.Future[None]]] = {}
         self._pending: bytes = b""
@@ -78,53 +83,85 @@
                 await self._write()
 
     async def _write(self) -> None:
-        jobs = list(self._fleet.dirty)[:MAX_JOBS]
-        waiting: list[asyncio.Future[None]] = []
-        for job in jobs:
-            del self._fleet.dirty[job]
-            waiting += self._waiting.pop(job, [])
+        jobs, waiting = self._gather()
         try:
             await self._commit(jobs)
         except Conflict as conflict:
             self._adopt(jobs, conflict)
+            self._put_back(jobs, waiting)
         except StoreError as error:
             self.away_since = self.away_since or time.monotonic()
-            log("ledger.write-failed", jobs=len(jobs), step=error.step, reason=error.reason)
+            self._outage.note_failure(error)
             self._put_back(jobs, waiting)
             await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
-            return
         else:
-            if self.away_since:
-                log("store.regained", away_s=round(time.monotonic() - self.away_since, 3))
+            self._outage.note_success()
             self.away_since = 0.0
             for future in waiting:
                 if not future.done():
                     future.set_result(None)
-            return
-        self._put_back(jobs, waiting)
+
+    def _gather(self) -> tuple[list[str], list[asyncio.Future[None]]]:
+        """Take the oldest changes that fit into one transaction."""
+        jobs: list[str] = []
+        waiting: list[asyncio.Future[None]] = []
+        entries = 0
+        for job in list(self._fleet.dirty):
+            entry = self._fleet.jobs.get(job)
+            size = 0
+            if entry is not None and not entry.archived:
+                size = ARCHIVE_ENTRIES if entry.ended else PROGRESS_ENTRIES
+            if entries + size > MAX_ENTRIES:
+                break
+            entries += size
+            del self._fleet.dirty[job]
+            waiting += self._waiting.pop(job, [])
+            if size:
+                jobs.append(job)
+            elif entry is not None and not entry.has_runs():
+                self._fleet.jobs.pop(job)
+        return jobs, waiting
 
     def _put_back(self, jobs: list[str], waiting: list[asyncio.Future[None]]) -> None:
         later = self._fleet.dirty
         self._fleet.dirty = dict.fromkeys(jobs) | later
-        if jobs:
-            self._waiting.setdefault(jobs[0], []).extend(waiting)
+        if waiting:
+            first = jobs[0] if jobs else next(iter(self._fleet.dirty), "")
+            self._waiting.setdefault(first, []).extend(waiting)
 
     async def _commit(self, jobs: list[str]) -> None:
         conditions = {LOCK: self._term.lock.revision}
         puts: dict[str, bytes] = {}
+        removals: list[str] = []
+        ended: list[JobEntry] = []
         for job in jobs:
             entry = self._fleet.jobs[job]
-            if entry.ended and not entry.ended_ms:
-                entry.ended_ms = int(time.time() * 1000)
             conditions[PROGRESS + job] = entry.progress_revision
-            puts[PROGRESS + job] = encode_progress(entry)
+            if not entry.ended:
+                puts[PROGRESS + job] = encode_progress(entry)
+                continue
+            entry.ended_ms = entry.ended_ms or int(time.time() * 1000)
+            ended.append(entry)
+            puts[ENDED + job] = encode_progress(entry)
+            removals += [PROGRESS + job, JOBS + job, CANCELS + job]
         pending = self._count_pending()
         if pending != self._pending:
             puts[PENDING] = pending
-        revision = await self._store.commit(Transaction(conditions, puts))
+        if not puts:
+            return
+        revision = await self._store.commit(Transaction(conditions, puts, tuple(removals)))
         self._pending = pending
         for job in jobs:
             self._fleet.jobs[job].progress_revision = revision
+        for entry in ended:
+            self._archive(entry)
+
+    def _archive(self, entry: JobEntry) -> None:
+        entry.archived = True
+        log("job.ended", job=entry.job.id, queue=entry.job.queue, state=entry.state,
+            took_s=round(time.monotonic() - entry.created_at, 3))  # fmt: skip
+        if not entry.has_runs():
+            self._fleet.jobs.pop(entry.job.id, None)
 
     def _adopt(self, jobs: list[str], conflict: Conflict) -> None:
         """Take over revisions that a write of ours with a lost answer has left."""
@@ -133,8 +170,12 @@
             self._term.lose("lock is another's")
             return
         for job in jobs:
+            entry = self._fleet.jobs[job]
             record = conflict.records.get(PROGRESS + job)
-            self._fleet.jobs[job].progress_revision = record.revision if record else 0
+            if record is None and entry.ended and entry.progress_revision:
+                # The removal was ours: nobody else writes under this lock.
+                self._archive(entry)
+            entry.progress_revision = record.revision if record else 0
         log("ledger.lost-answer", jobs=len(jobs))
 
     def _count_pending(self) -> bytes:
--- a/src/foxtrestle/control/log.py
+++ b/src/foxtrestle/control/log.py
@@ -4,6 +4,7 @@
 
 import os
 import sys
+import time
 from collections import deque
 from typing import TYPE_CHECKING, Any, Final
 
@@ -13,6 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from foxtrestle.errors import FoxtrestleError
+
 BUFFER_LINES: Final = 4096
 """Lines held while the reader of standard output is slow; further ones are counted and dropped."""
 
@@ -75,6 +78,40 @@
     remove_destination(destination)
 
 
+class Outage:
+    """Tells once that a dependency was lost and once that it was regained."""
+
+    def __init__(self, dependency: str, user: str) -> None:
+        """Create an outage that is not under way.
+
+        Args:
+            dependency: What is called, for example `store`.
+            user: The part that calls it.
+        """
+        self.since = 0.0
+        """Monotonic time of the first failure, seconds; 0 while the dependency answers."""
+        self._dependency = dependency
+        self._user = user
+        self._failures = 0
+
+    def note_failure(self, error: FoxtrestleError) -> None:
+        """Note a failed call."""
+        self._failures += 1
+        if not self.since:
+            self.since = time.monotonic()
+            log("dependency.lost", dependency=self._dependency, user=self._user, step=error.step,
+                peer=error.peer, reason=error.reason)  # fmt: skip
+
+    def note_success(self) -> None:
+        """Note a call that was answered."""
+        if self.since:
+            log("dependency.regained", dependency=self._dependency, user=self._user,
+                failures=self._failures, away_s=round(time.monotonic() - self.since, 3),
+            )  # fmt: skip
+        self.since = 0.0
+        self._failures = 0
+
+
 def log(event: str, **fields: Any) -> None:
     """Write one line: an event's name and its fields."""
     log_message(message_type=event, **fields)
--- a/src/foxtrestle/control/ownership.py
+++ b/src/foxtrestle/control/ownership.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from foxtrestle.control.keys import LOCK, TERM
-from foxtrestle.control.log import log
+from foxtrestle.control.log import Outage, log
 from foxtrestle.store import (
     ABSENT,
     Compacted,
@@ -36,6 +36,12 @@
 """Seconds by which a controller takes its lease as over before the store does."""
 RACE_PAUSE_S: Final = 0.1
 """Longest random pause before a free lock is tried, seconds; spreads the nodes' calls."""
+GOOD_SHARE: Final = 0.9
+"""Cores from which a node counts as fit to be the controller."""
+GOOD_LINK_MBPS: Final = 50.0
+"""Bandwidth from which a node counts as fit: a thinner link takes seconds to load the state."""
+UNFIT_DELAY_S: Final = 0.5
+"""Seconds by which a node lets others go first for each thing it lacks."""
 RETRY_S: Final = 0.3
 """Mean pause after a failed call, seconds."""
 GRACE_WITHOUT_STORE_S: Final = 5.0
@@ -43,6 +49,12 @@
 extending the workers' leases: nothing new starts, but a short outage kills nothing."""
 
 
+def compute_race_delay(processor_share: float, link_mbps: float) -> float:
+    """Return how long a node lets others go first when the lock is free, seconds."""
+    lacks = (processor_share < GOOD_SHARE) + (link_mbps < GOOD_LINK_MBPS)
+    return lacks * UNFIT_DELAY_S
+
+
 class LockRecord(msgspec.Struct, frozen=True):
     """Value of the lock."""
 
@@ -87,35 +99,45 @@
     """Follows the lock and takes it when it is free."""
 
     def __init__(
-        self, store: PlatformStore, node: str, work: Callable[[Term], Awaitable[None]]
+        self,
+        store: PlatformStore,
+        node: str,
+        race_delay_s: float,
+        work: Callable[[Term], Awaitable[None]],
     ) -> None:
         """Create an ownership that holds nothing.
 
         Args:
             store: The platform's store.
             node: Name of this node.
+            race_delay_s: Seconds by which this node lets others go first.
             work: Called with each term acquired; ends soon after the term is lost.
         """
         self.term: Term | None = None
         """The term held by this node."""
         self._store = store
         self._node = node
+        self._race_delay_s = race_delay_s
         self._work = work
         self._closing = False
+        self._outage = Outage("store", "lock")
 
     async def run(self) -> None:
         """Acquire the lock whenever it is free, until cancelled."""
         while not self._closing:
             try:
                 await self._wait_until_free()
-                await asyncio.sleep(random.uniform(0, RACE_PAUSE_S))
+                self._outage.note_success()
+                await asyncio.sleep(self._race_delay_s + random.uniform(0, RACE_PAUSE_S))
+                if await self._store.get(LOCK) is not None:
+                    continue
                 if self._closing:
                     return
                 term = await self._acquire()
                 if term is not None:
                     await self._serve(term)
             except StoreError as error:
-                log("control.store-failed", step=error.step, reason=error.reason)
+                self._outage.note_failure(error)
                 await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
 
     async def close(self) -> None:
@@ -193,14 +215,16 @@
 
     async def _renew(self, term: Term) -> None:
         """Renew the lease; lose the term when the store says it is over or is away too long."""
+        outage = Outage("store", "renewal")
         while term.may_hold():
             sent_at = time.monotonic()
             try:
                 kept = await self._store.keep_alive(self._lease)
             except StoreError as error:
-                log("control.renewal-failed", term=term.number, reason=error.reason)
+                outage.note_failure(error)
                 await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S))
                 continue
+            outage.note_success()
             if not kept:
                 term.lose("lease is over")
                 return
@@ -211,9 +235,11 @@
     async def _watch_lock(self, term: Term) -> None:
         """Lose the term as soon as the lock changes."""
         revision = term.lock.revision
+        outage = Outage("store", "own lock")
         while True:
             try:
                 changes, revision = await self._store.poll(LOCK, revision)
+                outage.note_success()
             except Compacted:
                 found = await self._read_lock()
                 if found is not None and found.revision != term.lock.revision:
@@ -222,7 +248,7 @@
                 await asyncio.sleep(RETRY_S)
                 continue
             except StoreError as error:
-                log("control.watch-failed", term=term.number, reason=error.reason)
+                outage.note_failure(error)
                 await asyncio.sleep(RETRY_S)
                 continue
             if any(change.key == LOCK for change in changes):
--- a/src/foxtrestle/node/intake.py
+++ b/src/foxtrestle/node/intake.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from foxtrestle.control.keys import CANCELS, JOBS, PENDING, PROGRESS
+from foxtrestle.control.keys import CANCELS, ENDED, JOBS, PENDING, PROGRESS
 from foxtrestle.control.log import log
 from foxtrestle.platform.operators import CONFIGURATION
 from foxtrestle.scheduling.model import Job
@@ -47,13 +47,17 @@
                 return "refused"
             value = value or _encode_job(queue, job_id, spec)
             transaction = Transaction(
-                conditions={CONFIGURATION: configuration.revision, JOBS + job_id: ABSENT},
+                conditions={
+                    CONFIGURATION: configuration.revision,
+                    JOBS + job_id: ABSENT,
+                    ENDED + job_id: ABSENT,
+                },
                 puts={JOBS + job_id: value},
             )
             try:
                 await self._store.commit(transaction)
             except Conflict as conflict:
-                if JOBS + job_id in conflict.records:
+                if conflict.records.keys() & {JOBS + job_id, ENDED + job_id}:
                     return "accepted"
                 found = await self._find_again(queue)
                 if found is None:
@@ -84,16 +88,24 @@
 
     async def read_state(self, job_id: str) -> JobState | None:
         """Return a job's state as recorded; None if there is no such job."""
-        record = await self._store.get(PROGRESS + job_id)
-        if record is not None:
-            return decode_progress(record.value).state
-        return "queued" if await self._store.get(JOBS + job_id) else None
+        # An end is final, so a cheap read that may be old tells the truth if it finds one.
+        ended = await self._store.get(ENDED + job_id, stale=True)
+        if ended is not None:
+            return decode_progress(ended.value).state
+        progress = await self._store.get(PROGRESS + job_id)
+        if progress is not None:
+            return decode_progress(progress.value).state
+        if await self._store.get(JOBS + job_id) is not None:
+            return "queued"
+        # It may have ended between the reads.
+        ended = await self._store.get(ENDED + job_id)
+        return decode_progress(ended.value).state if ended is not None else None
 
     async def cancel(self, job_id: str) -> bool:
         """Cancel a job; False if there is none."""
         job = await self._store.get(JOBS + job_id)
         if job is None:
-            return False
+            return await self._store.get(ENDED + job_id) is not None
         for _ in range(ATTEMPTS):
             transaction = Transaction(
                 conditions={JOBS + job_id: job.revision, CANCELS + job_id: ABSENT},
@@ -102,8 +114,10 @@
             try:
                 await self._store.commit(transaction)
             except Conflict as conflict:
-                # It was cancelled before, or forgotten since.
-                return CANCELS + job_id in conflict.records
+                # It was cancelled before, or has ended since.
+                if CANCELS + job_id in conflict.records:
+                    return True
+                return await self._store.get(ENDED + job_id) is not None
             except OutcomeUnknown as error:
                 log("cancel.unanswered", job=job_id, reason=error.reason)
                 await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
--- a/src/foxtrestle/node/operators.py
+++ b/src/foxtrestle/node/operators.py
@@ -7,7 +7,7 @@
 import time
 from typing import TYPE_CHECKING, Final
 
-from foxtrestle.control.log import log
+from foxtrestle.control.log import Outage, log
 from foxtrestle.platform.http import MalformedAnswer
 from foxtrestle.platform.operators import (
     CONFIGURATION,
@@ -46,18 +46,20 @@
     async def follow(self) -> None:
         """Keep the mirror up to date until cancelled."""
         revision = 0
+        outage = Outage("store", "watch operators")
         while True:
             try:
                 if not revision:
                     revision = await self._read_all()
                 changes, revision = await self._store.poll(OPERATORS, revision)
+                outage.note_success()
                 self.answered_at = time.monotonic()
                 self._take(changes)
             except Compacted:
                 log("operators.relist")
                 revision = 0
             except StoreError as error:
-                log("operators.watch-failed", step=error.step, reason=error.reason)
+                outage.note_failure(error)
                 await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
 
     async def _read_all(self) -> int:
--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -13,7 +13,7 @@
 
 from foxtrestle.control.controller import Controller
 from foxtrestle.control.log import log, start_logging
-from foxtrestle.control.ownership import Ownership
+from foxtrestle.control.ownership import Ownership, compute_race_delay
 from foxtrestle.listener import bind, listen
 from foxtrestle.node.health import StoreHealth
 from foxtrestle.node.intake import Intake
@@ -86,7 +86,8 @@
                 finally:
                     self.controller = None
 
-            ownership = Ownership(store, settings.name, control)
+            delay_s = compute_race_delay(settings.processor_share, settings.link_mbps)
+            ownership = Ownership(store, settings.name, delay_s, control)
             intake = Intake(store, self.operators)
             ready = build_ready(self.is_ready)
             front = build_front(intake, self.operators, lambda: self.health.away)
--- a/src/foxtrestle/platform/store.py
+++ b/src/foxtrestle/platform/store.py
@@ -31,6 +31,10 @@
 WATCH_MARGIN_S: Final = 0.8
 """Seconds beyond the wait after which a watch counts as lost."""
 
+SCAN_TIMEOUT_S: Final = 6.0
+"""Seconds for one page of a listing: 1 MB takes 1.7 s over the thinnest links (5 Mbit/s), and other
+traffic shares them."""
+
 
 class _Item(msgspec.Struct):
     tlsKey: str = ""
@@ -91,21 +95,21 @@
         item = decode(reply.body, _One, step="store.get", peer=self._base)
         return _to_record(item)
 
-    async def scan(self, prefix: str) -> Listing:
+    async def scan(self, prefix: str, *, stale: bool = False) -> Listing:
         """Read every key under a prefix; a watch from its revision on misses nothing."""
         records: list[Record] = []
         revision = 0
-        query = {"pathPrefix": prefix}
+        query = {"pathPrefix": prefix} | ({"stale": "1"} if stale else {})
         while True:
             self.calls["read"] += 1
-            reply = await self._call("GET", "kv-range", query=query)
+            reply = await self._call("GET", "kv-range", query=query, timeout_s=SCAN_TIMEOUT_S)
             page = decode(reply.body, _Page, step="store.scan", peer=self._base)
             records += [_to_record(item) for item in page.items]
             # Pages are read one after another: changes since the first one come by the watch.
             revision = revision or page.at
             if not page.more or not page.items:
                 return Listing(records, revision)
-            query = {"pathPrefix": prefix, "dependsOn": page.items[-1].tlsKey}
+            query |= {"dependsOn": page.items[-1].tlsKey}
 
     async def poll(self, prefix: str, after: int) -> tuple[list[Change], int]:
         """Wait for changes under a prefix after a revision.
--- a/src/foxtrestle/scheduling/progress.py
+++ b/src/foxtrestle/scheduling/progress.py
@@ -49,12 +49,8 @@
 
 
 def encode_progress(entry: JobEntry) -> bytes:
-    """Encode a job's progress; of an ended job only what a late end could change."""
-    tasks = [
-        _to_record(task)
-        for task in entry.tasks.values()
-        if task.starts and (not entry.ended or task.runs)
-    ]
+    """Encode a job's progress; of an ended job only that it has ended, and how."""
+    tasks = [_to_record(task) for task in entry.tasks.values() if task.starts and not entry.ended]
     return msgspec.msgpack.encode(Progress(entry.state, tasks, entry.ended_ms))
 
 
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -101,6 +101,7 @@
     """A job and its tasks."""
 
     __slots__ = (
+        "archived",
         "begun",
         "cancel_asked",
         "created_at",
@@ -131,6 +132,8 @@
         """Whether any task was ever started."""
         self.created_at = now
         """Monotonic time at which the controller learned of it, seconds."""
+        self.archived = False
+        """Whether its final state is in the store and nothing else of it is."""
         self.ended_ms = 0
         """Wall time at which it ended, milliseconds; 0 before."""
         self.tasks: dict[TaskKey, Task] = {}
@@ -147,6 +150,10 @@
         """Whether the state never changes again."""
         return self.state in ENDED_JOB
 
+    def has_runs(self) -> bool:
+        """Tell whether any run of it may be there."""
+        return any(task.runs for task in self.tasks.values())
+
     def count_repetitions(self) -> int:
         """Return how many times the steps run."""
         return max(1, self.job.spec.repeat_count)
