--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -26,6 +26,10 @@
 
 RETRY_S: Final = 0.2
 """Seconds between holds while a worker does not answer."""
+EXTEND_SILENCE_S: Final = HOLD_WAIT_S + 0.6
+"""Seconds without an answer after which a worker's lease is not extended any more: a hold may
+arrive though its answer does not, and while leases go on, nothing can run elsewhere. One hold and
+its time-out, so that a single lost answer changes nothing."""
 RECORD_WAIT_S: Final = 1.0
 """Seconds to wait for ends to be recorded before the lease is extended again."""
 LAPSED: Final = "lease lapsed"
@@ -91,7 +95,7 @@
         fresh = sent_at - worker.contact_at < HOLD_WAIT_S * 2
         wait_ms = int(HOLD_WAIT_S * 1000) if worker.known and fresh and not self._unrecorded else 0
         expires_ms = None
-        if worker.known:
+        if worker.known and sent_at - worker.contact_at < EXTEND_SILENCE_S:
             expires_ms = compute_expiry_ms(worker, sent_at)
             worker.lapse_at = max(worker.lapse_at, compute_lapse(sent_at))
         return await self._calls.hold(
@@ -145,6 +149,8 @@
             self._settle(report, sent_at, now)
             if not worker.known:
                 worker.known = True
+                # Earlier controllers are fenced off from here on: what they leased ends soon.
+                worker.lapse_at = compute_lapse(now)
                 log("worker.known", worker=worker.info.id, runs=len(worker.runs))
                 self._wake()
         for stop in stops:
--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -129,6 +129,9 @@
             self._term.lose("a worker has seen a higher term")
             return True
         if reason == "late":
+            # Our reading of its clock is too old; the refusal brings a fresh one.
+            if refusal.clock_ms:
+                worker.clock_offset_ms = refusal.clock_ms - time.monotonic() * 1000
             return False
         if reason == "old" or sent:
             # The run has been there, or an earlier copy of the order may still arrive: the
@@ -149,6 +152,7 @@
         """Settle a start without an answer: stop it, which bars a late copy, or leave it."""
         if not sent:
             log("start.given-up", job=task.key.job, worker=worker.info.id, run=run.number)
+            worker.full_until = time.monotonic() + FULL_PAUSE_S
             self._drop(task, run, worker)
             return
         await self.stop_run(task, run, worker)
--- a/src/foxtrestle/platform/workers.py
+++ b/src/foxtrestle/platform/workers.py
@@ -33,11 +33,13 @@
 class OrderRefused(FoxtrestleError):
     """A worker refused an order and did nothing."""
 
-    def __init__(self, refusal: str, *, step: str, peer: str) -> None:
-        """Create an error that carries the worker's reason."""
+    def __init__(self, refusal: str, clock_ms: int, *, step: str, peer: str) -> None:
+        """Create an error that carries the worker's reason and its clock."""
         super().__init__(f"refused: {refusal}", step=step, peer=peer)
         self.refusal = refusal
         """The worker's reason; its status where it gave none."""
+        self.clock_ms = clock_ms
+        """The worker's steady clock, milliseconds; 0 if it did not tell."""
 
 
 class OtherLife(FoxtrestleError):
@@ -185,15 +187,17 @@
             return decode(reply.body, _Answer, step=step, peer=worker.id)
         if reply.status == 421:
             raise OtherLife("another life is at this address", step=step, peer=worker.id)
-        raise OrderRefused(_read_reason(reply), step=step, peer=worker.id)
+        reason, clock_ms = _read_refusal(reply)
+        raise OrderRefused(reason, clock_ms, step=step, peer=worker.id)
 
 
-def _read_reason(reply: Reply) -> str:
+def _read_refusal(reply: Reply) -> tuple[str, int]:
+    """Return a refusal's reason and the worker's clock; an unhealthy worker sends neither."""
     try:
         answer = msgspec.json.decode(reply.body, type=_Answer)
     except msgspec.DecodeError:
-        return str(reply.status)
-    return answer.reason or str(reply.status)
+        return str(reply.status), 0
+    return answer.reason or str(reply.status), int(answer.clockMs)
 
 
 def _to_report(answer: _Answer, worker: str) -> WorkerReport:
--- a/src/foxtrestle/standins/keyvalue.py
+++ b/src/foxtrestle/standins/keyvalue.py
@@ -13,7 +13,19 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
-from foxtrestle.store import Change, Listing, OutcomeUnknown, RateExceeded, Record, StoreError, Swap
+from foxtrestle.store import (
+    Change,
+    Compacted,
+    Conflict,
+    LeaseEnded,
+    Listing,
+    OutcomeUnknown,
+    RateExceeded,
+    Record,
+    StoreError,
+    Swap,
+    Transaction,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -68,6 +80,7 @@
         self._leases: dict[int, tuple[float, float]] = {}
         self._changes: list[Change] = []
         self._watches: set[asyncio.Event] = set()
+        self._compacted = 0
 
     def admit(self, kind: str) -> None:
         """Count one call and refuse it when the service is down or over its rate."""
@@ -108,6 +121,47 @@
             return Swap(False, held)
         return Swap(True, self._write(key, value, lease))
 
+    def commit(self, transaction: Transaction) -> int:
+        """Carry out a transaction whole or not at all.
+
+        Raises:
+            Conflict: A condition did not hold.
+            LeaseEnded: The lease named is over.
+        """
+        self._expire()
+        held = {key: self._records[key] for key in transaction.conditions if key in self._records}
+        for key, revision in transaction.conditions.items():
+            if (held[key].revision if key in held else 0) != revision:
+                raise Conflict(held, step="standin.commit")
+        if transaction.leased and transaction.lease not in self._leases:
+            raise LeaseEnded("the lease is over", step="standin.commit")
+        for key in transaction.removals:
+            if key in self._records:
+                self._write(key, None, 0)
+        for key, value in transaction.puts.items():
+            self._write(key, value, transaction.lease if key in transaction.leased else 0)
+        if transaction.puts:
+            # All writes of a transaction share one revision.
+            for key in transaction.puts:
+                self._records[key] = Record(key, self._records[key].value, self.revision)
+        return self.revision
+
+    def compact(self) -> None:
+        """Drop the history: watches from before this moment are refused."""
+        self._changes.clear()
+        self._compacted = self.revision
+
+    def list_changes(self, prefix: str, after: int) -> list[Change]:
+        """List the changes under a prefix after a revision.
+
+        Raises:
+            Compacted: The history asked for is gone.
+        """
+        self._expire()
+        if after < self._compacted:
+            raise Compacted("older changes are gone", step="standin.watch")
+        return self._collect(prefix, after + 1)
+
     def grant(self, ttl_s: float) -> int:
         """Take out a lease."""
         lease = self._rng.getrandbits(48) | 1
--- /dev/null
+++ b/src/foxtrestle/standins/site.py
@@ -0,0 +1,413 @@
+"""Stand-in of the users' platform: store, workers and hosts over HTTP, with faults on order.
+
+One process serves everything on loopback: the store and the host list on one address each, every
+worker on an address of its own.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import random
+import time
+from collections import Counter
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import TYPE_CHECKING, Any, Final
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from foxtrestle.listener import bind, listen
+from foxtrestle.platform.jobs import format_task, parse_task
+from foxtrestle.scheduling.model import Shape, TaskKey, WorkerInfo
+from foxtrestle.standins.keyvalue import Engine
+from foxtrestle.standins.worker import Refused, SimulatedWorker
+from foxtrestle.store import Compacted, Conflict, LeaseEnded, StoreError, Transaction
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+    from starlette.requests import Request
+
+    from foxtrestle.scheduling.model import EndKind
+    from foxtrestle.store import Record
+
+LOOPBACK: Final = "127.0.0.1"
+"""Where everything listens."""
+ROOM: Final = Shape(32_000, 131_072, 0)
+"""Room of a worker: 32 cores, 128 GB."""
+POLL_S: Final = 0.01
+"""Seconds between two looks of a waiting call."""
+
+
+class SiteFaults:
+    """What is wrong right now; set by tests."""
+
+    def __init__(self) -> None:
+        """Create faults that are all off."""
+        self.store_down = False
+        """Whether the store refuses every call with 503."""
+        self.store_silent = False
+        """Whether the store leaves every call unanswered."""
+        self.lost_writes = 0.0
+        """Share of transactions that take effect and are not answered."""
+        self.silent_workers: set[str] = set()
+        """Workers that do not answer; they go on running what they run."""
+        self.lost_starts = 0.0
+        """Share of starts that are not answered and carried out later."""
+        self.late_s = 0.5
+        """Seconds by which such a start is late."""
+        self.lost_host_orders = 0.0
+        """Share of host orders that take effect and are not answered."""
+
+
+class SimulatedHost(msgspec.Struct):
+    """A host of the stand-in."""
+
+    name: str
+    """Name of the host."""
+    pool: str
+    """Pool it is in."""
+    state: str = "up"
+    """As the platform lists it."""
+    worker: str = ""
+    """Id of its worker; empty while it has none."""
+    maintained: int = 0
+    """Times it was maintained."""
+
+
+class Site:
+    """The platform's state."""
+
+    def __init__(
+        self,
+        *,
+        room: Shape = ROOM,
+        describe: Callable[[TaskKey], tuple[Shape, float, EndKind]] | None = None,
+        reserve: str = "off",
+        seed: int = 0,
+    ) -> None:
+        """Create a platform without hosts.
+
+        Args:
+            room: Room of every worker.
+            describe: Size of a task, how long it works in ms, and how it ends.
+            reserve: Pool whose hosts are off.
+            seed: Seed of the faults.
+        """
+        self.faults = SiteFaults()
+        """What is wrong right now."""
+        self.engine = Engine(writes_per_s=0, reads_per_s=0)
+        """The store's state."""
+        self.workers: dict[str, SimulatedWorker] = {}
+        """Live workers by id."""
+        self.past_workers: list[SimulatedWorker] = []
+        """Workers whose life is over."""
+        self.hosts: dict[str, SimulatedHost] = {}
+        """Hosts by name."""
+        self.calls: Counter[str] = Counter()
+        """Calls by kind."""
+        self.host_orders: list[tuple[str, str, int]] = []
+        """Orders carried out: kind, host, token."""
+        self.store_address = ""
+        """Address of the store, once it is served."""
+        self.hosts_address = ""
+        """Address of the host list, once it is served."""
+        self._room = room
+        self._describe = describe or (lambda key: (Shape(1000, 100, 0), 50.0, "done"))
+        self._reserve = reserve
+        self._rng = random.Random(seed)
+        self._stack: AsyncExitStack | None = None
+        self._lives = 0
+        self._late: set[asyncio.Task[None]] = set()
+
+    # Operators.
+
+    def write(self, key: str, value: Any) -> None:
+        """Write a key as operators do."""
+        self.engine.commit(Transaction({}, {key: msgspec.json.encode(value)}))
+
+    # Workers and hosts.
+
+    async def add_host(self, name: str, pool: str) -> None:
+        """Add a host; it gets a worker unless its pool is off."""
+        host = SimulatedHost(name, pool)
+        self.hosts[name] = host
+        if pool != self._reserve:
+            await self._begin_life(host)
+
+    async def _begin_life(self, host: SimulatedHost) -> None:
+        assert self._stack is not None
+        self._lives += 1
+        worker_id = f"i-{self._lives:04d}"
+        socket = bind(LOOPBACK, 0)
+        address = f"{LOOPBACK}:{socket.getsockname()[1]}"
+        info = WorkerInfo(
+            worker_id, host.pool, address, "z", False, self._room, ("a", "r1"), host.name
+        )
+        worker = SimulatedWorker(info, lambda: time.monotonic() * 1000, self._describe)
+        await self._stack.enter_async_context(listen(self._build_worker(worker), [socket]))
+        self.workers[worker_id] = worker
+        host.worker = worker_id
+        self.write_entry(worker)
+
+    def write_entry(self, worker: SimulatedWorker, state: str = "ready") -> None:
+        """Write a worker's entry."""
+        info = worker.info
+        entry = {
+            "service": info.pool,
+            "address": info.address,
+            "zone": info.zone,
+            "state": state,
+            "capacity": {"cpu": info.room.cpu, "memMb": info.room.memory_mb, "gpu": info.room.gpu},
+            "labels": list(info.labels),
+            "machine": info.host,
+        }
+        self.write(f"servers/{info.id}", entry)
+
+    def end_life(self, worker_id: str, *, entry_goes: bool = True) -> None:
+        """End a worker's life with everything that runs there."""
+        worker = self.workers.pop(worker_id)
+        worker.dead = True
+        worker.running.clear()
+        self.past_workers.append(worker)
+        if entry_goes:
+            self.engine.commit(Transaction({}, {}, (f"servers/{worker_id}",)))
+
+    def list_workers(self) -> list[SimulatedWorker]:
+        """List all workers that ever lived."""
+        return [*self.workers.values(), *self.past_workers]
+
+    # Serving.
+
+    @asynccontextmanager
+    async def serve(self) -> AsyncIterator[Site]:
+        """Serve the store and the host list until the context ends."""
+        async with AsyncExitStack() as stack:
+            self._stack = stack
+            store, hosts = bind(LOOPBACK, 0), bind(LOOPBACK, 0)
+            self.store_address = f"{LOOPBACK}:{store.getsockname()[1]}"
+            self.hosts_address = f"{LOOPBACK}:{hosts.getsockname()[1]}"
+            await stack.enter_async_context(listen(self._build_store(), [store]))
+            await stack.enter_async_context(listen(self._build_hosts(), [hosts]))
+            yield self
+
+    def _build_store(self) -> Starlette:
+        def route(path: str, method: str, act: Callable[[Request], Awaitable[Response]]) -> Route:
+            async def answer(request: Request) -> Response:
+                self.calls[path] += 1
+                if self.faults.store_silent:
+                    await asyncio.sleep(3600)
+                if self.faults.store_down:
+                    return JSONResponse({"error": "try later"}, status_code=503)
+                try:
+                    return await act(request)
+                except Conflict as conflict:
+                    items = [_encode_item(record) for record in conflict.records.values()]
+                    return JSONResponse({"items": items}, status_code=412)
+                except LeaseEnded:
+                    return Response(status_code=404)
+                except Compacted:
+                    return Response(status_code=410)
+                except StoreError as error:
+                    return JSONResponse({"error": str(error)}, status_code=503)
+
+            return Route(f"/-/{path}", answer, methods=[method])
+
+        return Starlette(
+            routes=[
+                route("kv-key", "GET", self._get),
+                route("kv-range", "GET", self._range),
+                route("kv-watch", "GET", self._watch),
+                route("kv-txn", "POST", self._transact),
+                route("kv-lease", "POST", self._grant),
+                route("kv-keep/{lease:int}", "POST", self._keep),
+                route("kv-lease-end/{lease:int}", "DELETE", self._end_lease),
+            ]
+        )
+
+    async def _get(self, request: Request) -> Response:
+        record = self.engine.get(request.query_params["tlsKey"])
+        if record is None:
+            return Response(status_code=404)
+        return JSONResponse(_encode_item(record) | {"at": self.engine.revision})
+
+    async def _range(self, request: Request) -> Response:
+        after = request.query_params.get("dependsOn", "")
+        listing = self.engine.scan(request.query_params["pathPrefix"])
+        records = [record for record in listing.records if record.key > after]
+        page = [_encode_item(record) for record in records[:500]]
+        return JSONResponse({"items": page, "more": len(records) > 500, "at": listing.revision})
+
+    async def _watch(self, request: Request) -> Response:
+        query = request.query_params
+        deadline = time.monotonic() + int(query["waitMs"]) / 1000
+        while True:
+            changes = self.engine.list_changes(query["pathPrefix"], int(query["dependsOn"]))
+            if changes or time.monotonic() > deadline:
+                break
+            await asyncio.sleep(POLL_S)
+        events = [
+            _encode_item(change.record)
+            if change.record is not None
+            else {"tlsKey": change.key, "revision": change.revision, "gone": True}
+            for change in changes
+        ]
+        return JSONResponse({"events": events, "at": self.engine.revision})
+
+    async def _transact(self, request: Request) -> Response:
+        body = msgspec.json.decode(await request.body())
+        put = body.get("put", [])
+        transaction = Transaction(
+            conditions={row["tlsKey"]: row["revision"] for row in body.get("expectedRev", [])},
+            puts={row["tlsKey"]: base64.b64decode(row["value"]) for row in put},
+            removals=tuple(body.get("remove", [])),
+            lease=max((row.get("lease", 0) for row in put), default=0),
+            leased=frozenset(row["tlsKey"] for row in put if row.get("lease")),
+        )
+        entries = len(transaction.conditions) + len(transaction.puts) + len(transaction.removals)
+        if entries > 32:
+            return JSONResponse({"error": "over 32 entries"}, status_code=400)
+        revision = self.engine.commit(transaction)
+        if self._rng.random() < self.faults.lost_writes:
+            await asyncio.sleep(3600)
+        return JSONResponse({"revision": revision})
+
+    async def _grant(self, request: Request) -> Response:
+        ttl_ms = msgspec.json.decode(await request.body())["ttl_ms"]
+        return JSONResponse({"lease": self.engine.grant(ttl_ms / 1000), "ttl_ms": ttl_ms})
+
+    async def _keep(self, request: Request) -> Response:
+        kept = self.engine.keep_alive(request.path_params["lease"])
+        return JSONResponse({"ttl_ms": 0}) if kept else Response(status_code=404)
+
+    async def _end_lease(self, request: Request) -> Response:
+        self.engine.revoke(request.path_params["lease"])
+        return JSONResponse({})
+
+    def _build_worker(self, worker: SimulatedWorker) -> Starlette:
+        def route(path: str, act: Callable[[dict[str, Any]], Awaitable[dict[str, Any]]]) -> Route:
+            async def serve(request: Request) -> Response:
+                self.calls[path] += 1
+                if worker.info.id in self.faults.silent_workers:
+                    await asyncio.sleep(3600)
+                meant = request.headers.get("Foxtrestle-Target-Instance", worker.info.id)
+                if worker.dead or meant != worker.info.id:
+                    return Response(status_code=421)
+                body = msgspec.json.decode(await request.body())
+                try:
+                    answer, status = await act(body), 200
+                except Refused as refusal:
+                    answer, status = {"reason": str(refusal)}, 409
+                clock = {"clockMs": int(time.monotonic() * 1000)}
+                return JSONResponse(clock | answer, status_code=status)
+
+            return Route(f"/-/{path}", serve, methods=["POST"])
+
+        async def start(body: dict[str, Any]) -> dict[str, Any]:
+            def begin() -> None:
+                worker.start(
+                    parse_task(body["task"]),
+                    body["runId"],
+                    body["fencingToken"],
+                    body["expiresMs"],
+                    body["spec"],
+                )
+
+            if self._rng.random() < self.faults.lost_starts:
+                task = asyncio.create_task(self._carry_out_late(begin))
+                self._late.add(task)
+                await asyncio.sleep(3600)
+            begin()
+            return {}
+
+        async def stop(body: dict[str, Any]) -> dict[str, Any]:
+            worker.stop(parse_task(body["task"]), body["runId"], body["fencingToken"])
+            return {}
+
+        async def hold(body: dict[str, Any]) -> dict[str, Any]:
+            report = worker.hold(body["fencingToken"], body["lastSeen"], body.get("expiresMs"))
+            deadline = time.monotonic() + body.get("waitMs", 0) / 1000
+            while not report.ends and time.monotonic() < deadline and not worker.dead:
+                await asyncio.sleep(POLL_S)
+                report = worker.report()
+            return {
+                "running": [
+                    [format_task(one.key), one.run, one.checkpoint, one.percent, one.usage]
+                    for one in report.running
+                ],
+                "endTime": [
+                    [one.number, format_task(one.key), one.run, one.kind, one.checkpoint]
+                    for one in report.ends
+                ],
+            }
+
+        return Starlette(
+            routes=[route("run-start", start), route("run-stop", stop), route("hold", hold)]
+        )
+
+    async def _carry_out_late(self, begin: Callable[[], None]) -> None:
+        await asyncio.sleep(self.faults.late_s)
+        try:
+            begin()
+        except Refused:
+            self.calls["late start refused"] += 1
+
+    def _build_hosts(self) -> Starlette:
+        async def list_hosts(_: Request) -> Response:
+            machines = [
+                {
+                    "machine": host.name,
+                    "pool": host.pool,
+                    "state": host.state,
+                    "capacity": {"cpu": self._room.cpu, "memMb": self._room.memory_mb, "gpu": 0},
+                    "id": host.worker or None,
+                }
+                for host in self.hosts.values()
+            ]
+            return JSONResponse({"machines": machines, "nextToken": None})
+
+        async def order(request: Request) -> Response:
+            body = msgspec.json.decode(await request.body())
+            host = self.hosts.get(body["machine"])
+            if host is None:
+                return Response(status_code=400)
+            token = int(request.headers["Foxtrestle-Fencing-Token"])
+            if "wave" in body and host.maintained >= body["wave"]:
+                return JSONResponse({})
+            if host.state != "up":
+                return JSONResponse({"reason": "busy"}, status_code=409)
+            kind = "maintain" if "wave" in body else "move"
+            self.host_orders.append((kind, host.name, token))
+            task = asyncio.create_task(self._take_away(host, body.get("pool", host.pool), kind))
+            self._late.add(task)
+            if self._rng.random() < self.faults.lost_host_orders:
+                await asyncio.sleep(3600)
+            return JSONResponse({})
+
+        return Starlette(
+            routes=[
+                Route("/-/machines", list_hosts),
+                Route("/-/machine-move", order, methods=["POST"]),
+                Route("/-/machine-upkeep", order, methods=["POST"]),
+            ]
+        )
+
+    async def _take_away(self, host: SimulatedHost, pool: str, kind: str) -> None:
+        if host.worker in self.workers:
+            self.end_life(host.worker)
+        host.worker = ""
+        host.state = "upkeep" if kind == "maintain" else "moving"
+        host.maintained += kind == "maintain"
+        await asyncio.sleep(0.1)
+        host.pool = pool
+        host.state = "up"
+        if pool != self._reserve:
+            await self._begin_life(host)
+
+
+def _encode_item(record: Record) -> dict[str, Any]:
+    value = base64.b64encode(record.value).decode()
+    return {"tlsKey": record.key, "value": value, "revision": record.revision}
--- /dev/null
+++ b/src/foxtrestle/standins/worker.py
@@ -0,0 +1,158 @@
+"""A simulated worker of the users' platform: leases, fencing, runs and ends, without I/O.
+
+It follows the platform's published pages. Tests drive it directly, and `standins.site` serves it.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from foxtrestle.scheduling.model import EndedRun, RunningTask, Shape, WorkerInfo, WorkerReport
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from foxtrestle.scheduling.model import EndKind, TaskKey
+
+
+class Refused(Exception):
+    """The worker refuses an order; carries the reason."""
+
+
+class SimulatedRun(msgspec.Struct):
+    """A run under way."""
+
+    key: TaskKey
+    """The task."""
+    run: int
+    """Number of the run."""
+    shape: Shape
+    """What it takes."""
+    started_ms: float
+    """Worker's clock at its start."""
+    work_ms: float
+    """How long it works; infinite for lasting tasks."""
+    ends: EndKind = "done"
+    """How it ends by itself."""
+    text: str = ""
+    """Text that came with the start."""
+
+
+class SimulatedWorker:
+    """One life of a worker."""
+
+    def __init__(
+        self,
+        info: WorkerInfo,
+        clock_ms: Callable[[], float],
+        describe: Callable[[TaskKey], tuple[Shape, float, EndKind]],
+    ) -> None:
+        """Create a worker that runs nothing.
+
+        Args:
+            info: What it says of itself.
+            clock_ms: Its steady clock, milliseconds.
+            describe: Returns the size of a task, how long it works, and how it ends.
+        """
+        self.info = info
+        """What it says of itself."""
+        self.running: dict[tuple[TaskKey, int], SimulatedRun] = {}
+        """Runs under way."""
+        self.ends: list[EndedRun] = []
+        """Ends not acknowledged."""
+        self.noted: list[EndedRun] = []
+        """Ends that were acknowledged."""
+        self.highest_token = 0
+        """Highest token seen."""
+        self.starts: list[tuple[TaskKey, int, float]] = []
+        """Every run that was begun, with the clock."""
+        self.dead = False
+        """Whether this life is over."""
+        self._clock_ms = clock_ms
+        self._describe = describe
+        self._barred: dict[TaskKey, int] = {}
+        self._expires_ms = 0.0
+        self._next_end = 1
+
+    def start(self, key: TaskKey, run: int, token: int, expires_ms: float, text: str = "") -> None:
+        """Begin a run.
+
+        Raises:
+            Refused: The order is refused; its lease is taken over all the same for `old`, `room`.
+        """
+        self.advance()
+        self._fence(token)
+        if expires_ms <= self._clock_ms():
+            raise Refused("late")
+        self._expires_ms = max(self._expires_ms, expires_ms)
+        if (key, run) in self.running:
+            return
+        if run <= self._barred.get(key, 0):
+            raise Refused("old")
+        shape, work_ms, ends = self._describe(key)
+        if not self._fits(shape):
+            raise Refused("room")
+        now = self._clock_ms()
+        self.running[key, run] = SimulatedRun(key, run, shape, now, work_ms, ends, text)
+        self.starts.append((key, run, now))
+
+    def stop(self, key: TaskKey, run: int, token: int) -> None:
+        """Stop a run, and bar it if it is not there yet."""
+        self.advance()
+        self._fence(token)
+        if (key, run) in self.running:
+            self._end(key, run, "stopped")
+        self._barred[key] = max(self._barred.get(key, 0), run)
+
+    def hold(self, token: int, acknowledged: int, expires_ms: float | None) -> WorkerReport:
+        """Extend the lease, forget acknowledged ends, and tell what runs and has ended."""
+        self.advance()
+        self._fence(token)
+        if expires_ms is not None:
+            self._expires_ms = max(self._expires_ms, expires_ms)
+        self.noted += [end for end in self.ends if end.number <= acknowledged]
+        self.ends = [end for end in self.ends if end.number > acknowledged]
+        return self.report()
+
+    def report(self) -> WorkerReport:
+        """Tell what runs and what has ended."""
+        self.advance()
+        now = self._clock_ms()
+        running = tuple(
+            RunningTask(one.key, one.run, "", self._percent(one, now))
+            for one in self.running.values()
+        )
+        return WorkerReport(int(now), running, tuple(self.ends[:500]))
+
+    def _percent(self, run: SimulatedRun, now: float) -> int:
+        if run.work_ms == float("inf"):
+            return 100
+        return min(99, int(100 * (now - run.started_ms) / max(1.0, run.work_ms)))
+
+    def advance(self) -> None:
+        """End what has worked long enough, and everything once the lease is over."""
+        now = self._clock_ms()
+        for (key, run), one in list(self.running.items()):
+            if one.started_ms + one.work_ms <= min(now, self._expires_ms):
+                self._end(key, run, one.ends)
+        if now > self._expires_ms:
+            for key, run in list(self.running):
+                self._end(key, run, "lapsed")
+
+    def _end(self, key: TaskKey, run: int, kind: EndKind) -> None:
+        self.running.pop((key, run))
+        self._barred[key] = max(self._barred.get(key, 0), run)
+        self.ends.append(EndedRun(self._next_end, key, run, kind, ""))
+        self._next_end += 1
+
+    def _fence(self, token: int) -> None:
+        if token < self.highest_token:
+            raise Refused("fence")
+        self.highest_token = token
+
+    def _fits(self, shape: Shape) -> bool:
+        cpu = sum(one.shape.cpu for one in self.running.values()) + shape.cpu
+        memory = sum(one.shape.memory_mb for one in self.running.values()) + shape.memory_mb
+        return cpu <= self.info.room.cpu and memory <= self.info.room.memory_mb
--- /dev/null
+++ b/tests/test_control_machine.py
@@ -0,0 +1,247 @@
+"""A state machine over placement, lost and late orders, ends, takeover and unreachable workers.
+
+The machine plays a controller by the same pure functions that the program uses, simulated workers,
+and a store that holds what was recorded. Controllers lose their memory at a takeover.
+"""
+
+from __future__ import annotations
+
+import msgspec
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from foxtrestle.control.orders import CLOCK_DRIFT, HOLD_S, compute_lapse
+from foxtrestle.scheduling.model import Shape, Step, TaskKey
+from foxtrestle.scheduling.placing import choose_placements
+from foxtrestle.scheduling.progress import decode_progress, encode_progress, restore
+from foxtrestle.scheduling.runs import (
+    add_job,
+    confirm_run,
+    end_job,
+    place_run,
+    record_end,
+    release_steps,
+    release_worker,
+)
+from foxtrestle.scheduling.state import Fleet, JobEntry
+from foxtrestle.standins.worker import Refused, SimulatedWorker
+from tests.scheduling_fakes import make_configuration, make_job
+
+WORKERS = ("w0", "w1", "w2")
+TAKEOVER_WAIT_S = 13.0
+
+
+class ControlMachine(RuleBasedStateMachine):
+    """Controller, workers and store."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1000.0
+        self.term = 1
+        self.recorded: dict[str, bytes] = {}
+        self.jobs: dict[str, JobEntry] = {}
+        self.cancelled: set[str] = set()
+        self.late: list[tuple[str, TaskKey, int, int, float]] = []
+        self.unreachable: set[str] = set()
+        self.workers: dict[str, SimulatedWorker] = {}
+        self.max_ends: dict[str, int] = {}
+        self.completed: set[str] = set()
+
+    @initialize()
+    def begin(self) -> None:
+        self.fleet = Fleet(1)
+        self._set_up_fleet()
+        for name in WORKERS:
+            info = self.fleet.workers[name].info
+            self.workers[name] = SimulatedWorker(info, lambda: self.now * 1000, self._describe)
+
+    def _describe(self, key: TaskKey) -> tuple[Shape, float, str]:
+        return Shape(1000, 100, 0), 400.0 + 300.0 * key.number, "done"
+
+    def _set_up_fleet(self) -> None:
+        from tests.scheduling_fakes import add_worker
+
+        self.fleet.configuration = make_configuration()
+        for name in WORKERS:
+            worker = add_worker(self.fleet, name)
+            worker.known = False
+            worker.contact_at = -1e9
+            worker.lapse_at = self.now + TAKEOVER_WAIT_S if self.term > 1 else 0.0
+
+    # What the controller does.
+
+    def _record(self) -> None:
+        for job in list(self.fleet.dirty):
+            entry = self.fleet.jobs[job]
+            self.recorded[job] = encode_progress(entry)
+            if entry.state == "completed":
+                self.completed.add(job)
+        self.fleet.dirty.clear()
+
+    @rule(count=st.integers(1, 4), steps=st.integers(1, 2))
+    def submit(self, count: int, steps: int) -> None:
+        name = f"{len(self.jobs):016x}"
+        parts = [Step(count=count, shape=Shape(1000, 100))]
+        parts += [Step(count=1, depends_on=(0,), shape=Shape(1000, 100))] * (steps - 1)
+        entry = JobEntry(make_job(*parts, id=name), 1, self.now)
+        self.jobs[name] = entry
+        add_job(self.fleet, entry)
+
+    @rule(lost=st.sets(st.integers(0, 7)), late=st.booleans())
+    def place(self, lost: set[int], late: bool) -> None:
+        for entry in list(self.fleet.active.values()):
+            release_steps(entry, 0.0, self.now)
+        placed = []
+        for placement in choose_placements(self.fleet, self.now):
+            for task, worker in placement.members:
+                placed.append((task, place_run(self.fleet, task, worker, placement.run, self.now)))
+        self._record()
+        for number, (task, run) in enumerate(placed):
+            worker = self.fleet.workers[run.worker]
+            worker.lapse_at = max(worker.lapse_at, compute_lapse(self.now))
+            expires_ms = (self.now + HOLD_S) * 1000
+            if number in lost:
+                if late:
+                    self.late.append((run.worker, task.key, run.number, self.term, expires_ms))
+                continue
+            if run.worker in self.unreachable:
+                continue
+            try:
+                self.workers[run.worker].start(task.key, run.number, self.term, expires_ms)
+            except Refused:
+                continue
+            run.move("confirm")
+            run.confirmed_at = self.now
+
+    @rule(name=st.sampled_from(WORKERS))
+    def hold(self, name: str) -> None:
+        worker = self.fleet.workers[name]
+        if name in self.unreachable:
+            if worker.lapse_at and self.now > worker.lapse_at:
+                release_worker(self.fleet, worker, self.now)
+                self._record()
+            return
+        expires_ms = None
+        if worker.known:
+            expires_ms = (self.now + HOLD_S) * 1000
+            worker.lapse_at = max(worker.lapse_at, compute_lapse(self.now))
+        report = self.workers[name].hold(self.term, worker.acknowledged, expires_ms)
+        worker.contact_at = self.now
+        for one in report.ends:
+            if one.number > worker.seen_end:
+                worker.seen_end = one.number
+                record_end(self.fleet, worker, one, self.now)
+        listed = {(one.key, one.run) for one in report.running}
+        stops = [confirm_run(self.fleet, one, worker, self.now) for one in report.running]
+        for (key, number), run in list(worker.runs.items()):
+            if (key, number) in listed:
+                continue
+            if not worker.known or 0 < run.confirmed_at < self.now:
+                self._settle(name, key, number)
+            elif run.state == "recorded":
+                # An unanswered start: a stop bars what may still come.
+                self.workers[name].stop(key, number, self.term)
+                run.move("stop")
+                run.confirmed_at = self.now
+        for stop in stops:
+            if stop is not None:
+                self.workers[name].stop(stop.key, stop.run, self.term)
+        worker.known = True
+        self._record()
+        worker.acknowledged = worker.seen_end
+
+    def _settle(self, name: str, key: TaskKey, number: int) -> None:
+        from foxtrestle.scheduling.runs import drop_run, requeue
+
+        found = self.fleet.find_run(key, number)
+        if found is not None:
+            drop_run(found[0], number, self.fleet.workers[name])
+            requeue(self.fleet.jobs[key.job], found[0], self.now)
+            self.fleet.mark(key.job)
+
+    @precondition(lambda self: self.jobs)
+    @rule(data=st.data())
+    def cancel(self, data: st.DataObject) -> None:
+        name = data.draw(st.sampled_from(sorted(self.jobs)))
+        entry = self.fleet.jobs[name]
+        self.cancelled.add(name)
+        for stop in end_job(self.fleet, entry, "cancelled"):
+            if stop.worker not in self.unreachable:
+                self.workers[stop.worker].stop(stop.key, stop.run, self.term)
+        self._record()
+
+    # What goes wrong.
+
+    @rule()
+    def take_over(self) -> None:
+        self.term += 1
+        self.fleet = Fleet(self.term)
+        self._set_up_fleet()
+        for name, entry in self.jobs.items():
+            fresh = JobEntry(entry.job, 1, self.now)
+            add_job(self.fleet, fresh)
+            if name in self.recorded:
+                progress = decode_progress(self.recorded[name])
+                restore(self.fleet, fresh, progress, 0.0, self.now, self.fleet.workers.__getitem__)
+
+    @rule(seconds=st.floats(0.05, 6.0))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+        for worker in self.workers.values():
+            worker.advance()
+
+    @rule(name=st.sampled_from(WORKERS))
+    def cut_or_heal(self, name: str) -> None:
+        self.unreachable ^= {name}
+
+    @precondition(lambda self: self.late)
+    @rule()
+    def carry_out_late(self) -> None:
+        name, key, number, token, expires_ms = self.late.pop(0)
+        try:
+            self.workers[name].start(key, number, token, expires_ms)
+        except Refused:
+            return
+
+    # What must hold.
+
+    @invariant()
+    def no_task_runs_twice(self) -> None:
+        running: dict[TaskKey, str] = {}
+        for name, worker in self.workers.items():
+            for key, _ in worker.running:
+                assert key not in running, f"{key} on {running[key]} and {name}"
+                running[key] = name
+
+    @invariant()
+    def nothing_starts_after_its_end_was_noted(self) -> None:
+        for worker in self.workers.values():
+            for end in worker.noted:
+                if end.kind != "done":
+                    continue
+                for other in self.workers.values():
+                    running = [run for key, run in other.running if key == end.key]
+                    assert not running, f"{end.key} runs again after a noted end"
+
+    @invariant()
+    def completed_jobs_stay_completed(self) -> None:
+        for name in self.completed:
+            assert decode_progress(self.recorded[name]).state == "completed"
+            ended = {
+                end.key
+                for worker in self.workers.values()
+                for end in [*worker.noted, *worker.ends]
+                if end.kind == "done" and end.key.job == name
+            }
+            expected = sum(step.count for step in self.jobs[name].job.spec.steps)
+            assert len(ended) == expected
+
+
+def test_the_bound_after_a_takeover_covers_the_longest_lease() -> None:
+    assert compute_lapse(0.0) > HOLD_S * CLOCK_DRIFT
+    assert msgspec.json.encode(TAKEOVER_WAIT_S)
+
+
+TestControl = ControlMachine.TestCase
+TestControl.settings = settings(max_examples=120, stateful_step_count=40, deadline=None)
--- /dev/null
+++ b/tests/test_host_decisions.py
@@ -0,0 +1,200 @@
+"""Hosts: shares of pools, moves, waves, budgets of lasting tasks."""
+
+from __future__ import annotations
+
+import hypothesis.strategies as st
+from hypothesis import given
+
+from foxtrestle.scheduling.hosts import HostPlan, is_back, view_hosts
+from foxtrestle.scheduling.maintaining import (
+    choose_for_wave,
+    choose_stops,
+    count_absent,
+    count_away,
+)
+from foxtrestle.scheduling.model import HostInfo, RunningTask, Shape, Step, TaskKey, Wave
+from foxtrestle.scheduling.placing import choose_placements
+from foxtrestle.scheduling.runs import confirm_run, place_run
+from foxtrestle.scheduling.scaling import (
+    PoolLoad,
+    PoolNeed,
+    choose_drops,
+    choose_moves,
+    compute_needs,
+    share_hosts,
+)
+from foxtrestle.scheduling.state import Fleet, WaveEntry
+from tests.scheduling_fakes import NOW, ROOM, add_worker, enter, make_fleet, make_job
+
+
+def start_all(fleet: Fleet) -> None:
+    for placement in choose_placements(fleet, NOW):
+        for task, worker in placement.members:
+            place_run(fleet, task, worker, placement.run, NOW)
+            seen = RunningTask(task.key, placement.run, "", 100)
+            confirm_run(fleet, seen, worker, NOW)
+
+
+def add_off_host(fleet: Fleet, name: str) -> None:
+    fleet.hosts[name] = HostInfo(name, "off", "up", "z", (), ROOM, "")
+
+
+needs_strategy = st.dictionaries(
+    st.sampled_from("abcd"),
+    st.builds(
+        PoolNeed, demand=st.floats(0, 40), wanted=st.integers(0, 60), have=st.integers(0, 40)
+    ),
+    min_size=1,
+)
+
+
+@given(needs_strategy, st.integers(4, 60))
+def test_shares_never_exceed_what_there_is(needs: dict[str, PoolNeed], total: int) -> None:
+    shares = share_hosts(needs, total)
+    assert sum(shares.values()) <= total
+    assert all(share >= 0 for share in shares.values())
+
+
+def test_present_demand_goes_before_margins() -> None:
+    needs = {"busy": PoolNeed(9.5, 12, 4), "was-busy": PoolNeed(1.0, 20, 20)}
+    shares = share_hosts(needs, 12)
+    assert shares["busy"] >= 10
+
+
+def test_a_pool_in_need_gets_hosts_that_are_off_first() -> None:
+    fleet = make_fleet(2)
+    add_off_host(fleet, "spare")
+    enter(fleet, make_job(Step(count=12, shape=Shape(8000, 100))))
+    views = view_hosts(fleet)
+    moves = choose_moves(compute_needs(fleet, views, {}, NOW), views, "off", NOW)
+    assert [(move.host, move.pool) for move in moves] == [("spare", "main")]
+
+
+def test_an_idle_host_of_a_pool_with_too_many_goes_off() -> None:
+    fleet = make_fleet(3)
+    views = view_hosts(fleet)
+    moves = choose_moves(compute_needs(fleet, views, {}, NOW), views, "off", NOW)
+    assert len(moves) == 2
+    assert all(move.pool == "off" for move in moves)
+
+
+def test_a_host_with_lasting_tasks_is_not_moved() -> None:
+    fleet = make_fleet(2)
+    enter(fleet, make_job(Step(lasting=True)))
+    start_all(fleet)
+    [busy] = [worker for worker in fleet.workers.values() if worker.runs]
+    views = view_hosts(fleet)
+    moves = choose_moves({"main": PoolNeed(0.1, 1, 2)}, views, "off", NOW)
+    assert busy.info.host not in {move.host for move in moves}
+
+
+def test_a_move_that_is_not_needed_any_more_is_dropped_while_emptying() -> None:
+    fleet = make_fleet(2, ("main", "side"))
+    plan = HostPlan("h-w-main-0", "side", 0, "w-main-0", NOW)
+    fleet.plans[plan.host] = plan
+    needs = {"main": PoolNeed(1.5, 2, 1), "side": PoolNeed(0.5, 1, 3)}
+    assert choose_drops(needs, view_hosts(fleet), "off") == [plan.host]
+    plan.move("empty", NOW)
+    assert choose_drops(needs, view_hosts(fleet), "off") == []
+
+
+def test_a_host_in_maintenance_does_not_count_as_serving() -> None:
+    fleet = make_fleet(1)
+    fleet.plans["h-w-main-0"] = HostPlan("h-w-main-0", "main", 1, "w-main-0", NOW)
+    needs = compute_needs(fleet, view_hosts(fleet), {}, NOW)
+    assert needs["main"].have == 0
+
+
+def test_peak_forgets_what_is_past_the_window() -> None:
+    load = PoolLoad()
+    for at, demand in [(0.0, 5.0), (1.0, 2.0), (2.0, 3.0)]:
+        load.note(at, demand)
+    assert load.peak(2.0, 4.0) == 5.0
+    assert load.peak(2.0, 1.5) == 3.0
+    load.note(7.0, 0.0)
+    assert load.peak(7.0, 4.0) == 0.0
+
+
+def wave(hosts: list[str], most: int, within_s: float = 30.0) -> WaveEntry:
+    return WaveEntry(Wave(1, tuple(hosts), within_s, most), 1)
+
+
+def test_a_wave_never_takes_more_hosts_than_its_limit() -> None:
+    fleet = make_fleet(6)
+    entry = wave(list(fleet.hosts), 2)
+    chosen = choose_for_wave(entry, view_hosts(fleet), {"main": 99.0}, 0.0)
+    assert len(chosen) == 2
+    for view in chosen:
+        fleet.plans[view.info.name] = HostPlan(view.info.name, "main", 1, "", NOW)
+    assert choose_for_wave(entry, view_hosts(fleet), {"main": 99.0}, 0.0) == []
+
+
+def test_a_wave_takes_hosts_that_are_off_before_those_that_serve() -> None:
+    fleet = make_fleet(2)
+    add_off_host(fleet, "spare")
+    chosen = choose_for_wave(wave(list(fleet.hosts), 1), view_hosts(fleet), {"main": 9.0}, 0.0)
+    assert [view.info.name for view in chosen] == ["spare"]
+
+
+def test_a_wave_leaves_a_pool_what_it_needs_until_time_runs_short() -> None:
+    fleet = make_fleet(2)
+    entry = wave(list(fleet.hosts), 2)
+    assert choose_for_wave(entry, view_hosts(fleet), {"main": 0.0}, 0.0) == []
+    assert len(choose_for_wave(entry, view_hosts(fleet), {"main": 0.0}, 20.0)) == 2
+
+
+def test_hosts_ordered_and_hosts_listed_both_count_as_away() -> None:
+    fleet = make_fleet(3)
+    names = list(fleet.hosts)
+    entry = wave(names, 3)
+    plan = HostPlan(names[0], "main", 1, "", NOW)
+    fleet.plans[names[0]] = plan
+    assert count_away(entry, view_hosts(fleet)) == 0
+    plan.move("empty", NOW)
+    held = fleet.hosts[names[1]]
+    fleet.hosts[names[1]] = HostInfo(held.name, "main", "upkeep", "z", (), ROOM, "")
+    assert count_away(entry, view_hosts(fleet)) == 2
+
+
+def test_a_host_is_back_with_its_next_worker_and_not_before() -> None:
+    fleet = make_fleet(1)
+    plan = HostPlan("h-w-main-0", "main", 1, "w-main-0", NOW)
+    fleet.plans[plan.host] = plan
+    assert not is_back(view_hosts(fleet)[plan.host], 2.0, NOW + 1)
+    add_worker(fleet, "next", host=plan.host)
+    assert is_back(view_hosts(fleet)[plan.host], 2.0, NOW + 1)
+
+
+def test_only_as_many_lasting_tasks_are_stopped_as_may_be_absent() -> None:
+    fleet = make_fleet(1)
+    entry = enter(fleet, make_job(Step(count=5, lasting=True, max_absent=2)))
+    start_all(fleet)
+    worker = next(iter(fleet.workers.values()))
+    stops = choose_stops(fleet, worker, 0.0, 2.0, NOW)
+    assert len(stops) == 2
+    for stop in stops:
+        entry.tasks[stop.key].runs[stop.run].move("stop")
+    assert count_absent(fleet, TaskKey(entry.job.id, 0, 0, 0)) == 2
+    assert choose_stops(fleet, worker, 9.0, 2.0, NOW + 9) == []
+
+
+def test_a_lasting_task_that_is_not_at_work_uses_up_the_budget() -> None:
+    fleet = make_fleet(2)
+    entry = enter(fleet, make_job(Step(count=3, lasting=True, max_absent=1, max_per_worker=2)))
+    start_all(fleet)
+    [lone] = [worker for worker in fleet.workers.values() if len(worker.runs) == 1]
+    [(key, number)] = lone.runs
+    confirm_run(fleet, RunningTask(key, number, "", 10), lone, NOW)
+    other = next(worker for worker in fleet.workers.values() if worker is not lone)
+    assert choose_stops(fleet, other, 0.0, 2.0, NOW) == []
+    assert entry.state == "running"
+
+
+def test_tasks_that_save_progress_are_stopped_at_once_others_later() -> None:
+    fleet = make_fleet(1)
+    enter(fleet, make_job(Step(checkpoints=True), Step()))
+    start_all(fleet)
+    worker = next(iter(fleet.workers.values()))
+    stops = choose_stops(fleet, worker, 0.0, 1.0, NOW + 1.5)
+    assert [stop.key.step for stop in stops] == [0]
+    assert len(choose_stops(fleet, worker, 99.0, 1.0, NOW + 1.5)) == 2
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,328 @@
+"""Whole nodes against the stand-in of the platform, over real sockets on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import pytest
+
+from foxtrestle.listener import bind
+from foxtrestle.node.process import Node
+from foxtrestle.node.settings import Bounds, NodeSettings
+from foxtrestle.scheduling.model import Shape, TaskKey
+from foxtrestle.standins.site import Site
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+QUEUE = {"name": "r", "host": "jobs.example", "pathPrefix": "/q/", "service": "main",
+         "targetLatencyMs": 600, "maxAttempts": 2, "stretch": 1.6}  # fmt: skip
+CONFIGURATION = {
+    "version": 1,
+    "routes": [QUEUE],
+    "services": [{"name": "main"}, {"name": "off", "headroom": True}],
+}
+
+
+@pytest.fixture(autouse=True)
+def short_times(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("foxtrestle.node.process.LOOK_AWAY_S", 0.1)
+    monkeypatch.setattr("foxtrestle.control.hosts.LIST_S", 0.1)
+    monkeypatch.setattr("foxtrestle.node.health.PROBE_S", 0.1)
+
+
+def free_address() -> str:
+    socket = bind("127.0.0.1", 0)
+    address = f"127.0.0.1:{socket.getsockname()[1]}"
+    socket.close()
+    return address
+
+
+class RunningNode:
+    """A node served in this process."""
+
+    def __init__(self, site: Site, name: str) -> None:
+        self.settings = NodeSettings(
+            name=name,
+            zone="z",
+            client_address=free_address(),
+            ready_address=free_address(),
+            store_address=site.store_address,
+            hosts_address=site.hosts_address,
+            bounds=Bounds(turn_s=0.1, move_s=0.1, maintenance_s=0.1, save_s=0.1),
+        )
+        self.node = Node(self.settings)
+        self.stop = asyncio.Event()
+        self.task = asyncio.create_task(self.node.serve(self.stop))
+
+    async def kill(self) -> None:
+        """End it without a word, as a loss of power would."""
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+
+class Client:
+    """A client of the nodes."""
+
+    def __init__(self, session: aiohttp.ClientSession, nodes: list[RunningNode]) -> None:
+        self.session = session
+        self.nodes = nodes
+
+    async def call(
+        self, method: str, path: str, body: Any = None, node: int = 0
+    ) -> tuple[int, Any]:
+        url = f"http://{self.nodes[node].settings.client_address}{path}"
+        headers = {"Host": "jobs.example"}
+        async with self.session.request(method, url, json=body, headers=headers) as response:
+            read = await response.json() if response.content_type == "application/json" else None
+            return response.status, read
+
+    async def submit(self, name: str, *steps: dict[str, Any], node: int = 0) -> int:
+        body = {"spec": "text", "steps": list(steps) or [{"count": 1, "cpu": 1000}]}
+        return (await self.call("POST", f"/q/{name}", body, node))[0]
+
+    async def state(self, name: str, node: int = 0) -> str:
+        status, body = await self.call("GET", f"/q/{name}", node=node)
+        return body["state"] if status == 200 else str(status)
+
+
+async def wait_for(condition: Callable[[], Any], seconds: float = 15.0) -> None:
+    async with asyncio.timeout(seconds):
+        while True:
+            result = condition()
+            if asyncio.iscoroutine(result):
+                result = await result
+            if result:
+                return
+            await asyncio.sleep(0.02)
+
+
+@asynccontextmanager
+async def running(
+    site: Site, nodes: int = 1, hosts: int = 2
+) -> AsyncIterator[tuple[Client, list[RunningNode]]]:
+    async with AsyncExitStack() as stack:
+        await stack.enter_async_context(site.serve())
+        site.write("op/config", CONFIGURATION)
+        for number in range(hosts):
+            await site.add_host(f"h{number}", "main")
+        started = [RunningNode(site, f"n{number}") for number in range(nodes)]
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        for one in started:
+            stack.push_async_callback(one.kill)
+        for one in started:
+            await wait_for(
+                lambda one=one: getattr(one.node, "health", None) and one.node.is_ready()
+            )
+        yield Client(session, started), started
+
+
+def name(number: int) -> str:
+    return f"{number:016x}"
+
+
+def count_starts(site: Site) -> Counter[TaskKey]:
+    return Counter(key for worker in site.list_workers() for key, _, _ in worker.starts)
+
+
+async def test_a_job_is_accepted_run_step_by_step_and_completed() -> None:
+    site = Site()
+    async with running(site) as (client, _):
+        steps = {"count": 3, "cpu": 1000}, {"count": 2, "cpu": 1000, "dependsOn": [0]}
+        assert await client.submit(name(1), *steps) == 200
+        await wait_for(lambda: is_state(client, name(1), "completed"))
+        assert set(count_starts(site).values()) == {1}
+        assert len(count_starts(site)) == 5
+        assert await client.submit(name(1), *steps) == 200, "the same job again is no second one"
+        await asyncio.sleep(0.3)
+        assert len(count_starts(site)) == 5
+
+
+async def is_state(client: Client, job: str, state: str, node: int = 0) -> bool:
+    return await client.state(job, node) == state
+
+
+async def test_unknown_queues_jobs_and_bodies_are_told_apart() -> None:
+    async with running(Site()) as (client, _):
+        assert (await client.call("POST", f"/none/{name(1)}", {}))[0] == 404
+        assert (await client.call("GET", f"/q/{name(9)}"))[0] == 410
+        assert (await client.call("DELETE", f"/q/{name(9)}"))[0] == 410
+        assert (await client.call("POST", f"/q/{name(1)}", {"steps": []}))[0] == 400
+        assert await client.call("GET", "/q/") == (200, {"pending": 0})
+
+
+async def test_a_cancelled_lasting_job_stops_and_stays_stopped() -> None:
+    site = Site(describe=lambda key: (Shape(1000, 100), float("inf"), "done"))
+    async with running(site) as (client, _):
+        await client.submit(name(1), {"count": 3, "cpu": 1000, "longRunning": True})
+        await wait_for(lambda: len(count_starts(site)) == 3)
+        assert (await client.call("DELETE", f"/q/{name(1)}"))[0] == 200
+        await wait_for(lambda: not any(worker.running for worker in site.workers.values()))
+        assert await client.state(name(1)) == "cancelled"
+        assert (await client.call("DELETE", f"/q/{name(1)}"))[0] == 200
+
+
+async def test_while_the_store_is_away_jobs_are_refused_and_running_work_goes_on() -> None:
+    site = Site(describe=lambda key: (Shape(1000, 100), float("inf"), "done"))
+    async with running(site) as (client, nodes):
+        await client.submit(name(1), {"count": 2, "cpu": 1000, "longRunning": True})
+        await wait_for(lambda: len(count_starts(site)) == 2)
+        site.faults.store_down = True
+        await wait_for(lambda: not nodes[0].node.is_ready())
+        assert await client.submit(name(2)) == 503
+        await asyncio.sleep(1.0)
+        assert sum(len(worker.running) for worker in site.workers.values()) == 2
+        site.faults.store_down = False
+        await wait_for(nodes[0].node.is_ready)
+        assert await client.state(name(2)) == "410", "what was refused never ran"
+        assert set(count_starts(site).values()) == {1}
+
+
+async def test_a_write_without_an_answer_is_not_called_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("foxtrestle.node.process.STORE_TIMEOUT_S", 0.2)
+    site = Site()
+    async with running(site) as (client, _):
+        site.faults.lost_writes = 1.0
+        status = await client.submit(name(1))
+        assert status in {200, 504}
+        site.faults.lost_writes = 0.0
+        await wait_for(lambda: is_state(client, name(1), "completed"))
+        assert set(count_starts(site).values()) == {1}
+
+
+async def test_lost_answers_of_the_store_run_nothing_twice(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("foxtrestle.node.process.STORE_TIMEOUT_S", 0.2)
+    site = Site(seed=3)
+    async with running(site) as (client, _):
+        site.faults.lost_writes = 0.3
+        for number in range(6):
+            await client.submit(name(number), {"count": 3, "cpu": 1000})
+        site.faults.lost_writes = 0.0
+        for number in range(6):
+            await wait_for(lambda number=number: is_state(client, name(number), "completed"))
+        assert set(count_starts(site).values()) == {1}
+
+
+async def test_starts_carried_out_late_run_nothing_twice() -> None:
+    site = Site(seed=5, describe=lambda key: (Shape(1000, 100), 400.0, "done"))
+    site.faults.late_s = 1.2
+    async with running(site) as (client, _):
+        site.faults.lost_starts = 0.4
+        for number in range(4):
+            await client.submit(name(number), {"count": 4, "cpu": 1000})
+        for number in range(4):
+            await wait_for(lambda number=number: is_state(client, name(number), "completed"))
+        await asyncio.sleep(1.5)
+        ends = Counter(
+            end.key
+            for worker in site.list_workers()
+            for end in [*worker.noted, *worker.ends]
+            if end.kind == "done"
+        )
+        assert set(ends.values()) == {1}
+
+
+async def test_another_node_takes_over_and_restarts_nothing_that_runs() -> None:
+    site = Site(describe=lambda key: (Shape(1000, 100), 2500.0, "done"))
+    async with running(site, nodes=2) as (client, nodes):
+        await client.submit(name(1), {"count": 4, "cpu": 1000})
+        await wait_for(lambda: len(count_starts(site)) == 4)
+        holder = 0 if nodes[0].node.controller is not None else 1
+        await nodes[holder].kill()
+        await client.submit(name(2), node=1 - holder)
+        await wait_for(lambda: is_state(client, name(1), "completed", 1 - holder))
+        await wait_for(lambda: is_state(client, name(2), "completed", 1 - holder))
+        assert set(count_starts(site).values()) == {1}
+
+
+async def test_a_planned_stop_hands_control_over_at_once() -> None:
+    site = Site()
+    async with running(site, nodes=2) as (client, nodes):
+        await wait_for(lambda: any(one.node.controller for one in nodes))
+        holder = 0 if nodes[0].node.controller is not None else 1
+        nodes[holder].stop.set()
+        await wait_for(lambda: nodes[1 - holder].node.controller, 1.5)
+        assert await client.submit(name(1), node=1 - holder) == 200
+        await wait_for(lambda: is_state(client, name(1), "completed", 1 - holder))
+
+
+async def test_a_lock_taken_from_outside_ends_the_term() -> None:
+    site = Site()
+    async with running(site, nodes=2) as (client, nodes):
+        await wait_for(lambda: any(one.node.controller for one in nodes))
+        [first] = [one.node.controller for one in nodes if one.node.controller]
+        lease = site.engine._lease_of["foxtrestle/control/lock"]
+        site.engine.revoke(lease)
+        await wait_for(
+            lambda: any(
+                one.node.controller and one.node.controller.fleet.term > first.fleet.term
+                for one in nodes
+            )
+        )
+        await client.submit(name(1))
+        await wait_for(lambda: is_state(client, name(1), "completed"))
+
+
+async def test_a_crashed_worker_s_tasks_run_elsewhere_once_it_has_lapsed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("foxtrestle.control.orders.HOLD_S", 2.0)
+    site = Site(describe=lambda key: (Shape(20_000, 100), 1500.0, "done"))
+    async with running(site) as (client, _):
+        await client.submit(name(1), {"count": 2, "cpu": 20_000})
+        await wait_for(lambda: len(count_starts(site)) == 2)
+        lost = next(iter(site.workers))
+        site.faults.silent_workers.add(lost)
+        await wait_for(lambda: is_state(client, name(1), "completed"))
+        running_times = count_starts(site)
+        assert sorted(running_times.values()) == [1, 2]
+
+
+async def test_a_wave_maintains_every_host_within_its_limit() -> None:
+    site = Site(describe=lambda key: (Shape(1000, 100), float("inf"), "done"))
+    async with running(site, hosts=3) as (client, _):
+        await client.submit(name(1), {"count": 3, "cpu": 1000, "longRunning": True, "may_miss": 1})
+        await wait_for(lambda: len(count_starts(site)) == 3)
+        hosts = list(site.hosts)
+        site.write("op/wave/1", {"wave": 1, "machines": hosts, "withinS": 4, "upperLimit": 2})
+        await wait_for(lambda: read_wave(site) == b'{"state":"completed"}')
+        assert all(host.maintained == 1 for host in site.hosts.values())
+        await wait_for(lambda: sum(len(worker.running) for worker in site.workers.values()) == 3)
+
+
+def read_wave(site: Site) -> bytes:
+    record = site.engine.get("status/wave/1")
+    return record.value if record is not None else b""
+
+
+async def test_host_orders_without_an_answer_are_settled() -> None:
+    site = Site(seed=1)
+    site.faults.lost_host_orders = 0.6
+    async with running(site, hosts=2) as (_, _nodes):
+        site.write(
+            "op/wave/1", {"wave": 1, "machines": list(site.hosts), "withinS": 3, "upperLimit": 1}
+        )
+        await wait_for(lambda: read_wave(site) == b'{"state":"completed"}', 25)
+        assert all(host.maintained == 1 for host in site.hosts.values())
+
+
+async def test_a_new_configuration_is_in_force_and_an_old_one_never_again() -> None:
+    site = Site()
+    async with running(site) as (client, _):
+        route = QUEUE | {"name": "new", "pathPrefix": "/new/"}
+        site.write("op/config", CONFIGURATION | {"version": 2, "routes": [route]})
+        await wait_for(lambda: is_call(client, "/new/", 200))
+        assert (await client.call("POST", f"/q/{name(1)}", {}))[0] == 404
+        site.write("op/config", CONFIGURATION)
+        await asyncio.sleep(0.3)
+        assert (await client.call("GET", "/new/"))[0] == 200
+
+
+async def is_call(client: Client, path: str, status: int) -> bool:
+    return (await client.call("GET", path))[0] == status
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,117 @@
+"""Where waiting tasks run."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import msgspec
+import pytest
+
+from foxtrestle.scheduling.model import Shape, Step
+from foxtrestle.scheduling.placing import SILENCE_S, choose_placements, order_jobs
+from foxtrestle.scheduling.runs import place_run
+from tests.scheduling_fakes import NOW, add_worker, enter, make_fleet, make_job
+
+if TYPE_CHECKING:
+    from foxtrestle.scheduling.state import Fleet
+
+
+def place(fleet: Fleet) -> list[str]:
+    names = []
+    for placement in choose_placements(fleet, NOW):
+        for task, worker in placement.members:
+            place_run(fleet, task, worker, placement.run, NOW)
+            names.append(worker.info.id)
+    return names
+
+
+def test_room_is_never_exceeded() -> None:
+    fleet = make_fleet(2)
+    enter(fleet, make_job(Step(count=30, shape=Shape(5000, 20_000))))
+    assert len(place(fleet)) == 12
+    for worker in fleet.workers.values():
+        assert worker.used.cpu <= worker.info.room.cpu
+        assert worker.used.memory_mb <= worker.info.room.memory_mb
+
+
+def test_tasks_are_packed_so_that_hosts_come_free() -> None:
+    fleet = make_fleet(3)
+    enter(fleet, make_job(Step(count=6, shape=Shape(5000, 100))))
+    assert len(set(place(fleet))) == 1
+
+
+def test_tasks_that_fill_take_no_cpu_room() -> None:
+    fleet = make_fleet(1)
+    enter(fleet, make_job(Step(count=10, fills=True, shape=Shape(30_000, 100))))
+    assert len(place(fleet)) == 10
+
+
+def test_spread_limit_counts_what_runs_already() -> None:
+    fleet = make_fleet(2)
+    enter(fleet, make_job(Step(count=6, max_per_worker=2)))
+    assert Counter(place(fleet)) == Counter({"w-main-0": 2, "w-main-1": 2})
+    assert place(fleet) == []
+
+
+def test_a_required_label_is_needed() -> None:
+    fleet = make_fleet(1)
+    add_worker(fleet, "special", labels=("b", "r2"))
+    enter(fleet, make_job(Step(count=2, label="b")))
+    assert set(place(fleet)) == {"special"}
+
+
+def test_the_rack_with_the_data_goes_first() -> None:
+    fleet = make_fleet(2)
+    add_worker(fleet, "near", labels=("a", "r9"))
+    enter(fleet, make_job(Step(data_rack="r9")))
+    assert place(fleet) == ["near"]
+
+
+def test_a_gang_is_placed_whole_or_not_at_all() -> None:
+    fleet = make_fleet(2)
+    enter(fleet, make_job(Step(count=3, gang=True, shape=Shape(20_000, 100))))
+    assert place(fleet) == []
+    add_worker(fleet, "third")
+    assert len(set(place(fleet))) == 3
+
+
+def test_a_gang_that_is_slower_over_racks_stays_in_one() -> None:
+    fleet = make_fleet(1)
+    for name in ("a", "b"):
+        add_worker(fleet, name, labels=("k", "r7"))
+    enter(fleet, make_job(Step(count=2, gang=True, same_rack=True, shape=Shape(20_000, 100))))
+    assert set(place(fleet)) == {"a", "b"}
+
+
+@pytest.mark.parametrize("fault", ["gone", "cordoned", "silent", "unknown", "draining", "full"])
+def test_an_unfit_worker_gets_nothing(fault: str) -> None:
+    fleet = make_fleet(1)
+    worker = next(iter(fleet.workers.values()))
+    if fault == "silent":
+        worker.contact_at = NOW - SILENCE_S - 0.1
+    elif fault == "unknown":
+        worker.known = False
+    elif fault == "draining":
+        worker.info = msgspec.structs.replace(worker.info, draining=True)
+    elif fault == "full":
+        worker.full_until = NOW + 1
+    else:
+        setattr(worker, fault, True)
+    enter(fleet, make_job())
+    assert place(fleet) == []
+
+
+def test_a_worker_that_failed_several_jobs_is_avoided() -> None:
+    fleet = make_fleet(2)
+    fleet.workers["w-main-0"].failed_jobs = {"x", "y"}
+    enter(fleet, make_job(Step(count=2)))
+    assert set(place(fleet)) == {"w-main-1"}
+
+
+def test_more_urgent_jobs_go_first_then_older_ones() -> None:
+    fleet = make_fleet(1)
+    low = enter(fleet, make_job(id="a" * 16, priority=1))
+    old = enter(fleet, make_job(id="b" * 16, accepted_ms=5))
+    new = enter(fleet, make_job(id="c" * 16, accepted_ms=9))
+    assert order_jobs([low, new, old]) == [old, new, low]
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,125 @@
+"""The adapter: what the platform says, decoded once, with clear errors."""
+
+from __future__ import annotations
+
+import re
+
+import msgspec
+import pytest
+from returns.result import Failure, Success
+
+from foxtrestle.platform.http import MalformedAnswer
+from foxtrestle.platform.jobs import (
+    InvalidJob,
+    decode_job,
+    format_task,
+    is_job_id,
+    parse_task,
+)
+from foxtrestle.platform.operators import decode_configuration, decode_wave
+from foxtrestle.platform.settings import parse_settings
+from foxtrestle.platform.workers import decode_worker
+from foxtrestle.scheduling.model import Shape, TaskKey
+
+SETTINGS = """
+nodeName = "entry-1"
+zone = "z"
+unknown = 7
+[listenAddrs]
+front = "127.0.0.1:8001"
+ready = "127.0.0.1:8002"
+[platform]
+address = "127.0.0.1:8003"
+ttl_min_ms = 1500
+[bounds]
+graceS = 7
+stop_ms = 400
+"""
+
+
+def test_a_job_is_decoded_into_our_words() -> None:
+    body = msgspec.json.encode(
+        {
+            "spec": "text",
+            "steps": [
+                {"count": 4, "cpu": 500, "memMb": 256, "affinity": "r1-3", "antiAffinity": 2},
+                {"count": 1, "dependsOn": [0], "longRunning": True, "may_miss": 1, "new": 1},
+            ],
+        }
+    )
+    spec = decode_job(body)
+    first, second = spec.steps
+    assert first.shape == Shape(500, 256, 0)
+    assert (first.data_rack, first.max_per_worker) == ("r1-3", 2)
+    assert (second.depends_on, second.lasting, second.max_absent) == ((0,), True, 1)
+
+
+@pytest.mark.parametrize(
+    ("body", "place"),
+    [
+        (b"{", "truncated"),
+        (b'{"steps":[{"count":"x"}]}', "$.steps[0].count"),
+        (b'{"steps":[]}', "steps"),
+        (b'{"steps":[{"count":0}]}', "steps[0].count"),
+        (b'{"steps":[{"dependsOn":[0]}]}', "steps[0].dependsOn"),
+        (b'{"steps":[{"count":1}],"spec":"' + b"x" * 4001 + b'"}', "spec"),
+    ],
+)
+def test_a_malformed_job_names_its_place(body: bytes, place: str) -> None:
+    with pytest.raises((MalformedAnswer, InvalidJob), match=re.escape(place)):
+        decode_job(body)
+
+
+def test_task_names_go_both_ways() -> None:
+    key = TaskKey("5c0e7a21d94b36f8", 0, 1, 17)
+    assert parse_task(format_task(key)) == key
+    assert is_job_id(key.job)
+    assert not is_job_id("x" * 16)
+    assert not is_job_id("abc")
+
+
+def test_the_configuration_is_decoded_into_queues_and_pools() -> None:
+    value = msgspec.json.encode(
+        {
+            "version": 7,
+            "routes": [
+                {
+                    "name": "r", "host": "h", "pathPrefix": "/p/", "service": "s",
+                    "targetLatencyMs": 600, "maxAttempts": 4, "stretch": 1.6,
+                    "advice": {"decide_ms": 5},
+                }
+            ],
+            "services": [{"name": "s", "rejectsOverload": False}, {"name": "o", "headroom": True}],
+        }
+    )  # fmt: skip
+    configuration = decode_configuration(value, 12)
+    [queue] = configuration.queues
+    assert (queue.pool, queue.max_attempts, queue.advised) == ("s", 4, True)
+    assert not configuration.pools["s"].guards_room
+    assert configuration.pools["o"].reserve
+    assert configuration.revision == 12
+
+
+def test_a_malformed_configuration_or_wave_names_its_place() -> None:
+    with pytest.raises(MalformedAnswer, match=r"routes\[0\]"):
+        decode_configuration(b'{"version":1,"routes":[{"name":"r"}]}', 1)
+    with pytest.raises(MalformedAnswer, match="machines"):
+        decode_wave("op/wave/1", b'{"wave":1,"withinS":2,"upperLimit":1}')
+
+
+def test_a_draining_worker_is_told_from_a_ready_one() -> None:
+    value = b'{"service":"s","address":"1.2.3.4:5","state":"draining","machine":"m","new":1}'
+    info = decode_worker("servers/i-1", value)
+    assert (info.id, info.host, info.draining) == ("i-1", "m", True)
+
+
+def test_settings_ignore_what_they_do_not_know_and_name_what_is_wrong() -> None:
+    result = parse_settings(SETTINGS)
+    assert isinstance(result, Success)
+    settings = result.unwrap()
+    assert settings.bounds.stop_grace_s == 7
+    assert settings.bounds.stop_task_s == 0.4
+    assert settings.lease_min_s == 1.5
+    broken = parse_settings(SETTINGS.replace('front = "127.0.0.1:8001"', "front = 1"))
+    assert isinstance(broken, Failure)
+    assert "front" in str(broken.failure()[0])
