Read the configuration anew after a gap, and answer only while it is current

Change: after a failed watch the newest configuration is read; a watch is lost by silence, not by length; a node whose watch is silent for 2 s refuses and is not ready.

--- a/src/foxtrestle/node/operators.py
+++ b/src/foxtrestle/node/operators.py
@@ -25,6 +25,9 @@
     from foxtrestle.scheduling.model import FleetConfiguration, Queue, Wave
     from foxtrestle.store import Record
 
+CURRENT_S: Final = 2.0
+"""Seconds after the last answer for which the configuration counts as current: the watch answers
+every second, and a new version must be in force two to three seconds after it was written."""
 RETRY_S: Final = 0.2
 """Mean pause after a failed read, seconds."""
 
@@ -60,8 +63,14 @@
                 revision = 0
             except StoreError as error:
                 outage.note_failure(error)
+                # What was written meanwhile may be many versions; only the newest matters.
+                revision = 0
                 await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
 
+    def is_current(self) -> bool:
+        """Tell whether no change can have gone unheard for long."""
+        return time.monotonic() - self.answered_at < CURRENT_S
+
     async def _read_all(self) -> int:
         listing = await self._store.scan(OPERATORS)
         self.answered_at = time.monotonic()
--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -59,6 +59,7 @@
         return (
             not self.stopping
             and self.operators.configuration is not None
+            and self.operators.is_current()
             and not self.health.away
         )  # fmt: skip
 
--- a/src/foxtrestle/platform/front.py
+++ b/src/foxtrestle/platform/front.py
@@ -48,11 +48,12 @@
     async def handle(request: Request) -> Response:
         path = request.url.path
         host = request.headers.get("host", "").split(":")[0]
-        if operators.configuration is None:
+        if operators.configuration is None or not operators.is_current():
+            # What was known may be out of date; a refusal is true either way.
             return _refuse()
         queue = operators.find_queue(host, path)
         if queue is None:
-            return _refuse() if is_store_away() else Response(status_code=404)
+            return Response(status_code=404)
         name = path.removeprefix(queue.prefix)
         try:
             if not name and request.method == "GET":
--- a/src/foxtrestle/platform/http.py
+++ b/src/foxtrestle/platform/http.py
@@ -70,14 +70,28 @@
     body: bytes | None = None,
     headers: Mapping[str, str] = {},
     query: Mapping[str, str] | None = None,
+    silence_s: float | None = None,
 ) -> Reply:
     """Make one call and read its whole answer.
 
+    Args:
+        session: Session of this process.
+        method: HTTP method.
+        url: Where to.
+        step: Name of the step, for errors.
+        timeout_s: Most seconds for the whole call.
+        body: Body to send.
+        headers: Headers beside those of the session.
+        query: Query of the URL.
+        silence_s: Most seconds without a byte; None for no such limit.
+
     Raises:
         CallError: The call was not carried out.
         NoAnswer: The call may have been carried out.
     """
-    timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+    timeout = aiohttp.ClientTimeout(
+        total=timeout_s, sock_connect=CONNECT_TIMEOUT_S, sock_read=silence_s
+    )
     sent = {**JSON_HEADERS, **headers} if body is not None else dict(headers)
     try:
         async with session.request(
--- a/src/foxtrestle/platform/store.py
+++ b/src/foxtrestle/platform/store.py
@@ -29,7 +29,8 @@
 change was heard of for 20 s), so this bounds how long a change stays unheard; a return is one
 priced call."""
 WATCH_MARGIN_S: Final = 0.8
-"""Seconds beyond the wait after which a watch counts as lost."""
+"""Seconds without a byte beyond the wait after which a watch counts as lost. A long answer over a
+thin link takes longer, and goes on."""
 
 SCAN_TIMEOUT_S: Final = 6.0
 """Seconds for one page of a listing: 1 MB takes 1.7 s over the thinnest links (5 Mbit/s), and other
@@ -127,7 +128,11 @@
             "waitMs": str(int(WATCH_WAIT_S * 1000)),
         }
         reply = await self._call(
-            "GET", "kv-watch", query=query, timeout_s=WATCH_WAIT_S + WATCH_MARGIN_S
+            "GET",
+            "kv-watch",
+            query=query,
+            timeout_s=WATCH_WAIT_S + SCAN_TIMEOUT_S,
+            silence_s=WATCH_WAIT_S + WATCH_MARGIN_S,
         )
         events = decode(reply.body, _Events, step="store.watch", peer=self._base)
         return [_to_change(item) for item in events.events], max(after, events.at)
@@ -190,6 +195,7 @@
         body: bytes | None = None,
         query: dict[str, str] | None = None,
         timeout_s: float | None = None,
+        silence_s: float | None = None,
     ) -> Reply:
         step = f"store.{path.split('/', maxsplit=1)[0]}"
         try:
@@ -201,6 +207,7 @@
                 timeout_s=timeout_s or self._timeout_s,
                 body=body,
                 query=query,
+                silence_s=silence_s,
             )
         except NoAnswer as error:
             raise OutcomeUnknown(error.reason, step=step, peer=self._base) from error
