Ask the policy service ahead of need, and pace tasks that fill beside tasks that serve

Cause: the contracts in force name queues with advice and tasks with a latency target; neither was carried out, so such jobs would never start, or serving tasks be harmed. Change: scheduling/pacing (pure), platform/advice, control/advisor; a start carries its ticket.

--- /dev/null
+++ b/src/foxtrestle/control/advisor.py
@@ -0,0 +1,84 @@
+"""Permissions of the policy service, asked for ahead of need, one call at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Final
+
+from foxtrestle.control.log import Outage, log
+from foxtrestle.platform.http import CallError
+from foxtrestle.scheduling.placing import is_usable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from foxtrestle.platform.advice import AdviceCalls
+    from foxtrestle.scheduling.model import TaskKey
+    from foxtrestle.scheduling.state import Fleet
+
+RENEW_MARGIN_S: Final = 0.5
+"""Seconds before its end at which a permission is not used any more: a start takes a few
+milliseconds, and is sent again for at most as long."""
+RETRY_S: Final = 0.2
+"""Seconds before a failed call is made again."""
+IDLE_S: Final = 0.05
+"""Seconds between two looks for steps that need permissions."""
+
+
+class Advisor:
+    """Asks for the permissions of steps whose queue has a policy."""
+
+    def __init__(self, fleet: Fleet, calls: AdviceCalls, wake: Callable[[], None]) -> None:
+        """Create an advisor without permissions."""
+        self._fleet = fleet
+        self._calls = calls
+        self._wake = wake
+
+    async def run(self) -> None:
+        """Ask for what is missing, until cancelled."""
+        outage = Outage("advice", "advisor")
+        while True:
+            needed = self._find_needed(time.monotonic())
+            if needed is None:
+                await asyncio.sleep(IDLE_S)
+                continue
+            key, workers = needed
+            asked_at = time.monotonic()
+            try:
+                advice = await self._calls.ask(key, workers)
+            except CallError as error:
+                outage.note_failure(error)
+                await asyncio.sleep(RETRY_S)
+                continue
+            outage.note_success()
+            # The permissions may have been issued as early as the call was sent.
+            until = asked_at + advice.valid_s - RENEW_MARGIN_S
+            held = self._fleet.tickets.setdefault((key.job, key.repetition, key.step), {})
+            held.update({worker: (advice.tickets.get(worker, ""), until) for worker in workers})
+            log("advice.taken", job=key.job, step=key.step, asked=len(workers),
+                allowed=len(advice.tickets), valid_s=advice.valid_s)  # fmt: skip
+            self._wake()
+
+    def _find_needed(self, now: float) -> tuple[TaskKey, list[str]] | None:
+        """Find the oldest waiting step with workers it has no fresh answer for."""
+        configuration = self._fleet.configuration
+        if configuration is None:
+            return None
+        advised = {queue.name for queue in configuration.queues if queue.advised}
+        for entry in self._fleet.active.values():
+            if entry.job.queue not in advised:
+                continue
+            for task in entry.ready.values():
+                key = task.key
+                held = self._fleet.tickets.get((key.job, key.repetition, key.step), {})
+                missing = [
+                    worker.info.id
+                    for worker in self._fleet.workers.values()
+                    if worker.info.pool == entry.job.pool
+                    and is_usable(worker, now)
+                    and held.get(worker.info.id, ("", 0.0))[1] < now
+                ]
+                if missing:
+                    return key, missing
+        return None
--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from foxtrestle.control.advisor import Advisor
 from foxtrestle.control.hosts import HostOrders
 from foxtrestle.control.keys import CANCELS, ENDED, INBOX, JOBS, PROGRESS
 from foxtrestle.control.ledger import Ledger
@@ -31,6 +32,7 @@
     from foxtrestle.control.ownership import Term
     from foxtrestle.node.operators import OperatorMirror
     from foxtrestle.node.settings import NodeSettings
+    from foxtrestle.platform.advice import AdviceCalls
     from foxtrestle.platform.hosts import HostCalls
     from foxtrestle.platform.store import PlatformStore
     from foxtrestle.platform.workers import WorkerCalls
@@ -62,8 +64,10 @@
         workers: WorkerCalls,
         hosts: HostCalls,
         operators: OperatorMirror,
+        advice: AdviceCalls | None = None,
     ) -> None:
         """Create the controller of a term."""
+        self._advice = advice
         self.fleet = Fleet(term.number)
         """What it knows."""
         self._term = term
@@ -101,6 +105,8 @@
             self._hosts.run(),
             self._forget(),
         ]
+        if self._advice is not None:
+            loops.append(Advisor(self.fleet, self._advice, self.wake).run())
         async with AsyncExitStack() as stack:
             tasks = [asyncio.create_task(loop) for loop in loops]
             stack.push_async_callback(self._close, tasks)
@@ -305,7 +311,7 @@
             return
         link = WorkerLink(
             self.fleet, worker, self._term, self._calls, self._ledger, self._orders,
-            self.wake, self._lose_worker,
+            self.wake, self._lose_worker, self._settings.bounds.pace_s,
         )  # fmt: skip
         task = asyncio.create_task(link.run())
         task.add_done_callback(self._note_link_end)
--- a/src/foxtrestle/control/ledger.py
+++ b/src/foxtrestle/control/ledger.py
@@ -157,6 +157,8 @@
             self._archive(entry)
 
     def _archive(self, entry: JobEntry) -> None:
+        for where in [where for where in self._fleet.tickets if where[0] == entry.job.id]:
+            del self._fleet.tickets[where]
         entry.archived = True
         log("job.ended", job=entry.job.id, queue=entry.job.queue, state=entry.state,
             took_s=round(time.monotonic() - entry.created_at, 3))  # fmt: skip
--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -10,6 +10,7 @@
 from foxtrestle.control.orders import compute_expiry_ms, compute_lapse
 from foxtrestle.platform.http import CallError
 from foxtrestle.platform.workers import OrderRefused, OtherLife
+from foxtrestle.scheduling.pacing import choose_paces
 from foxtrestle.scheduling.placing import HOLD_WAIT_S
 from foxtrestle.scheduling.runs import confirm_run, drop_run, record_end, requeue
 
@@ -53,6 +54,7 @@
         orders: Orders,
         wake: Callable[[], None],
         lose_worker: Callable[[Worker, str], None],
+        pace_s: float,
     ) -> None:
         """Create a link that has not called yet."""
         self._fleet = fleet
@@ -63,6 +65,7 @@
         self._orders = orders
         self._wake = wake
         self._lose_worker = lose_worker
+        self._pace_s = pace_s
         self._unrecorded = False
         self._silent = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -155,6 +158,8 @@
                 self._wake()
         for stop in stops:
             self._spawn_stop(stop)
+        for pace in choose_paces(self._fleet, worker, self._pace_s, now):
+            self._spawn(self._orders.pace(pace, worker))
         if report.ends or jobs:
             self._wake()
             await self._record({end.key.job for end in report.ends}, report)
--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -18,6 +18,7 @@
     from foxtrestle.control.ownership import Term
     from foxtrestle.platform.workers import WorkerCalls
     from foxtrestle.scheduling.model import TaskKey
+    from foxtrestle.scheduling.pacing import PaceOrder
     from foxtrestle.scheduling.runs import StopOrder
     from foxtrestle.scheduling.state import Fleet, Run, Task, Worker
 
@@ -77,8 +78,9 @@
     async def start(self, task: Task, run: Run, worker: Worker) -> None:
         """Start a run that is recorded."""
         entry = self._fleet.jobs[task.key.job]
+        ticket = self._fleet.find_ticket(task.key, worker.info.id, time.monotonic())
         order = StartOrder(
-            task.key, run.number, entry.job.spec.text, self._term.number, task.checkpoint
+            task.key, run.number, entry.job.spec.text, self._term.number, task.checkpoint, ticket
         )
         sent = False
         for _ in range(ATTEMPTS):
@@ -139,7 +141,11 @@
             self._confirm(run)
             self._stop_later(task, run, worker)
             return True
-        worker.full_until = time.monotonic() + FULL_PAUSE_S
+        if reason == "ticket":
+            key = task.key
+            self._fleet.tickets.pop((key.job, key.repetition, key.step), None)
+        else:
+            worker.full_until = time.monotonic() + FULL_PAUSE_S
         self._drop(task, run, worker)
         return True
 
@@ -183,6 +189,22 @@
         if await self._send_stop(worker, task.key, run.number):
             run.confirmed_at = time.monotonic()
 
+    async def pace(self, order: PaceOrder, worker: Worker) -> None:
+        """Change a run's pace; a failed order is decided anew after the next report."""
+        found = self._fleet.find_run(order.key, order.run)
+        if found is None or not self._term.is_valid():
+            return
+        try:
+            await self._calls.pace(
+                worker.info, order.key, order.run, order.percent, self._term.number, CALL_TIMEOUT_S
+            )
+        except (OrderRefused, OtherLife, CallError) as error:
+            log("pace.failed", worker=worker.info.id, job=order.key.job, reason=error.reason)
+        else:
+            found[1].pace = order.percent
+            log("run.paced", worker=worker.info.id, job=order.key.job, step=order.key.step,
+                index=order.key.number, run=order.run, percent=order.percent)  # fmt: skip
+
     async def _send_stop(self, worker: Worker, key: TaskKey, number: int) -> bool:
         for _ in range(ATTEMPTS):
             if not self._term.is_valid():
--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -18,6 +18,7 @@
 from foxtrestle.node.health import StoreHealth
 from foxtrestle.node.intake import Intake
 from foxtrestle.node.operators import OperatorMirror
+from foxtrestle.platform.advice import AdviceCalls
 from foxtrestle.platform.front import build_front, build_ready
 from foxtrestle.platform.hosts import HostCalls
 from foxtrestle.platform.http import open_session
@@ -72,13 +73,16 @@
             session = await stack.enter_async_context(open_session())
             store = PlatformStore(settings.store_address, session, STORE_TIMEOUT_S)
             workers = WorkerCalls(session)
+            advice = None
+            if settings.advice_address:
+                advice = AdviceCalls(settings.advice_address, session)
             hosts = HostCalls(settings.hosts_address, settings.name, session, STORE_TIMEOUT_S)
             self.operators = OperatorMirror(store, self._wake_controller)
             self.health = StoreHealth(store)
 
             async def control(term: Term) -> None:
                 self.controller = Controller(
-                    term, settings, store, workers, hosts, self.operators
+                    term, settings, store, workers, hosts, self.operators, advice
                 )  # fmt: skip
                 try:
                     await self.controller.run()
--- a/src/foxtrestle/platform/front.py
+++ b/src/foxtrestle/platform/front.py
@@ -26,6 +26,7 @@
 
     from foxtrestle.node.intake import Intake
     from foxtrestle.node.operators import OperatorMirror
+    from foxtrestle.scheduling.model import Queue
 
 RETRY_AFTER_S: Final = 1
 """Seconds after which a refused client is asked to come back; the least the header can say."""
@@ -56,18 +57,7 @@
             return Response(status_code=404)
         name = path.removeprefix(queue.prefix)
         try:
-            if not name and request.method == "GET":
-                return Response(encode_pending(await intake.count_pending(queue)), media_type=JSON)
-            if not is_job_id(name):
-                return Response(status_code=404)
-            if request.method == "POST":
-                if is_store_away():
-                    return _refuse(job=name)
-                outcome = await intake.submit(queue, name, decode_job(await request.body()))
-                return _answer(STATUSES[outcome])
-            if request.method == "DELETE":
-                return Response(status_code=200 if await intake.cancel(name) else 410)
-            state = await intake.read_state(name)
+            return await answer(request, queue, name)
         except (MalformedAnswer, InvalidJob) as error:
             log("job.malformed", job=name, reason=str(error))
             return Response(str(error), status_code=400)
@@ -77,10 +67,27 @@
         except StoreError as error:
             log("request.refused", job=name, method=request.method, reason=error.reason)
             return _refuse()
+
+    async def answer(request: Request, queue: Queue, name: str) -> Response:
+        if not name and request.method == "GET":
+            return Response(encode_pending(await intake.count_pending(queue)), media_type=JSON)
+        if not is_job_id(name):
+            return Response(status_code=404)
+        if request.method == "POST":
+            return await submit(request, queue, name)
+        if request.method == "DELETE":
+            return Response(status_code=200 if await intake.cancel(name) else 410)
+        state = await intake.read_state(name)
         if state is None:
             return Response(status_code=410)
         return Response(encode_state(state), media_type=JSON)
 
+    async def submit(request: Request, queue: Queue, name: str) -> Response:
+        if is_store_away():
+            return _refuse(job=name)
+        outcome = await intake.submit(queue, name, decode_job(await request.body()))
+        return _answer(STATUSES[outcome])
+
     return Starlette(routes=[Route("/{path:path}", handle, methods=["GET", "POST", "DELETE"])])
 
 
--- a/src/foxtrestle/scheduling/placing.py
+++ b/src/foxtrestle/scheduling/placing.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import TYPE_CHECKING, Final
+from functools import partial
+from typing import TYPE_CHECKING, Final, TypeAlias
 
 import msgspec
 
 from foxtrestle.scheduling.model import Shape
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from foxtrestle.scheduling.model import Step
     from foxtrestle.scheduling.state import Fleet, JobEntry, Task, Worker
 
+Allow: TypeAlias = "Callable[[Task, Worker], bool]"
+"""Tells whether a policy lets a task run on a worker."""
 SUSPECT_JOBS: Final = 2
 """Jobs that failed on a worker, without a success between, after which it is avoided. One failure
 may be the job's own fault; two jobs failing in a row by chance is rare (0.2 % x 0.2 %)."""
@@ -65,6 +68,14 @@
     )
 
 
+def _always(task: Task, worker: Worker) -> bool:
+    return True
+
+
+def _has_ticket(fleet: Fleet, now: float, task: Task, worker: Worker) -> bool:
+    return bool(fleet.find_ticket(task.key, worker.info.id, now))
+
+
 def order_jobs(entries: Iterable[JobEntry]) -> list[JobEntry]:
     """Order jobs by priority, and within one by when they are due."""
 
@@ -83,16 +94,23 @@
     for worker in fleet.workers.values():
         if is_usable(worker, now):
             by_pool.setdefault(worker.info.pool, []).append(worker)
+    advised = {queue.name for queue in fleet.configuration.queues if queue.advised}
     claims = _Claims()
     placements: list[Placement] = []
     for entry in order_jobs(fleet.active.values()):
         workers = by_pool.get(entry.job.pool, [])
-        if workers:
-            placements += _place_job(entry, workers, claims)
+        if not workers:
+            continue
+        allow = _always
+        if entry.job.queue in advised:
+            allow = partial(_has_ticket, fleet, now)
+        placements += _place_job(entry, workers, claims, allow)
     return placements
 
 
-def _place_job(entry: JobEntry, workers: list[Worker], claims: _Claims) -> list[Placement]:
+def _place_job(
+    entry: JobEntry, workers: list[Worker], claims: _Claims, allow: Allow
+) -> list[Placement]:
     placements: list[Placement] = []
     gangs: set[tuple[int, int]] = set()
     tasks = sorted(entry.ready.values(), key=lambda task: (-task.step.shape.cpu, task.key))
@@ -102,11 +120,11 @@
         if task.step.gang:
             if (key.repetition, key.step) not in gangs:
                 gangs.add((key.repetition, key.step))
-                placements += _place_gang(entry, task, workers, claims)
+                placements += _place_gang(entry, task, workers, claims, allow)
             continue
         if key.step in refused:
             continue
-        worker = choose_worker(task, entry, workers, claims)
+        worker = choose_worker(task, workers, claims, allow)
         if worker is None:
             refused.add(key.step)
             continue
@@ -116,7 +134,7 @@
 
 
 def _place_gang(
-    entry: JobEntry, task: Task, workers: list[Worker], claims: _Claims
+    entry: JobEntry, task: Task, workers: list[Worker], claims: _Claims, allow: Allow
 ) -> list[Placement]:
     """Place a gang whole, in one rack if it is slower over several and a rack has the room."""
     where = (task.key.repetition, task.key.step)
@@ -132,7 +150,7 @@
         racks = sorted({label for worker in workers for label in worker.info.labels})
         groups = [[w for w in workers if rack in w.info.labels] for rack in racks] + groups
     for group in groups:
-        chosen = _choose_all(entry, members, group, claims)
+        chosen = _choose_all(members, group, claims, allow)
         if chosen:
             run = max(member.starts for member in members) + 1
             return [Placement(entry.job.id, run, tuple(chosen))]
@@ -140,14 +158,14 @@
 
 
 def _choose_all(
-    entry: JobEntry, members: list[Task], workers: list[Worker], claims: _Claims
+    members: list[Task], workers: list[Worker], claims: _Claims, allow: Allow
 ) -> list[tuple[Task, Worker]]:
     tried = _Claims()
     tried.used = dict(claims.used)
     tried.spread = claims.spread.copy()
     chosen: list[tuple[Task, Worker]] = []
     for member in members:
-        worker = choose_worker(member, entry, workers, tried)
+        worker = choose_worker(member, workers, tried, allow)
         if worker is None:
             return []
         tried.add(member, worker)
@@ -158,13 +176,13 @@
 
 
 def choose_worker(
-    task: Task, entry: JobEntry, workers: list[Worker], claims: _Claims
+    task: Task, workers: list[Worker], claims: _Claims, allow: Allow
 ) -> Worker | None:
     """Choose the worker for one task: near its data, trusted, and with the least room to spare."""
     best: Worker | None = None
     best_rank: tuple[bool, bool, int, str] | None = None
     for worker in workers:
-        if not _may_run(task, entry, worker, claims):
+        if not _may_run(task, worker, claims) or not allow(task, worker):
             continue
         rank = _rank(task.step, worker, claims)
         if best_rank is None or rank < best_rank:
@@ -180,7 +198,7 @@
     return suspect, far, left, worker.info.id
 
 
-def _may_run(task: Task, entry: JobEntry, worker: Worker, claims: _Claims) -> bool:
+def _may_run(task: Task, worker: Worker, claims: _Claims) -> bool:
     step = task.step
     if step.label and step.label not in worker.info.labels:
         return False
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -31,6 +31,7 @@
     __slots__ = (
         "confirmed_at",
         "number",
+        "pace",
         "percent",
         "placed_at",
         "progressed_at",
@@ -55,6 +56,8 @@
         """Share of the work done, as last reported; -1 before the first report."""
         self.progressed_at = placed_at
         """Monotonic time at which `percent` last changed, seconds."""
+        self.pace = 100
+        """Share of its speed at which it may work, percent."""
         self.usage = 0
         """What the worker last told of its use, see `RunningTask.usage`."""
 
@@ -293,6 +296,9 @@
         """Waves by number."""
         self.plans: dict[str, HostPlan] = {}
         """What is to become of hosts, by host."""
+        self.tickets: dict[tuple[str, int, int], dict[str, tuple[str, float]]] = {}
+        """Permissions of steps by worker, each with the monotonic time of its end; an empty text
+        says that the worker may not run the step."""
         self.dirty: dict[str, None] = {}
         """Ids of jobs whose progress must be recorded, oldest change first."""
 
@@ -310,6 +316,12 @@
             for (key, _), run in list(held.runs.items()):
                 yield key, run
 
+    def find_ticket(self, key: TaskKey, worker: str, now: float) -> str:
+        """Return a permission that holds now; empty if there is none."""
+        held = self.tickets.get((key.job, key.repetition, key.step), {})
+        ticket, until = held.get(worker, ("", 0.0))
+        return ticket if now < until else ""
+
     def mark(self, job: str) -> None:
         """Have a job's progress recorded."""
         self.dirty[job] = None
