Explain a job from its id, serve counters and histograms, check every start once more

Cause: on-call engineers have only logs and metrics; a fault in the decisions would have reached a worker unchecked. Change: foxtrestle explain, control/measures on the ready address and port 9464, scheduling/checks before each start and maintenance (counted, logged, the act stopped).

--- a/src/foxtrestle/cli.py
+++ b/src/foxtrestle/cli.py
@@ -16,6 +16,7 @@
 
 from foxtrestle import VERSION
 from foxtrestle.errors import FoxtrestleError
+from foxtrestle.explain import describe, find_cause, parse_lines, select_story
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -363,6 +364,31 @@
     print(call(server, "GET", "/v1/configuration")["text"], end="")
 
 
+@app.command
+def explain(subject: str, *files: Path, as_json: Json = False) -> None:
+    """Tell what happened to a job, worker, host or wave, from the nodes' logs.
+
+    Args:
+        subject: Its id, name or number.
+        files: Log files of all nodes; standard input if there are none.
+        as_json: Print the lines instead of sentences.
+    """
+    texts = [line for file in files for line in file.read_text(encoding="utf-8").splitlines()]
+    story = select_story(parse_lines(texts if files else sys.stdin), subject)
+    if not story:
+        print(f"foxtrestle: no line tells of {subject!r}", file=sys.stderr)
+        sys.exit(EXIT_FAULT)
+    if as_json:
+        for line in story:
+            print(json.dumps(line))
+        return
+    for line in story:
+        at = time.strftime("%H:%M:%S", time.gmtime(float(line["timestamp"])))
+        print(f"{at}.{int(float(line['timestamp']) % 1 * 1000):03d} {describe(line)}")
+    if any(line.get("job") == subject for line in story):
+        print(f"cause: {find_cause(story)}")
+
+
 _EXIT_BY_STATUS: Final = {
     0: EXIT_UNREACHABLE,
     400: EXIT_USAGE,
--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -16,9 +16,11 @@
 from foxtrestle.control.ledger import Ledger
 from foxtrestle.control.link import LAPSED, WorkerLink
 from foxtrestle.control.log import Outage, log
+from foxtrestle.control.measures import Measures
 from foxtrestle.control.orders import CLOCK_DRIFT, HOLD_S, LAPSE_MARGIN_S, Orders
 from foxtrestle.control.ownership import GRACE_WITHOUT_STORE_S, LEASE_S
 from foxtrestle.platform.workers import ENTRIES, CallError, decode_worker
+from foxtrestle.scheduling.checks import check_start
 from foxtrestle.scheduling.model import Job, Shape, WorkerInfo
 from foxtrestle.scheduling.placing import choose_placements
 from foxtrestle.scheduling.progress import decode_progress, restore
@@ -65,9 +67,11 @@
         hosts: HostCalls,
         operators: OperatorMirror,
         advice: AdviceCalls | None = None,
+        measures: Measures | None = None,
     ) -> None:
         """Create the controller of a term."""
         self._advice = advice
+        self._measures = measures or Measures()
         self.fleet = Fleet(term.number)
         """What it knows."""
         self._term = term
@@ -76,7 +80,7 @@
         self._calls = workers
         self._operators = operators
         self._started_at = time.monotonic()
-        self._ledger = Ledger(store, self.fleet, term)
+        self._ledger = Ledger(store, self.fleet, term, self._measures)
         self._orders = Orders(self.fleet, term, workers, self.wake, self._lose_worker)
         self._hosts = HostOrders(
             self.fleet,
@@ -311,7 +315,7 @@
             return
         link = WorkerLink(
             self.fleet, worker, self._term, self._calls, self._ledger, self._orders,
-            self.wake, self._lose_worker, self._settings.bounds.pace_s,
+            self.wake, self._lose_worker, self._settings.bounds.pace_s, self._measures,
         )  # fmt: skip
         task = asyncio.create_task(link.run())
         task.add_done_callback(self._note_link_end)
@@ -367,6 +371,13 @@
     def _carry_out(self, placement: Placement, now: float) -> None:
         starts = []
         for task, worker in placement.members:
+            broken = check_start(self.fleet, task, worker)
+            if broken:
+                log("check.stopped", promise=broken, job=placement.job, step=task.key.step,
+                    index=task.key.number, run=placement.run, worker=worker.info.id)  # fmt: skip
+                self._measures.note_violation(broken)
+                continue
+            self._measures.note_start(worker.info.pool, now - task.waiting_since)
             run = place_run(self.fleet, task, worker, placement.run, now)
             starts.append((task, run, worker))
             log("run.placed", job=placement.job, rep=task.key.repetition, step=task.key.step,
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -14,6 +14,7 @@
 from foxtrestle.platform.hosts import HostRefused
 from foxtrestle.platform.http import CallError
 from foxtrestle.platform.operators import WAVE_STATUS, encode_wave_status
+from foxtrestle.scheduling.checks import check_maintenance
 from foxtrestle.scheduling.hosts import HostPlan, is_back, view_hosts
 from foxtrestle.scheduling.maintaining import (
     choose_for_wave,
@@ -194,7 +195,7 @@
             return
         if plan.wave:
             entry = self._fleet.waves[plan.wave]
-            if count_away(entry, views) >= entry.wave.max_parallel:
+            if check_maintenance(entry, view, count_away(entry, views)):
                 return
         if worker is not None:
             worker.cordoned = True
--- a/src/foxtrestle/control/ledger.py
+++ b/src/foxtrestle/control/ledger.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from foxtrestle.control.measures import Measures
     from foxtrestle.control.ownership import Term
     from foxtrestle.platform.store import PlatformStore
     from foxtrestle.scheduling.state import Fleet, JobEntry
@@ -41,13 +42,14 @@
 class Ledger:
     """Writes what has changed about jobs, and tells when it is recorded."""
 
-    def __init__(self, store: PlatformStore, fleet: Fleet, term: Term) -> None:
+    def __init__(self, store: PlatformStore, fleet: Fleet, term: Term, measures: Measures) -> None:
         """Create the ledger of a term."""
         self.away_since = 0.0
         """Monotonic time since which the store has not answered; 0 while it does."""
         self._store = store
         self._fleet = fleet
         self._term = term
+        self._measures = measures
         self._outage = Outage("store", "ledger")
         self._changed = asyncio.Event()
         self._waiting: dict[str, list[asyncio.Future[None]]] = {}
@@ -160,8 +162,10 @@
         for where in [where for where in self._fleet.tickets if where[0] == entry.job.id]:
             del self._fleet.tickets[where]
         entry.archived = True
+        took_s = time.monotonic() - entry.created_at
+        self._measures.note_job(entry.job.queue, entry.state, took_s)
         log("job.ended", job=entry.job.id, queue=entry.job.queue, state=entry.state,
-            took_s=round(time.monotonic() - entry.created_at, 3))  # fmt: skip
+            took_s=round(took_s, 3))  # fmt: skip
         if not entry.has_runs():
             self._fleet.jobs.pop(entry.job.id, None)
 
--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -18,6 +18,7 @@
     from collections.abc import Callable
 
     from foxtrestle.control.ledger import Ledger
+    from foxtrestle.control.measures import Measures
     from foxtrestle.control.orders import Orders
     from foxtrestle.control.ownership import Term
     from foxtrestle.platform.workers import WorkerCalls
@@ -55,6 +56,7 @@
         wake: Callable[[], None],
         lose_worker: Callable[[Worker, str], None],
         pace_s: float,
+        measures: Measures,
     ) -> None:
         """Create a link that has not called yet."""
         self._fleet = fleet
@@ -66,6 +68,7 @@
         self._wake = wake
         self._lose_worker = lose_worker
         self._pace_s = pace_s
+        self._measures = measures
         self._unrecorded = False
         self._silent = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -142,6 +145,7 @@
             jobs.add(end.key.job)
             log("run.ended", job=end.key.job, rep=end.key.repetition, step=end.key.step,
                 index=end.key.number, run=end.run, how=end.kind, worker=worker.info.id)  # fmt: skip
+            self._measures.note_end(end.kind)
             stops += record_end(self._fleet, worker, end, now)
         for seen in report.running:
             stop = confirm_run(self._fleet, seen, worker, now)
--- /dev/null
+++ b/src/foxtrestle/control/measures.py
@@ -0,0 +1,67 @@
+"""Counters and latency histograms of a node, served in Prometheus's text form."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+CONTENT_TYPE: Final = "text/plain; version=0.0.4"
+BUCKETS_S: Final = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0]
+"""Upper ends of the histograms' buckets, seconds: from one answer of the store to a lease."""
+
+
+class Measures:
+    """Everything a node counts; labels take few values."""
+
+    def __init__(self) -> None:
+        """Create measures that are all zero."""
+        self._registry = Registry()
+        self._requests = self._histogram("request_seconds", "Clients' requests.")
+        self._starts = self._histogram("start_wait_seconds", "Waits of tasks for a worker.")
+        self._jobs = self._histogram("job_seconds", "Jobs from the controller's view.")
+        self._ends = Counter("foxtrestle_run_ends", "Ends of runs.", registry=self._registry)
+        self._refusals = Counter(
+            "foxtrestle_violations", "Acts stopped by a check.", registry=self._registry
+        )
+        self._sources: dict[str, tuple[Gauge, Callable[[], Mapping[str, float]]]] = {}
+
+    def _histogram(self, name: str, text: str) -> Histogram:
+        return Histogram(f"foxtrestle_{name}", text, registry=self._registry, buckets=BUCKETS_S)
+
+    def note_request(self, method: str, status: int, seconds: float) -> None:
+        """Count a client's request."""
+        self._requests.add({"method": method, "status": str(status)}, seconds)
+
+    def note_start(self, pool: str, waited_s: float) -> None:
+        """Count a task's start."""
+        self._starts.add({"pool": pool}, waited_s)
+
+    def note_job(self, queue: str, state: str, seconds: float) -> None:
+        """Count a job's end."""
+        self._jobs.add({"queue": queue, "state": state}, seconds)
+
+    def note_end(self, kind: str) -> None:
+        """Count a run's end."""
+        self._ends.inc({"how": kind})
+
+    def note_violation(self, promise: str) -> None:
+        """Count an act that a check stopped."""
+        self._refusals.inc({"promise": promise})
+
+    def add_source(self, name: str, text: str, read: Callable[[], Mapping[str, float]]) -> None:
+        """Show values that are read when they are asked for."""
+        gauge = Gauge(f"foxtrestle_{name}", text, registry=self._registry)
+        self._sources[name] = (gauge, read)
+
+    def render(self) -> bytes:
+        """Render everything."""
+        for gauge, read in self._sources.values():
+            for label, value in read().items():
+                gauge.set({"name": label}, float(value))
+        body, _ = render(self._registry, [CONTENT_TYPE])
+        return bytes(body)
--- /dev/null
+++ b/src/foxtrestle/explain.py
@@ -0,0 +1,148 @@
+"""The story of a job, worker, host or wave, told from the nodes' log lines."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from typing import Any, Final
+
+import msgspec
+
+Line = Mapping[str, Any]
+"""One log line: an event's name under `message_type`, and its fields."""
+SUBJECTS: Final = ("job", "worker", "host", "wave")
+"""Fields that name what a line is about."""
+WORKER_TROUBLE: Final = frozenset(
+    {"worker.silent", "worker.released", "worker.entry-gone", "worker.draining", "host.ordered"}
+)
+"""Events of a worker that explain what became of a job's runs there."""
+GENERAL_TROUBLE: Final = frozenset(
+    {
+        "control.lost",
+        "control.acquired",
+        "control.loaded",
+        "dependency.lost",
+        "dependency.regained",
+        "store.lost",
+        "store.reached",
+    }
+)
+"""Events that can delay every job."""
+TEXTS: Final[dict[str, str]] = {
+    "job.accepted": "accepted by {node} for queue {queue} under configuration {version}",
+    "job.refused": "refused by {node}: {reason}; it was not kept and will not run",
+    "job.write-unanswered": "{node} sent it to the store and got no answer ({reason})",
+    "job.write-failed": "{node} could not keep it: {reason}; nothing was written",
+    "job.malformed": "refused by {node} as malformed: {reason}",
+    "job.seen": "the controller {node} learned of it",
+    "job.cancelled": "the controller {node} cancelled it",
+    "job.ended": "ended {state} after {took_s} s",
+    "run.placed": "step {step} task {index}: run {run} placed on {worker} after {waited_s} s",
+    "run.ended": "step {step} task {index}: run {run} ended {how} on {worker}",
+    "run.absent": "step {step} task {index}: run {run} is not on {worker} any more",
+    "run.evacuated": "step {step} task {index}: run {run} stopped for wave {wave}",
+    "start.refused": "step {step} task {index}: {worker} refused run {run}: {reason}",
+    "start.unanswered": "a start on {worker} had no answer ({reason})",
+    "worker.silent": "worker {worker} stopped answering ({reason})",
+    "worker.released": "what ran on worker {worker} was given up: {reason}",
+    "worker.entry-gone": "worker {worker} left the store",
+    "host.planned": "host {host} is emptied for pool {pool}, wave {wave}",
+    "host.ordered": "host {host} ordered to pool {pool}, wave {wave}",
+    "host.back": "host {host} serves pool {pool} after {took_s} s",
+    "host.order-refused": "the platform refused the order for host {host}: {reason}",
+    "control.acquired": "{node} became the controller, term {term}",
+    "control.lost": "{node} stopped being the controller, term {term}: {reason}",
+    "dependency.lost": "{node} lost {dependency} ({user}): {reason}",
+    "dependency.regained": "{node} has {dependency} again ({user}) after {away_s} s",
+    "wave.seen": "{node} saw wave {wave}: {hosts} hosts in {within_s} s, {max_parallel} at once",
+    "wave.completed": "wave {wave} completed after {took_s} s",
+}
+"""Sentence for each event; others are shown with their fields."""
+
+
+def parse_lines(texts: Iterable[str]) -> list[Line]:
+    """Parse log lines; what stands before the brace, and lines that are no JSON, are dropped."""
+    lines: list[Line] = []
+    for text in texts:
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            line = msgspec.json.decode(text[start:])
+        except msgspec.DecodeError:
+            continue
+        if isinstance(line, dict) and "message_type" in line:
+            lines.append(line)
+    return sorted(lines, key=lambda line: float(line.get("timestamp", 0)))
+
+
+def select_story(lines: list[Line], subject: str) -> list[Line]:
+    """Select the lines that tell what happened to a subject.
+
+    For a job these are its own, those about workers that had its runs, and those about the store
+    and the controller, all between its first line and its last.
+    """
+    own = [line for line in lines if any(str(line.get(name)) == subject for name in SUBJECTS)]
+    if not own or not any(line.get("job") == subject for line in own):
+        return own
+    first, last = _read_time(own[0]), _read_time(own[-1])
+    workers = {line["worker"] for line in own if "worker" in line}
+    return [
+        line
+        for line in lines
+        if line in own or (first <= _read_time(line) <= last and _explains(line, workers))
+    ]
+
+
+def _explains(line: Line, workers: set[str]) -> bool:
+    kind = line["message_type"]
+    if kind in GENERAL_TROUBLE:
+        return True
+    return kind in WORKER_TROUBLE and line.get("worker") in workers
+
+
+def _read_time(line: Line) -> float:
+    return float(line.get("timestamp", 0))
+
+
+def describe(line: Line) -> str:
+    """Return a sentence for a line."""
+    template = TEXTS.get(line["message_type"])
+    if template is None:
+        hidden = {"message_type", "timestamp"}
+        fields = " ".join(f"{k}={v}" for k, v in line.items() if k not in hidden)
+        return f"{line['message_type']} {fields}"
+    return template.format_map(_Fields(line))
+
+
+class _Fields(dict[str, Any]):
+    def __missing__(self, key: str) -> str:
+        return "?"
+
+
+def find_cause(story: list[Line]) -> str:
+    """Return the likeliest cause of what became of a job."""
+    failed = [line for line in story if line.get("how") == "failed"]
+    if any(line.get("state") == "failed" for line in story) and failed:
+        return f"its own runs failed {len(failed)} times, the last on {failed[-1]['worker']}"
+    for kind, text in CAUSES:
+        found = [line for line in story if line["message_type"] == kind]
+        if found:
+            return text.format_map(_Fields(found[-1]))
+    waits = [float(line["waited_s"]) for line in story if line["message_type"] == "run.placed"]
+    if waits and max(waits) > LONG_WAIT_S:
+        return f"no room: a task waited {max(waits):.1f} s for a worker"
+    return "nothing unusual is on record; its tasks started at once"
+
+
+CAUSES: Final = (
+    ("job.refused", "refused at the door: {reason}"),
+    ("job.malformed", "malformed: {reason}"),
+    ("job.cancelled", "cancelled by its client"),
+    ("worker.released", "worker {worker} was lost: {reason}"),
+    ("control.lost", "the controller {node} stopped: {reason}"),
+    ("dependency.lost", "{node} lost {dependency}: {reason}"),
+)
+"""Events that explain a job by themselves, the likeliest first, with their sentences."""
+LONG_WAIT_S: Final = 0.5
+"""Seconds a task waits for a worker from which the wait counts as the cause; a calm start takes
+less than a tenth of a second."""
--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -6,6 +6,7 @@
 import gc
 import signal
 import sys
+import time
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Final
 
@@ -13,6 +14,7 @@
 
 from foxtrestle.control.controller import Controller
 from foxtrestle.control.log import log, start_logging
+from foxtrestle.control.measures import Measures
 from foxtrestle.control.ownership import Ownership, compute_race_delay
 from foxtrestle.listener import bind, listen
 from foxtrestle.node.health import StoreHealth
@@ -40,6 +42,8 @@
 alone after two refusals."""
 CALLS_EVERY_S: Final = 10.0
 """Seconds between two lines that tell how many priced calls were made."""
+METRICS_PORT: Final = 9464
+"""TCP port of the metrics, as the deploy file names it."""
 CLOSE_S: Final = 2.0
 """Seconds that requests in flight get after that; together with the rest below the platform's
 grace of 6 s."""
@@ -77,12 +81,13 @@
             if settings.advice_address:
                 advice = AdviceCalls(settings.advice_address, session)
             hosts = HostCalls(settings.hosts_address, settings.name, session, STORE_TIMEOUT_S)
+            measures = Measures()
             self.operators = OperatorMirror(store, self._wake_controller)
             self.health = StoreHealth(store)
 
             async def control(term: Term) -> None:
                 self.controller = Controller(
-                    term, settings, store, workers, hosts, self.operators, advice
+                    term, settings, store, workers, hosts, self.operators, advice, measures
                 )  # fmt: skip
                 try:
                     await self.controller.run()
@@ -96,9 +101,12 @@
             delay_s = compute_race_delay(settings.processor_share, settings.link_mbps)
             ownership = Ownership(store, settings.name, delay_s, control)
             intake = Intake(store, self.operators)
-            ready = build_ready(self.is_ready)
-            front = build_front(intake, self.operators, lambda: self.health.away)
-            await stack.enter_async_context(listen(ready, [_bind(settings.ready_address)]))
+            measures.add_source("store_calls", "Calls to the store.", lambda: store.calls)
+            measures.add_source("state", "State of this node.", self._read_state)
+            ready = build_ready(self.is_ready, measures)
+            front = build_front(intake, self.operators, lambda: self.health.away, measures)
+            sockets = [_bind(settings.ready_address), *_bind_metrics(settings)]
+            await stack.enter_async_context(listen(ready, sockets))
             calls = _tell_calls(store, hosts)
             for loop in (self.operators.follow(), self.health.follow(), ownership.run(), calls):
                 stack.push_async_callback(_cancel, asyncio.create_task(_watch(loop)))
@@ -113,6 +121,24 @@
             await asyncio.sleep(LOOK_AWAY_S)
         log("node.stopped")
 
+    def _read_state(self) -> dict[str, float]:
+        """Read what the metrics show of this node's state."""
+        configuration = self.operators.configuration
+        state = {
+            "ready": float(self.is_ready()),
+            "store_away": float(self.health.away),
+            "configuration_version": configuration.version if configuration else 0.0,
+            "configuration_age_s": time.monotonic() - self.operators.answered_at,
+            "controls": float(self.controller is not None),
+        }
+        if self.controller is not None:
+            fleet = self.controller.fleet
+            state["term"] = fleet.term
+            state["jobs_active"] = len(fleet.active)
+            state["workers"] = len(fleet.workers)
+            state["host_plans"] = len(fleet.plans)
+        return state
+
     def _wake_controller(self) -> None:
         if self.controller is not None:
             self.controller.wake()
@@ -145,6 +171,16 @@
     return bind(ip, int(port))
 
 
+def _bind_metrics(settings: NodeSettings) -> list[socket]:
+    """Bind the fixed metrics port; a node without it still serves its metrics beside ready."""
+    ip, _, _ = settings.ready_address.rpartition(":")
+    try:
+        return [bind(ip, METRICS_PORT)]
+    except OSError as error:
+        log("metrics.port-taken", port=METRICS_PORT, reason=str(error))
+        return []
+
+
 async def _run(settings: NodeSettings) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/src/foxtrestle/platform/front.py
+++ b/src/foxtrestle/platform/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING, Final
 
 from starlette.applications import Starlette
@@ -9,6 +10,7 @@
 from starlette.routing import Route
 
 from foxtrestle.control.log import log
+from foxtrestle.control.measures import CONTENT_TYPE
 from foxtrestle.platform.http import MalformedAnswer
 from foxtrestle.platform.jobs import (
     InvalidJob,
@@ -24,6 +26,7 @@
 
     from starlette.requests import Request
 
+    from foxtrestle.control.measures import Measures
     from foxtrestle.node.intake import Intake
     from foxtrestle.node.operators import OperatorMirror
     from foxtrestle.scheduling.model import Queue
@@ -36,7 +39,10 @@
 
 
 def build_front(
-    intake: Intake, operators: OperatorMirror, is_store_away: Callable[[], bool]
+    intake: Intake,
+    operators: OperatorMirror,
+    is_store_away: Callable[[], bool],
+    measures: Measures,
 ) -> Starlette:
     """Build the application for clients.
 
@@ -44,8 +50,15 @@
         intake: Carries the requests out.
         operators: The configuration that requests are checked against.
         is_store_away: Tells whether the store is known not to answer this node.
+        measures: Where requests are counted.
     """
 
+    async def measure(request: Request) -> Response:
+        began = time.monotonic()
+        response = await handle(request)
+        measures.note_request(request.method, response.status_code, time.monotonic() - began)
+        return response
+
     async def handle(request: Request) -> Response:
         path = request.url.path
         host = request.headers.get("host", "").split(":")[0]
@@ -88,7 +101,7 @@
         outcome = await intake.submit(queue, name, decode_job(await request.body()))
         return _answer(STATUSES[outcome])
 
-    return Starlette(routes=[Route("/{path:path}", handle, methods=["GET", "POST", "DELETE"])])
+    return Starlette(routes=[Route("/{path:path}", measure, methods=["GET", "POST", "DELETE"])])
 
 
 def _refuse(job: str = "") -> Response:
@@ -102,10 +115,13 @@
     return Response(status_code=status, headers=headers)
 
 
-def build_ready(is_ready: Callable[[], bool]) -> Starlette:
-    """Build the application that tells whether the node takes requests."""
+def build_ready(is_ready: Callable[[], bool], measures: Measures) -> Starlette:
+    """Build the application that tells whether the node takes requests, and its measures."""
+
+    async def show(_: Request) -> Response:
+        return Response(measures.render(), media_type=CONTENT_TYPE)
 
     async def ready(_: Request) -> Response:
         return Response(status_code=200 if is_ready() else 503)
 
-    return Starlette(routes=[Route("/-/ready", ready)])
+    return Starlette(routes=[Route("/-/ready", ready), Route("/metrics", show)])
--- /dev/null
+++ b/src/foxtrestle/scheduling/checks.py
@@ -0,0 +1,49 @@
+"""Checks of what must never be ordered, made once more just before it is."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from foxtrestle.scheduling.hosts import HostView
+    from foxtrestle.scheduling.state import Fleet, Task, WaveEntry, Worker
+
+
+def check_start(fleet: Fleet, task: Task, worker: Worker) -> str:
+    """Return what a start would break; empty if nothing."""
+    entry = fleet.jobs.get(task.key.job)
+    if entry is None:
+        return "unasked"
+    step = task.step
+    faults = {
+        "unasked": entry.ended,
+        "twice": task.done or (bool(task.runs) and not step.speculative),
+        "attempts": not step.lasting and task.failures >= entry.job.max_attempts,
+        "order": not all(_is_done(fleet, task, other) for other in step.depends_on),
+        "room": not worker.fits(step.shape, fills=step.fills),
+        "pool": worker.info.pool != entry.job.pool,
+        "label": bool(step.label) and step.label not in worker.info.labels,
+    }
+    return next((name for name, broken in faults.items() if broken), "")
+
+
+def _is_done(fleet: Fleet, task: Task, step: int) -> bool:
+    entry = fleet.jobs[task.key.job]
+    return entry.open_tasks.get((task.key.repetition, step)) == 0
+
+
+def check_maintenance(entry: WaveEntry, view: HostView, away: int) -> str:
+    """Return what the maintenance of a host would break; empty if nothing.
+
+    Args:
+        entry: The wave.
+        view: The host.
+        away: Hosts of the wave that are in maintenance, or may be.
+    """
+    if view.info.name not in entry.wave.hosts:
+        return "wave"
+    if away >= entry.wave.max_parallel:
+        return "wave-limit"
+    if view.worker is not None and not view.worker.gone and view.worker.runs:
+        return "not-empty"
+    return ""
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,82 @@
+"""From an id to its cause, out of log lines."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import pytest
+
+from foxtrestle.cli import app
+from foxtrestle.explain import describe, find_cause, parse_lines, select_story
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+JOB = "5c0e7a21d94b36f8"
+
+
+def line(at: float, kind: str, **fields: object) -> str:
+    return json.dumps({"node": "n1", "timestamp": at, "message_type": kind, **fields})
+
+
+LATE = [
+    line(1.0, "job.accepted", job=JOB, queue="q", version=7),
+    line(1.1, "run.placed", job=JOB, step=0, index=0, run=1, worker="w1", waited_s=0.01),
+    line(2.0, "worker.silent", worker="w1", reason="TimeoutError"),
+    line(2.1, "worker.silent", worker="w9", reason="TimeoutError"),
+    line(6.0, "worker.released", worker="w1", reason="lease lapsed", runs=1),
+    line(6.1, "run.placed", job=JOB, step=0, index=0, run=2, worker="w2", waited_s=0.1),
+    line(7.0, "run.ended", job=JOB, step=0, index=0, run=2, how="done", worker="w2"),
+    line(7.1, "job.ended", job=JOB, queue="q", state="completed", took_s=6.1),
+    line(9.0, "dependency.lost", dependency="store", user="lock", reason="late"),
+]
+
+
+def test_a_job_s_story_has_its_workers_troubles_and_no_others() -> None:
+    story = select_story(parse_lines(["noise", *reversed(LATE), "{broken"]), JOB)
+    kinds = [one["message_type"] for one in story]
+    assert kinds[0] == "job.accepted"
+    assert kinds[-1] == "job.ended"
+    assert [one["worker"] for one in story if one["message_type"] == "worker.silent"] == ["w1"]
+    assert find_cause(story) == "worker w1 was lost: lease lapsed"
+
+
+@pytest.mark.parametrize(
+    ("lines", "cause"),
+    [
+        ([line(1, "job.refused", job=JOB, reason="store away")], "refused at the door: store away"),
+        (
+            [
+                line(1, "run.ended", job=JOB, how="failed", worker="w4"),
+                line(2, "job.ended", job=JOB, state="failed"),
+            ],
+            "its own runs failed 1 times, the last on w4",
+        ),
+        (
+            [line(1, "run.placed", job=JOB, worker="w", waited_s=2.5)],
+            "no room: a task waited 2.5 s for a worker",
+        ),
+        ([line(1, "job.accepted", job=JOB)], "nothing unusual is on record"),
+    ],
+)
+def test_causes(lines: list[str], cause: str) -> None:
+    assert find_cause(select_story(parse_lines(lines), JOB)).startswith(cause)
+
+
+def test_an_event_without_a_sentence_is_shown_with_its_fields() -> None:
+    assert describe({"message_type": "new.event", "x": 1, "timestamp": 0}) == "new.event x=1"
+
+
+def test_the_tool_reads_files_and_says_when_an_id_is_unknown(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    log = tmp_path / "n1.log"
+    log.write_text("\n".join(LATE))
+    with pytest.raises(SystemExit) as left:
+        app(["explain", JOB, str(log)])
+    assert left.value.code == 0
+    assert "cause: worker w1 was lost" in capsys.readouterr().out
+    with pytest.raises(SystemExit) as left:
+        app(["explain", "unknown", str(log)])
+    assert left.value.code == 1
