Release nobody before the record of their own job, and settle starts that were not sent

Change: waiters stay with their job; a run whose order nobody is sending any more is stopped and placed anew; exceptions of tasks that nobody awaits are logged.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -15,7 +15,7 @@
 from foxtrestle.control.keys import CANCELS, ENDED, INBOX, JOBS, PROGRESS
 from foxtrestle.control.ledger import Ledger
 from foxtrestle.control.link import LAPSED, WorkerLink
-from foxtrestle.control.log import Outage, log
+from foxtrestle.control.log import Outage, log, log_failure
 from foxtrestle.control.measures import Measures
 from foxtrestle.control.orders import CLOCK_DRIFT, HOLD_S, LAPSE_MARGIN_S, Orders
 from foxtrestle.control.ownership import GRACE_WITHOUT_STORE_S, LEASE_S
@@ -130,6 +130,7 @@
         task = asyncio.create_task(coroutine)
         self._spawned.add(task)
         task.add_done_callback(self._spawned.discard)
+        task.add_done_callback(log_failure)
 
     # Taking over.
 
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from foxtrestle.control.keys import HOST_ORDERS, LOCK, WAVE_RECORDS
-from foxtrestle.control.log import Outage, log
+from foxtrestle.control.log import Outage, log, log_failure
 from foxtrestle.platform.hosts import HostRefused
 from foxtrestle.platform.http import CallError
 from foxtrestle.platform.operators import WAVE_STATUS, encode_wave_status
@@ -36,6 +36,7 @@
     from foxtrestle.platform.hosts import HostCalls
     from foxtrestle.platform.store import PlatformStore
     from foxtrestle.scheduling.hosts import HostView
+    from foxtrestle.scheduling.model import HostInfo
     from foxtrestle.scheduling.scaling import PoolNeed
     from foxtrestle.scheduling.state import Fleet, JobEntry, Worker
 
@@ -116,10 +117,21 @@
                 outage.note_success()
                 now = time.monotonic()
                 self._seen_at.update(dict.fromkeys((host.name for host in hosts), now))
+                self._note_states(hosts)
                 self._fleet.hosts = {host.name: host for host in hosts}
                 self._wake()
             await asyncio.sleep(LIST_S)
 
+    def _note_states(self, hosts: list[HostInfo]) -> None:
+        """Tell which hosts went down, came up again, or are not listed any more."""
+        before = self._fleet.hosts
+        for host in hosts:
+            held = before.get(host.name)
+            if held is not None and held.state != host.state and "down" in {held.state, host.state}:
+                log("host.listed", host=host.name, state=host.state, worker=host.worker)
+        for name in before.keys() - {host.name for host in hosts}:
+            log("host.unlisted", host=name, worker=before[name].worker)
+
     async def _load(self) -> None:
         """Read what earlier controllers have left."""
         while True:
@@ -399,3 +411,4 @@
         task = asyncio.create_task(coroutine)
         self._spawned.add(task)
         task.add_done_callback(self._spawned.discard)
+        task.add_done_callback(log_failure)
--- a/src/foxtrestle/control/ledger.py
+++ b/src/foxtrestle/control/ledger.py
@@ -99,14 +99,13 @@
         else:
             self._outage.note_success()
             self.away_since = 0.0
-            for future in waiting:
-                if not future.done():
-                    future.set_result(None)
+            for futures in waiting.values():
+                _release(futures)
 
-    def _gather(self) -> tuple[list[str], list[asyncio.Future[None]]]:
-        """Take the oldest changes that fit into one transaction."""
+    def _gather(self) -> tuple[list[str], dict[str, list[asyncio.Future[None]]]]:
+        """Take the oldest changes that fit into one transaction, and who waits for each."""
         jobs: list[str] = []
-        waiting: list[asyncio.Future[None]] = []
+        waiting: dict[str, list[asyncio.Future[None]]] = {}
         entries = 0
         for job in list(self._fleet.dirty):
             entry = self._fleet.jobs.get(job)
@@ -117,19 +116,22 @@
                 break
             entries += size
             del self._fleet.dirty[job]
-            waiting += self._waiting.pop(job, [])
+            futures = self._waiting.pop(job, [])
             if size:
                 jobs.append(job)
-            elif entry is not None and not entry.has_runs():
+                waiting[job] = futures
+                continue
+            # Its final state is in the store already.
+            _release(futures)
+            if entry is not None and not entry.has_runs():
                 self._fleet.jobs.pop(job)
         return jobs, waiting
 
-    def _put_back(self, jobs: list[str], waiting: list[asyncio.Future[None]]) -> None:
-        later = self._fleet.dirty
-        self._fleet.dirty = dict.fromkeys(jobs) | later
-        if waiting:
-            first = jobs[0] if jobs else next(iter(self._fleet.dirty), "")
-            self._waiting.setdefault(first, []).extend(waiting)
+    def _put_back(self, jobs: list[str], waiting: dict[str, list[asyncio.Future[None]]]) -> None:
+        """Have a batch written again; nobody waits for another job's record than before."""
+        self._fleet.dirty = dict.fromkeys(jobs) | self._fleet.dirty
+        for job, futures in waiting.items():
+            self._waiting[job] = futures + self._waiting.get(job, [])
 
     async def _commit(self, jobs: list[str]) -> None:
         conditions = {LOCK: self._term.lock.revision}
@@ -189,3 +191,9 @@
             entry.job.queue for entry in self._fleet.active.values() if not entry.begun
         )
         return msgspec.json.encode(dict(sorted(counts.items())))
+
+
+def _release(futures: list[asyncio.Future[None]]) -> None:
+    for future in futures:
+        if not future.done():
+            future.set_result(None)
--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -6,7 +6,7 @@
 import time
 from typing import TYPE_CHECKING, Final
 
-from foxtrestle.control.log import log
+from foxtrestle.control.log import log, log_failure
 from foxtrestle.control.orders import compute_expiry_ms, compute_lapse
 from foxtrestle.platform.http import CallError
 from foxtrestle.platform.workers import OrderRefused, OtherLife
@@ -24,7 +24,7 @@
     from foxtrestle.platform.workers import WorkerCalls
     from foxtrestle.scheduling.model import WorkerReport
     from foxtrestle.scheduling.runs import StopOrder
-    from foxtrestle.scheduling.state import Fleet, Worker
+    from foxtrestle.scheduling.state import Fleet, Run, Worker
 
 RETRY_S: Final = 0.2
 """Seconds between holds while a worker does not answer."""
@@ -42,6 +42,25 @@
 """Seconds after which a stop that was answered and had no effect is sent again."""
 
 
+def needs_stop(run: Run, *, listed: bool, known: bool, now: float) -> bool:
+    """Tell whether a run's fate is open and nobody is settling it; a stop settles it.
+
+    Args:
+        run: The run.
+        listed: Whether its worker lists it.
+        known: Whether the worker has answered this controller before.
+        now: Monotonic time, seconds.
+    """
+    if run.sending or not known:
+        return False
+    if run.state == "recorded":
+        # The start was not sent, or had no answer: the term was not valid meanwhile.
+        return not listed
+    if run.state == "stopping":
+        return now - run.confirmed_at > RESTOP_S if listed else run.confirmed_at == 0.0
+    return False
+
+
 class WorkerLink:
     """Keeps one worker's lease and the picture of what runs there."""
 
@@ -184,20 +203,18 @@
         listed = {(seen.key, seen.run) for seen in report.running}
         worker = self._worker
         for (key, number), run in list(worker.runs.items()):
+            found = self._fleet.find_run(key, number)
+            if found is None:
+                continue
+            if needs_stop(run, listed=(key, number) in listed, known=worker.known, now=now):
+                run.sending = True
+                self._spawn(self._orders.stop_run(*found, worker))
+                continue
             if (key, number) in listed:
-                if run.state == "stopping" and now - run.confirmed_at > RESTOP_S:
-                    run.confirmed_at = now
-                    found = self._fleet.find_run(key, number)
-                    if found is not None:
-                        self._spawn(self._orders.stop_run(*found, worker))
                 continue
             # Before the first answer under this term, no start can be under way: what an
             # earlier controller sent is refused from now on.
-            before_term = not worker.known
-            if not before_term and not (0 < run.confirmed_at < sent_at):
-                continue
-            found = self._fleet.find_run(key, number)
-            if found is None:
+            if worker.known and not (0 < run.confirmed_at < sent_at):
                 continue
             log("run.absent", job=key.job, step=key.step, index=key.number, run=number,
                 worker=worker.info.id, state=run.state)  # fmt: skip
@@ -219,3 +236,4 @@
         task = asyncio.ensure_future(coroutine)  # type: ignore[call-overload]
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(log_failure)
--- a/src/foxtrestle/control/log.py
+++ b/src/foxtrestle/control/log.py
@@ -12,6 +12,7 @@
 from eliot import add_destinations, log_message, remove_destination
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Mapping
 
     from foxtrestle.errors import FoxtrestleError
@@ -112,6 +113,12 @@
         self._failures = 0
 
 
+def log_failure(task: asyncio.Task[None]) -> None:
+    """Log the exception of a task that nobody awaits; for `add_done_callback`."""
+    if not task.cancelled() and task.exception() is not None:
+        log("task.failed", task=str(task.get_coro()), reason=repr(task.exception()))
+
+
 def log(event: str, **fields: Any) -> None:
     """Write one line: an event's name and its fields."""
     log_message(message_type=event, **fields)
--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -6,7 +6,7 @@
 import time
 from typing import TYPE_CHECKING, Final
 
-from foxtrestle.control.log import log
+from foxtrestle.control.log import log, log_failure
 from foxtrestle.platform.http import CallError, MalformedAnswer, NoAnswer
 from foxtrestle.platform.workers import OrderRefused, OtherLife
 from foxtrestle.scheduling.model import StartOrder
@@ -78,6 +78,12 @@
 
     async def start(self, task: Task, run: Run, worker: Worker) -> None:
         """Start a run that is recorded."""
+        try:
+            await self._start(task, run, worker)
+        finally:
+            run.sending = False
+
+    async def _start(self, task: Task, run: Run, worker: Worker) -> None:
         entry = self._fleet.jobs[task.key.job]
         ticket = self._fleet.find_ticket(task.key, worker.info.id, time.monotonic())
         order = StartOrder(
@@ -154,6 +160,7 @@
         stop = asyncio.create_task(self.stop_run(task, run, worker))
         self._stops.add(stop)
         stop.add_done_callback(self._stops.discard)
+        stop.add_done_callback(log_failure)
 
     async def _give_up(self, task: Task, run: Run, worker: Worker, *, sent: bool) -> None:
         """Settle a start without an answer: stop it, which bars a late copy, or leave it."""
@@ -187,8 +194,12 @@
             return
         run.move("stop")
         run.confirmed_at = 0.0
-        if await self._send_stop(worker, task.key, run.number):
-            run.confirmed_at = time.monotonic()
+        run.sending = True
+        try:
+            if await self._send_stop(worker, task.key, run.number):
+                run.confirmed_at = time.monotonic()
+        finally:
+            run.sending = False
 
     async def pace(self, order: PaceOrder, worker: Worker) -> None:
         """Change a run's pace; a failed order is decided anew after the next report."""
--- a/src/foxtrestle/scheduling/progress.py
+++ b/src/foxtrestle/scheduling/progress.py
@@ -131,6 +131,7 @@
     for number, worker_id in record.runs:
         worker = find_worker(worker_id)
         run = Run(number, worker_id, now)
+        run.sending = False
         task.runs[number] = run
         worker.runs[task.key, number] = run
         worker.take(task.step)
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -35,6 +35,7 @@
         "percent",
         "placed_at",
         "progressed_at",
+        "sending",
         "state",
         "usage",
         "worker",
@@ -56,6 +57,8 @@
         """Share of the work done, as last reported; -1 before the first report."""
         self.progressed_at = placed_at
         """Monotonic time at which `percent` last changed, seconds."""
+        self.sending = True
+        """Whether an order for it is being sent, or waits to be recorded."""
         self.pace = 100
         """Share of its speed at which it may work, percent."""
         self.usage = 0
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,6 +10,7 @@
 import aiohttp
 import pytest
 
+from foxtrestle.control.orders import Orders
 from foxtrestle.listener import bind
 from foxtrestle.node.process import Node
 from foxtrestle.node.settings import Bounds, NodeSettings
@@ -360,3 +361,24 @@
         assert hosts._inherited >= ordered
         assert not hosts._may_order(next(iter(ordered)), hosts._started_at)
         assert hosts._may_order("another", hosts._started_at)
+
+
+async def test_a_start_that_was_not_sent_is_settled_and_made_anew(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # As when the term is not valid for a moment: the run is recorded, its start never sent.
+    send = Orders._start
+    dropped: list[object] = []
+
+    async def drop_first(self: Orders, task: Any, run: Any, worker: Any) -> None:
+        if not dropped:
+            dropped.append(run)
+            return
+        await send(self, task, run, worker)
+
+    monkeypatch.setattr(Orders, "_start", drop_first)
+    site = Site()
+    async with running(site) as (client, _):
+        await client.submit(name(1))
+        await wait_for(lambda: is_state(client, name(1), "completed"))
+        assert set(count_starts(site).values()) == {1}
