Believe the host list about silent workers, and close the links of ended ones

Change: a silent worker whose host is down, away, gone or has a newer worker is over; runs are recorded with their host; links are cancelled. Tests: host decisions.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -21,6 +21,7 @@
 from foxtrestle.control.ownership import GRACE_WITHOUT_STORE_S, LEASE_S
 from foxtrestle.platform.workers import ENTRIES, CallError, decode_worker
 from foxtrestle.scheduling.checks import check_start
+from foxtrestle.scheduling.hosts import find_dead
 from foxtrestle.scheduling.model import Job, Shape, WorkerInfo
 from foxtrestle.scheduling.placing import choose_placements
 from foxtrestle.scheduling.progress import decode_progress, restore
@@ -180,11 +181,11 @@
             if record.key.startswith(CANCELS):
                 self._cancel(record.key.removeprefix(CANCELS))
 
-    def _find_worker(self, worker_id: str) -> Worker:
+    def _find_worker(self, worker_id: str, host: str) -> Worker:
         worker = self.fleet.workers.get(worker_id)
         if worker is None:
             # Not listed any more, yet what was placed there may run until its lease lapses.
-            info = WorkerInfo(worker_id, "", "", "", True, Shape(), ())
+            info = WorkerInfo(worker_id, "", "", "", True, Shape(), (), host)
             worker = Worker(info, 0, time.monotonic())
             worker.gone = True
             worker.lapse_at = self._started_at + TAKEOVER_S
@@ -336,7 +337,10 @@
         if worker.gone or why != LAPSED:
             worker.gone = True
             self.fleet.workers.pop(worker.info.id, None)
-            self._links.pop(worker.info.id, None)
+            link = self._links.pop(worker.info.id, None)
+            # A link that has found out by itself ends by itself.
+            if link is not None and link is not asyncio.current_task():
+                link.cancel()
         self._ledger.wake()
         self.wake()
 
@@ -362,6 +366,8 @@
         for entry in self.fleet.active.values():
             release_steps(entry, wall_ms, now)
         self._release_lapsed(now)
+        for worker, why in find_dead(self.fleet, now):
+            self._lose_worker(worker, why)
         if self._ledger.away_since or not self._term.is_valid():
             # What is started must be recorded first, and cannot be now.
             return
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -118,6 +118,8 @@
                 now = time.monotonic()
                 self._seen_at.update(dict.fromkeys((host.name for host in hosts), now))
                 self._note_states(hosts)
+                if self._fleet.hosts:
+                    self._fleet.hosts_before = frozenset(self._fleet.hosts)
                 self._fleet.hosts = {host.name: host for host in hosts}
                 self._wake()
             await asyncio.sleep(LIST_S)
--- a/src/foxtrestle/scheduling/hosts.py
+++ b/src/foxtrestle/scheduling/hosts.py
@@ -14,6 +14,9 @@
 
 PLAN_CHART: Final = load_chart("plan")
 """States of a plan."""
+SILENT_S: Final = 1.0
+"""Seconds without an answer after which the host list is believed about a worker; an answer comes
+at least every second while it lives and is in reach."""
 LIST_LAG_S: Final = 2.5
 """Seconds for which the host list may still show what was before an order: its lag of about 0.8 s,
 the second between two reads, and a margin."""
@@ -66,6 +69,42 @@
         return self.worker is None or not self.worker.runs
 
 
+def find_dead(fleet: Fleet, now: float) -> list[tuple[Worker, str]]:
+    """Find workers that are certainly over because of what became of their hosts.
+
+    The list lags, so it says nothing of a worker that answers, or that was first seen lately.
+
+    Returns:
+        Each worker with the reason.
+    """
+    if fleet.hosts_before is None:
+        return []
+    dead = []
+    for worker in fleet.workers.values():
+        silent = now - worker.contact_at > SILENT_S
+        settled = now - worker.first_seen > LIST_LAG_S
+        if silent and settled and worker.info.host:
+            why = _find_end(fleet, worker)
+            if why:
+                dead.append((worker, why))
+    return dead
+
+
+def _find_end(fleet: Fleet, worker: Worker) -> str:
+    """Return why a silent worker is over; empty if it may not be."""
+    name = worker.info.host
+    host = fleet.hosts.get(name)
+    if host is None:
+        # Missing once may be a page that was read while the list changed.
+        return "" if name in (fleet.hosts_before or ()) else "its host is gone"
+    if host.state != "up":
+        return f"its host is {host.state}"
+    listed = fleet.workers.get(host.worker)
+    if listed is not None and listed is not worker and listed.revision > worker.revision:
+        return "its host has a new worker"
+    return ""
+
+
 def view_hosts(fleet: Fleet) -> dict[str, HostView]:
     """Join the host list with the workers and the plans."""
     newest: dict[str, Worker] = {}
--- a/src/foxtrestle/scheduling/progress.py
+++ b/src/foxtrestle/scheduling/progress.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 import msgspec
 
@@ -15,6 +15,9 @@
 
     from foxtrestle.scheduling.state import Fleet, JobEntry, Task
 
+FindWorker: TypeAlias = "Callable[[str, str], Worker]"
+"""Returns a worker by its id and its host."""
+
 
 class TaskRecord(msgspec.Struct, frozen=True, array_like=True):
     """A task that has ever been started."""
@@ -31,8 +34,8 @@
     """Runs that ended `failed`."""
     done: bool
     """Whether a run ended `done`."""
-    runs: list[tuple[int, str]]
-    """Runs that may be there: number and worker."""
+    runs: list[tuple[int, str, str]]
+    """Runs that may be there: number, worker and its host."""
     checkpoint: str = ""
     """Newest saved progress."""
 
@@ -61,7 +64,7 @@
 
 def _to_record(task: Task) -> TaskRecord:
     key = task.key
-    runs = [(run.number, run.worker) for run in task.runs.values()]
+    runs = [(run.number, run.worker, run.host) for run in task.runs.values()]
     checkpoint = "" if task.done else task.checkpoint
     return TaskRecord(
         key.repetition,
@@ -81,7 +84,7 @@
     progress: Progress,
     wall_ms: float,
     now: float,
-    find_worker: Callable[[str], Worker],
+    find_worker: FindWorker,
 ) -> None:
     """Bring a job to where its record says it is.
 
@@ -91,7 +94,7 @@
         progress: The record.
         wall_ms: Wall time, milliseconds.
         now: Monotonic time, seconds.
-        find_worker: Returns the worker of an id, also of one that is not listed any more.
+        find_worker: Returns a worker by its id and host, also one that is not listed any more.
     """
     entry.ended_ms = progress.ended_ms
     records = {(one.repetition, one.step, one.number): one for one in progress.tasks}
@@ -119,7 +122,7 @@
     task: Task,
     record: TaskRecord,
     now: float,
-    find_worker: Callable[[str], Worker],
+    find_worker: FindWorker,
 ) -> None:
     task.starts = record.starts
     task.failures = record.failures
@@ -128,9 +131,9 @@
         task.done = True
         entry.open_tasks[record.repetition, record.step] -= 1
         entry.ready.pop(task.key, None)
-    for number, worker_id in record.runs:
-        worker = find_worker(worker_id)
-        run = Run(number, worker_id, now)
+    for number, worker_id, host in record.runs:
+        worker = find_worker(worker_id, host)
+        run = Run(number, worker_id, host, now)
         run.sending = False
         task.runs[number] = run
         worker.runs[task.key, number] = run
@@ -138,9 +141,7 @@
         entry.ready.pop(task.key, None)
 
 
-def _restore_rest(
-    entry: JobEntry, record: TaskRecord, now: float, find_worker: Callable[[str], Worker]
-) -> None:
+def _restore_rest(entry: JobEntry, record: TaskRecord, now: float, find_worker: FindWorker) -> None:
     from foxtrestle.scheduling.state import Task  # noqa: PLC0415 - a type above
 
     key = TaskKey(entry.job.id, record.repetition, record.step, record.number)
--- a/src/foxtrestle/scheduling/runs.py
+++ b/src/foxtrestle/scheduling/runs.py
@@ -68,7 +68,7 @@
 def place_run(fleet: Fleet, task: Task, worker: Worker, number: int, now: float) -> Run:
     """Note that a run is to be started on a worker."""
     entry = fleet.jobs[task.key.job]
-    run = Run(number, worker.info.id, now)
+    run = Run(number, worker.info.id, worker.info.host, now)
     task.starts = max(task.starts, number)
     task.runs[number] = run
     worker.runs[task.key, number] = run
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -30,6 +30,7 @@
 
     __slots__ = (
         "confirmed_at",
+        "host",
         "number",
         "pace",
         "percent",
@@ -41,12 +42,14 @@
         "worker",
     )
 
-    def __init__(self, number: int, worker: str, placed_at: float) -> None:
+    def __init__(self, number: int, worker: str, host: str, placed_at: float) -> None:
         """Create a run that is about to be recorded."""
         self.number = number
         """Number of the run."""
         self.worker = worker
         """Id of the worker."""
+        self.host = host
+        """The worker's host; empty if it is not known."""
         self.state = RUN_CHART.start
         """State in the chart `run`."""
         self.placed_at = placed_at
@@ -295,6 +298,8 @@
         """Workers by id."""
         self.hosts: dict[str, HostInfo] = {}
         """Hosts by name, from the lagging list."""
+        self.hosts_before: frozenset[str] | None = None
+        """Names in the list before the newest; None until two lists were read."""
         self.waves: dict[int, WaveEntry] = {}
         """Waves by number."""
         self.plans: dict[str, HostPlan] = {}
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -183,7 +183,14 @@
             add_job(self.fleet, fresh)
             if name in self.recorded:
                 progress = decode_progress(self.recorded[name])
-                restore(self.fleet, fresh, progress, 0.0, self.now, self.fleet.workers.__getitem__)
+                restore(
+                    self.fleet,
+                    fresh,
+                    progress,
+                    0.0,
+                    self.now,
+                    lambda name, _: self.fleet.workers[name],
+                )
 
     @rule(seconds=st.floats(0.05, 6.0))
     def wait(self, seconds: float) -> None:
--- a/tests/test_host_decisions.py
+++ b/tests/test_host_decisions.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import hypothesis.strategies as st
+import msgspec
+import pytest
 from hypothesis import given
 
-from foxtrestle.scheduling.hosts import HostPlan, is_back, view_hosts
+from foxtrestle.scheduling.hosts import HostPlan, find_dead, is_back, view_hosts
 from foxtrestle.scheduling.maintaining import (
     choose_for_wave,
     choose_stops,
@@ -165,6 +167,43 @@
     assert is_back(view_hosts(fleet)[plan.host], 2.0, NOW + 1)
 
 
+@pytest.mark.parametrize(
+    ("state", "why"),
+    [
+        ("down", "its host is down"),
+        ("upkeep", "its host is upkeep"),
+        ("gone", "its host is gone"),
+        ("up", ""),
+        ("missing once", ""),
+    ],
+)
+def test_a_silent_worker_is_over_when_the_platform_says_so_of_its_host(
+    state: str, why: str
+) -> None:
+    fleet = make_fleet(2)
+    worker = fleet.workers["w-main-0"]
+    held = fleet.hosts.pop("h-w-main-0")
+    fleet.hosts_before = frozenset({"h-w-main-0", "h-w-main-1"})
+    if state == "gone":
+        fleet.hosts_before = frozenset({"h-w-main-1"})
+    elif state != "missing once":
+        fleet.hosts[held.name] = msgspec.structs.replace(held, state=state)
+    fleet.workers["w-main-1"].contact_at = NOW + 10
+    found = [(one.info.id, reason) for one, reason in find_dead(fleet, NOW + 10)]
+    assert found == ([(worker.info.id, why)] if why else [])
+
+
+def test_the_lagging_list_is_not_believed_about_a_worker_that_answers_or_is_new() -> None:
+    fleet = make_fleet(2)
+    fleet.hosts_before = frozenset(fleet.hosts)
+    for name, host in fleet.hosts.items():
+        fleet.hosts[name] = msgspec.structs.replace(host, state="down")
+    answering, new = fleet.workers.values()
+    answering.contact_at = NOW + 10
+    new.first_seen = NOW + 9
+    assert find_dead(fleet, NOW + 10) == []
+
+
 def test_only_as_many_lasting_tasks_are_stopped_as_may_be_absent() -> None:
     fleet = make_fleet(1)
     entry = enter(fleet, make_job(Step(count=5, lasting=True, max_absent=2)))
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -191,7 +191,7 @@
     fleet.jobs[entry.job.id] = fresh
     fleet.active[entry.job.id] = fresh
     progress = decode_progress(encode_progress(entry))
-    restore(fleet, fresh, progress, 1e12, NOW, fleet.workers.__getitem__)
+    restore(fleet, fresh, progress, 1e12, NOW, lambda name, _: fleet.workers[name])
     return fleet, fresh
 
 
