--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -57,6 +57,8 @@
 
     done: list[str]
     """Hosts whose maintenance is ordered and confirmed."""
+    begun_ms: int = 0
+    """Wall time at which a controller first saw the wave, milliseconds."""
 
 
 class OrdersRecord(msgspec.Struct, frozen=True):
@@ -183,7 +185,7 @@
         self._plan_moves(views, needs, now)
 
     def _take_waves(self) -> None:
-        for number, (wave, _) in self._operators.waves.items():
+        for number, (wave, seen_at) in self._operators.waves.items():
             if number in self._fleet.waves:
                 continue
             entry = WaveEntry(wave, 0)
@@ -191,6 +193,10 @@
             if held is not None:
                 entry.done = set(held[0].done)
                 entry.revision = held[1]
+                entry.begun_ms = held[0].begun_ms
+            else:
+                entry.begun_ms = int((time.time() - time.monotonic() + seen_at) * 1000)
+                self._spawn(self._record(entry))
             self._fleet.waves[number] = entry
             self._spawn(self._tell(entry))
 
@@ -264,7 +270,9 @@
                 if name not in views and gone and name not in entry.done:
                     log("wave.host-gone", wave=entry.wave.number, host=name)
                     entry.done.add(name)
-            for view in choose_for_wave(entry, views, spare, now - seen_at):
+            # A node that started late saw the wave late; the record knows when it began.
+            elapsed_s = max(now - seen_at, time.time() - entry.begun_ms / 1000)
+            for view in choose_for_wave(entry, views, spare, elapsed_s):
                 self._plan(view, view.pool, entry.wave.number, now)
             if entry.done.issuperset(entry.wave.hosts):
                 entry.completed = True
@@ -387,7 +395,7 @@
     async def _record(self, entry: WaveEntry) -> None:
         """Keep a wave's progress for the next controller; losing it costs repeated orders only."""
         key = f"{WAVE_RECORDS}{entry.wave.number}"
-        value = msgspec.json.encode(WaveRecord(sorted(entry.done)))
+        value = msgspec.json.encode(WaveRecord(sorted(entry.done), entry.begun_ms))
         conditions = {LOCK: self._term.lock.revision}
         try:
             await self._store.commit(Transaction(conditions, {key: value}))
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -260,6 +260,7 @@
     """A maintenance wave and how far it is."""
 
     __slots__ = (
+        "begun_ms",
         "completed",
         "done",
         "revision",
@@ -275,6 +276,8 @@
         """Store revision of the request."""
         self.done: set[str] = set()
         """Hosts whose maintenance has been ordered and confirmed."""
+        self.begun_ms = 0
+        """Wall time at which a controller first saw it, milliseconds."""
         self.completed = False
         """Whether all hosts are through."""
         self.told = ""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
+import msgspec
 import pytest
 
 from foxtrestle.control.orders import Orders
@@ -16,6 +17,7 @@
 from foxtrestle.node.settings import Bounds, NodeSettings
 from foxtrestle.scheduling.model import Shape, TaskKey
 from foxtrestle.standins.site import Site
+from foxtrestle.store import Transaction
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -382,3 +384,24 @@
         await client.submit(name(1))
         await wait_for(lambda: is_state(client, name(1), "completed"))
         assert set(count_starts(site).values()) == {1}
+
+
+async def test_a_wave_s_time_counts_from_its_beginning_for_a_node_that_saw_it_late() -> None:
+    site = Site(describe=lambda key: (Shape(1000, 100), float("inf"), "done"))
+    async with running(site, hosts=1) as (client, nodes):
+        await client.submit(name(1), {"count": 1, "cpu": 1000, "longRunning": True, "may_miss": 1})
+        await wait_for(lambda: len(count_starts(site)) == 1)
+        wave = {"wave": 1, "machines": ["h0"], "withinS": 600, "upperLimit": 1}
+        site.write("op/wave/1", wave)
+        await wait_for(lambda: site.engine.get("foxtrestle/control/wave/1"))
+        record = msgspec.json.decode(site.engine.get("foxtrestle/control/wave/1").value)
+        begun = record["begun_ms"] - 590_000
+        value = msgspec.json.encode(record | {"begun_ms": begun})
+        site.engine.commit(Transaction({}, {"foxtrestle/control/wave/1": value}))
+        await nodes[0].kill()
+        second = RunningNode(site, "second")
+        try:
+            # With 10 of its 600 seconds left, the only host of its pool is maintained all the same.
+            await wait_for(lambda: read_wave(site) == b'{"state":"completed"}')
+        finally:
+            await second.kill()
