Give a pool without any host one, whoever has them

Change: only hosts that can serve are shared; a pool with none goes first and takes the least busy host of the pool with most. Tests: host decisions.

--- a/src/foxtrestle/scheduling/scaling.py
+++ b/src/foxtrestle/scheduling/scaling.py
@@ -163,6 +163,15 @@
     return {name: base[name] + extra[name] for name in needs}
 
 
+def count_available(views: dict[str, HostView]) -> int:
+    """Count hosts that can serve soon: neither down nor taken by a wave."""
+    return sum(
+        1
+        for view in views.values()
+        if view.info.state not in {"down", "upkeep"} and not (view.plan and view.plan.wave)
+    )
+
+
 def _share(wishes: dict[str, int], total: int) -> dict[str, int]:
     """Share a total in proportion to wishes, by largest remainder."""
     whole = sum(wishes.values())
@@ -187,19 +196,22 @@
         reserve: Name of the pool whose hosts are off; empty if there is none.
         now: Monotonic time, seconds.
     """
-    targets = share_hosts(needs, sum(1 for view in views.values() if view.info.state != "down"))
+    targets = share_hosts(needs, count_available(views))
     have = {name: need.have for name, need in needs.items()}
     moves: list[HostMove] = []
     taken: set[str] = set()
     lacking = sorted(
         (name for name in needs if have[name] < targets[name]),
-        key=lambda name: (have[name] - targets[name], name),
+        # A pool without any host goes first: its tasks cannot run at all.
+        key=lambda name: (have[name] > 0, have[name] - targets[name], name),
     )
     for name in lacking:
         while have[name] < targets[name]:
             view = _find_off(views, reserve, taken)
             if view is None:
                 view = _find_surplus(targets, have, views, taken, now)
+            if view is None and have[name] == 0:
+                view = _find_surplus(dict.fromkeys(targets, 1), have, views, taken, now)
             if view is None:
                 break
             taken.add(view.info.name)
@@ -222,7 +234,7 @@
 
 def choose_drops(needs: dict[str, PoolNeed], views: dict[str, HostView], reserve: str) -> list[str]:
     """Choose hosts whose planned move is not needed any more; their names."""
-    targets = share_hosts(needs, sum(1 for view in views.values() if view.info.state != "down"))
+    targets = share_hosts(needs, count_available(views))
     have = {name: need.have for name, need in needs.items()}
     drops: list[str] = []
     for name, view in views.items():
--- a/tests/test_host_decisions.py
+++ b/tests/test_host_decisions.py
@@ -23,6 +23,7 @@
     choose_drops,
     choose_moves,
     compute_needs,
+    count_available,
     share_hosts,
 )
 from foxtrestle.scheduling.state import Fleet, WaveEntry
@@ -72,6 +73,23 @@
     assert [(move.host, move.pool) for move in moves] == [("spare", "main")]
 
 
+def test_a_pool_without_any_host_gets_one_though_no_pool_has_too_many() -> None:
+    fleet = make_fleet(3, ("main", "side"))
+    for number in range(3):
+        name = f"h-w-side-{number}"
+        fleet.plans[name] = HostPlan(name, "side", 1, f"w-side-{number}", NOW)
+    needs = {"main": PoolNeed(3.0, 5, 3), "side": PoolNeed(0.5, 1, 0)}
+    [move] = choose_moves(needs, view_hosts(fleet), "off", NOW)
+    assert move.pool == "side"
+    assert move.host.startswith("h-w-main")
+
+
+def test_hosts_in_maintenance_are_not_shared_out() -> None:
+    fleet = make_fleet(3)
+    fleet.plans["h-w-main-0"] = HostPlan("h-w-main-0", "main", 1, "w-main-0", NOW)
+    assert count_available(view_hosts(fleet)) == 2
+
+
 def test_an_idle_host_of_a_pool_with_too_many_goes_off() -> None:
     fleet = make_fleet(3)
     views = view_hosts(fleet)
