--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -231,12 +231,12 @@
     def _take_inbox(self, changes: list[Change]) -> None:
         now = time.monotonic()
         for change in changes:
-            if change.record is None:
-                continue
-            if change.key.startswith(JOBS):
-                if change.key.removeprefix(JOBS) not in self.fleet.jobs:
-                    self._add_job(change.record, now)
-            elif change.key.startswith(CANCELS):
+            job = change.key.removeprefix(JOBS)
+            if change.record is not None and job != change.key and job not in self.fleet.jobs:
+                self._add_job(change.record, now)
+        # Last, as a listing after a gap has cancellations before the jobs that they are for.
+        for change in changes:
+            if change.record is not None and change.key.startswith(CANCELS):
                 self._cancel(change.key.removeprefix(CANCELS))
 
     def _add_job(self, record: Record, now: float) -> JobEntry | None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,9 +15,10 @@
 from foxtrestle.listener import bind
 from foxtrestle.node.process import Node
 from foxtrestle.node.settings import Bounds, NodeSettings
-from foxtrestle.scheduling.model import Shape, TaskKey
+from foxtrestle.scheduling.model import Shape, Step, TaskKey
 from foxtrestle.standins.site import Site
-from foxtrestle.store import Transaction
+from foxtrestle.store import Change, Transaction
+from tests.scheduling_fakes import make_job
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -405,3 +406,19 @@
             await wait_for(lambda: read_wave(site) == b'{"state":"completed"}')
         finally:
             await second.kill()
+
+
+async def test_a_cancellation_listed_before_its_job_is_not_lost() -> None:
+    site = Site(describe=lambda key: (Shape(1000, 100), float("inf"), "done"))
+    async with running(site) as (client, nodes):
+        await wait_for(lambda: nodes[0].node.controller and nodes[0].node.controller._links)
+        controller = nodes[0].node.controller
+        job = make_job(Step(lasting=True), id=name(7))
+        value = msgspec.msgpack.encode(job)
+        keys = f"foxtrestle/inbox/cancel/{name(7)}", f"foxtrestle/inbox/job/{name(7)}"
+        revision = site.engine.commit(Transaction({}, {keys[0]: b"1", keys[1]: value}))
+        changes = [Change(key, site.engine.get(key), revision) for key in keys]
+        controller._take_inbox(changes)
+        assert controller.fleet.jobs[name(7)].state == "cancelled"
+        await wait_for(lambda: is_state(client, name(7), "cancelled"))
+        assert not count_starts(site)
