--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -9,11 +9,11 @@
 
 import msgspec
 
-from foxtrestle.control.keys import HOST_ORDERS, LOCK, WAVE_RECORDS
+from foxtrestle.control.keys import HOST_ORDERS, LOCK
 from foxtrestle.control.log import Outage, log, log_failure
+from foxtrestle.control.wave_records import WaveRecords
 from foxtrestle.platform.hosts import HostRefused
 from foxtrestle.platform.http import CallError
-from foxtrestle.platform.operators import WAVE_STATUS, encode_wave_status
 from foxtrestle.scheduling.checks import check_maintenance
 from foxtrestle.scheduling.hosts import HostPlan, is_back, view_hosts
 from foxtrestle.scheduling.maintaining import (
@@ -52,15 +52,6 @@
 """Seconds after which a host that is not listed counts as removed."""
 
 
-class WaveRecord(msgspec.Struct, frozen=True):
-    """Progress of a wave, kept for the next controller."""
-
-    done: list[str]
-    """Hosts whose maintenance is ordered and confirmed."""
-    begun_ms: int = 0
-    """Wall time at which a controller first saw the wave, milliseconds."""
-
-
 class OrdersRecord(msgspec.Struct, frozen=True):
     """Orders that another controller must not follow up at once."""
 
@@ -103,7 +94,7 @@
         self._inherited: frozenset[str] = frozenset()
         self._orders_revision = 0
         self._recording = asyncio.Lock()
-        self._recorded: dict[int, tuple[WaveRecord, int]] = {}
+        self._waves = WaveRecords(store, term)
         self._loaded = False
 
     async def run(self) -> None:
@@ -140,19 +131,12 @@
         """Read what earlier controllers have left."""
         while True:
             try:
-                listing = await self._store.scan(WAVE_RECORDS)
+                await self._waves.load()
                 orders = await self._store.get(HOST_ORDERS)
                 break
             except StoreError as error:
-                log("control.load-failed", prefix=WAVE_RECORDS, reason=error.reason)
+                log("control.load-failed", prefix=HOST_ORDERS, reason=error.reason)
                 await asyncio.sleep(RETRY_S)
-        self._recorded = {
-            int(record.key.removeprefix(WAVE_RECORDS)): (
-                msgspec.json.decode(record.value, type=WaveRecord),
-                record.revision,
-            )
-            for record in listing.records
-        }
         if orders is not None:
             self._orders_revision = orders.revision
             held = msgspec.json.decode(orders.value, type=OrdersRecord)
@@ -188,17 +172,16 @@
         for number, (wave, seen_at) in self._operators.waves.items():
             if number in self._fleet.waves:
                 continue
-            entry = WaveEntry(wave, 0)
-            held = self._recorded.get(number)
+            entry = WaveEntry(wave)
+            held = self._waves.find(number)
             if held is not None:
-                entry.done = set(held[0].done)
-                entry.revision = held[1]
-                entry.begun_ms = held[0].begun_ms
+                entry.done = set(held.done)
+                entry.begun_ms = held.begun_ms
             else:
                 entry.begun_ms = int((time.time() - time.monotonic() + seen_at) * 1000)
-                self._spawn(self._record(entry))
+                self._spawn(self._waves.record(entry))
             self._fleet.waves[number] = entry
-            self._spawn(self._tell(entry))
+            self._spawn(self._waves.tell(entry))
 
     def _advance(self, views: dict[str, HostView], now: float) -> None:
         """Move plans on."""
@@ -277,7 +260,7 @@
             if entry.done.issuperset(entry.wave.hosts):
                 entry.completed = True
                 log("wave.completed", wave=entry.wave.number, took_s=round(now - seen_at, 2))
-                self._spawn(self._tell(entry))
+                self._spawn(self._waves.tell(entry))
 
     def _plan_moves(
         self, views: dict[str, HostView], needs: dict[str, PoolNeed], now: float
@@ -371,7 +354,7 @@
         if plan.wave:
             entry = self._fleet.waves[plan.wave]
             entry.done.add(plan.host)
-            self._spawn(self._record(entry))
+            self._spawn(self._waves.record(entry))
 
     def _take_refusal(self, plan: HostPlan, refusal: HostRefused) -> None:
         now = time.monotonic()
@@ -392,31 +375,6 @@
         if worker is not None:
             worker.cordoned = False
 
-    async def _record(self, entry: WaveEntry) -> None:
-        """Keep a wave's progress for the next controller; losing it costs repeated orders only."""
-        key = f"{WAVE_RECORDS}{entry.wave.number}"
-        value = msgspec.json.encode(WaveRecord(sorted(entry.done), entry.begun_ms))
-        conditions = {LOCK: self._term.lock.revision}
-        try:
-            await self._store.commit(Transaction(conditions, {key: value}))
-        except StoreError as error:
-            log("wave.record-failed", wave=entry.wave.number, reason=str(error))
-
-    async def _tell(self, entry: WaveEntry) -> None:
-        """Tell operators how far a wave is, until the store has it."""
-        key = f"{WAVE_STATUS}{entry.wave.number}"
-        value = encode_wave_status(completed=entry.completed)
-        while not self._term.lost.is_set():
-            try:
-                await self._store.commit(
-                    Transaction({LOCK: self._term.lock.revision}, {key: value})
-                )
-            except StoreError as error:
-                log("wave.tell-failed", wave=entry.wave.number, reason=str(error))
-                await asyncio.sleep(random.uniform(RETRY_S, RETRY_S * 3))
-            else:
-                return
-
     def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(coroutine)
         self._spawned.add(task)
--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -24,7 +24,7 @@
 from foxtrestle.platform.front import build_front, build_ready
 from foxtrestle.platform.hosts import HostCalls
 from foxtrestle.platform.http import open_session
-from foxtrestle.platform.settings import find_settings, parse_settings
+from foxtrestle.platform.settings import find_settings, read_settings
 from foxtrestle.platform.store import PlatformStore
 from foxtrestle.platform.workers import WorkerCalls
 
@@ -192,7 +192,7 @@
 
 def _note_reload() -> None:
     """Check a changed settings file; what changed takes effect at the next start."""
-    result = parse_settings(find_settings().read_text(encoding="utf-8"))
+    result = read_settings(find_settings())
     if isinstance(result, Failure):
         log("settings.refused", faults=[str(fault) for fault in result.failure()])
     else:
@@ -201,7 +201,7 @@
 
 def main() -> int:
     """Start a node with the settings file that the platform names."""
-    result = parse_settings(find_settings().read_text(encoding="utf-8"))
+    result = read_settings(find_settings())
     if isinstance(result, Failure):
         for fault in result.failure():
             print(fault, file=sys.stderr)
--- a/src/foxtrestle/platform/hosts.py
+++ b/src/foxtrestle/platform/hosts.py
@@ -6,26 +6,21 @@
 
 import msgspec
 
+from foxtrestle.platform._capacity import Capacity
 from foxtrestle.platform.http import CallError, call, decode
-from foxtrestle.scheduling.model import HostInfo, HostState, Shape
+from foxtrestle.scheduling.model import HostInfo, HostState
 
 if TYPE_CHECKING:
     import aiohttp
 
 
-class _Capacity(msgspec.Struct):
-    cpu: int = 0
-    memMb: int = 0
-    gpu: int = 0
-
-
 class _Machine(msgspec.Struct):
     machine: str
     pool: str
     state: HostState
     zone: str = ""
     labels: tuple[str, ...] = ()
-    capacity: _Capacity = msgspec.field(default_factory=_Capacity)
+    capacity: Capacity = msgspec.field(default_factory=Capacity)
     id: str | None = ""
 
 
@@ -129,6 +124,6 @@
         state=machine.state,
         zone=machine.zone,
         labels=machine.labels,
-        room=Shape(machine.capacity.cpu, machine.capacity.memMb, machine.capacity.gpu),
+        room=machine.capacity.to_shape(),
         worker=machine.id or "",
     )
--- a/src/foxtrestle/platform/settings.py
+++ b/src/foxtrestle/platform/settings.py
@@ -76,6 +76,15 @@
     return Path(os.environ.get(SETTINGS_VARIABLE, "/etc/foxtrestle/local.toml"))
 
 
+def read_settings(path: Path) -> Result[NodeSettings, list[Fault]]:
+    """Read and check a settings file; a file that cannot be read is a fault too."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure([Fault(str(path), f"cannot be read: {error}")])
+    return parse_settings(text)
+
+
 def parse_settings(text: str) -> Result[NodeSettings, list[Fault]]:
     """Check the text of a settings file; keys that are not known are ignored."""
     try:
--- a/src/foxtrestle/platform/workers.py
+++ b/src/foxtrestle/platform/workers.py
@@ -7,12 +7,12 @@
 import msgspec
 
 from foxtrestle.errors import FoxtrestleError
+from foxtrestle.platform._capacity import Capacity
 from foxtrestle.platform.http import CallError, MalformedAnswer, Reply, call, decode
 from foxtrestle.platform.jobs import format_task, parse_task
 from foxtrestle.scheduling.model import (
     EndedRun,
     RunningTask,
-    Shape,
     StartOrder,
     TaskKey,
     WorkerInfo,
@@ -46,18 +46,12 @@
     """The address belongs to another life than the one meant, which therefore has ended."""
 
 
-class _Capacity(msgspec.Struct):
-    cpu: int = 0
-    memMb: int = 0
-    gpu: int = 0
-
-
 class _Entry(msgspec.Struct):
     service: str
     address: str
     zone: str = ""
     state: str = "ready"
-    capacity: _Capacity = msgspec.field(default_factory=_Capacity)
+    capacity: Capacity = msgspec.field(default_factory=Capacity)
     labels: tuple[str, ...] = ()
     machine: str = ""
 
@@ -83,7 +77,7 @@
         address=entry.address,
         zone=entry.zone,
         draining=entry.state != "ready",
-        room=Shape(entry.capacity.cpu, entry.capacity.memMb, entry.capacity.gpu),
+        room=entry.capacity.to_shape(),
         labels=entry.labels,
         host=entry.machine,
     )
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -263,25 +263,19 @@
         "begun_ms",
         "completed",
         "done",
-        "revision",
-        "told",
         "wave",
     )
 
-    def __init__(self, wave: Wave, revision: int) -> None:
+    def __init__(self, wave: Wave) -> None:
         """Create an entry of a wave that has not begun."""
         self.wave = wave
         """What operators asked for."""
-        self.revision = revision
-        """Store revision of the request."""
         self.done: set[str] = set()
         """Hosts whose maintenance has been ordered and confirmed."""
         self.begun_ms = 0
         """Wall time at which a controller first saw it, milliseconds."""
         self.completed = False
         """Whether all hosts are through."""
-        self.told = ""
-        """State that operators were last told."""
 
 
 class Fleet:
--- a/tests/test_checks_and_log.py
+++ b/tests/test_checks_and_log.py
@@ -52,12 +52,12 @@
 def test_unsound_maintenance_is_named() -> None:
     fleet, _, task, worker = set_up()
     view = view_hosts(fleet)["h-w-main-0"]
-    entry = WaveEntry(Wave(1, (view.info.name,), 9, 1), 1)
+    entry = WaveEntry(Wave(1, (view.info.name,), 9, 1))
     assert check_maintenance(entry, view, 0) == ""
     assert check_maintenance(entry, view, 1) == "wave-limit"
     place_run(fleet, task, worker, 1, NOW)
     assert check_maintenance(entry, view, 0) == "not-empty"
-    assert check_maintenance(WaveEntry(Wave(2, (), 9, 1), 1), view, 0) == "wave"
+    assert check_maintenance(WaveEntry(Wave(2, (), 9, 1)), view, 0) == "wave"
 
 
 def test_a_slow_reader_blocks_nothing_and_what_is_dropped_is_counted() -> None:
--- a/tests/test_host_decisions.py
+++ b/tests/test_host_decisions.py
@@ -136,7 +136,7 @@
 
 
 def wave(hosts: list[str], most: int, within_s: float = 30.0) -> WaveEntry:
-    return WaveEntry(Wave(1, tuple(hosts), within_s, most), 1)
+    return WaveEntry(Wave(1, tuple(hosts), within_s, most))
 
 
 def test_a_wave_never_takes_more_hosts_than_its_limit() -> None:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from typing import TYPE_CHECKING
 
 import msgspec
 import pytest
@@ -17,10 +18,13 @@
     parse_task,
 )
 from foxtrestle.platform.operators import decode_configuration, decode_wave
-from foxtrestle.platform.settings import parse_settings
+from foxtrestle.platform.settings import parse_settings, read_settings
 from foxtrestle.platform.workers import decode_worker
 from foxtrestle.scheduling.model import Shape, TaskKey
 
+if TYPE_CHECKING:
+    from pathlib import Path
+
 SETTINGS = """
 nodeName = "entry-1"
 zone = "z"
@@ -123,3 +127,9 @@
     broken = parse_settings(SETTINGS.replace('front = "127.0.0.1:8001"', "front = 1"))
     assert isinstance(broken, Failure)
     assert "front" in str(broken.failure()[0])
+
+
+def test_a_settings_file_that_cannot_be_read_is_named(tmp_path: Path) -> None:
+    result = read_settings(tmp_path / "none.toml")
+    assert isinstance(result, Failure)
+    assert "none.toml" in str(result.failure()[0])
