--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -232,7 +232,10 @@
         now = time.monotonic()
         for change in changes:
             job = change.key.removeprefix(JOBS)
-            if change.record is not None and job != change.key and job not in self.fleet.jobs:
+            if change.record is None or job == change.key or job in self.fleet.jobs:
+                continue
+            # A listing that was under way while the job ended may still show it.
+            if job not in self.fleet.ended_ids:
                 self._add_job(change.record, now)
         # Last, as a listing after a gap has cancellations before the jobs that they are for.
         for change in changes:
--- a/src/foxtrestle/control/ledger.py
+++ b/src/foxtrestle/control/ledger.py
@@ -164,6 +164,7 @@
         for where in [where for where in self._fleet.tickets if where[0] == entry.job.id]:
             del self._fleet.tickets[where]
         entry.archived = True
+        self._fleet.note_ended(entry.job.id)
         took_s = time.monotonic() - entry.created_at
         self._measures.note_job(entry.job.queue, entry.state, took_s)
         log("job.ended", job=entry.job.id, queue=entry.job.queue, state=entry.state,
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -21,6 +21,8 @@
         WorkerInfo,
     )
 
+ENDED_REMEMBERED: Final = 10_000
+"""Ended jobs whose ids are remembered: a listing that still shows one is at most seconds old."""
 RUN_CHART: Final = load_chart("run")
 """States of a run."""
 
@@ -291,6 +293,8 @@
         """Jobs by id."""
         self.active: dict[str, JobEntry] = {}
         """Jobs that have not ended."""
+        self.ended_ids: dict[str, None] = {}
+        """Ids of the jobs that this controller has ended, newest last; older ones are dropped."""
         self.workers: dict[str, Worker] = {}
         """Workers by id."""
         self.hosts: dict[str, HostInfo] = {}
@@ -307,6 +311,12 @@
         self.dirty: dict[str, None] = {}
         """Ids of jobs whose progress must be recorded, oldest change first."""
 
+    def note_ended(self, job: str) -> None:
+        """Remember that a job's final state is in the store."""
+        self.ended_ids[job] = None
+        if len(self.ended_ids) > ENDED_REMEMBERED:
+            del self.ended_ids[next(iter(self.ended_ids))]
+
     def find_run(self, key: TaskKey, number: int) -> tuple[Task, Run] | None:
         """Return a run that may be there."""
         entry = self.jobs.get(key.job)
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -192,6 +192,16 @@
                     lambda name, _: self.fleet.workers[name],
                 )
 
+    @rule(name=st.sampled_from(WORKERS), seconds=st.floats(0.1, 14.0))
+    def cut_then_take_over(self, name: str, seconds: float) -> None:
+        """The sequence in which a bound that is too short shows."""
+        self.unreachable = {name}
+        self.take_over()
+        self.wait(seconds)
+        for other in WORKERS:
+            self.hold(other)
+        self.place(set(), late=False)
+
     @rule(seconds=st.floats(0.05, 6.0))
     def wait(self, seconds: float) -> None:
         self.now += seconds
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -422,3 +422,23 @@
         assert controller.fleet.jobs[name(7)].state == "cancelled"
         await wait_for(lambda: is_state(client, name(7), "cancelled"))
         assert not count_starts(site)
+
+
+async def test_a_listing_from_before_a_job_s_end_does_not_run_it_again() -> None:
+    site = Site()
+    async with running(site) as (client, nodes):
+        await wait_for(lambda: nodes[0].node.controller)
+        controller = nodes[0].node.controller
+        listed: list[Change] = []
+        add = controller._add_job
+        controller._add_job = lambda record, now: (
+            listed.append(Change(record.key, record, record.revision)),
+            add(record, now),
+        )[1]
+        await client.submit(name(1))
+        await wait_for(lambda: is_state(client, name(1), "completed"))
+        await wait_for(lambda: name(1) not in controller.fleet.jobs)
+        controller._take_inbox(listed)
+        assert name(1) not in controller.fleet.jobs, "it would run again, on another worker"
+        await asyncio.sleep(0.5)
+        assert set(count_starts(site).values()) == {1}
