--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -331,11 +331,7 @@
         self._waves += 1
         limit = self.rng.randint(1, 3)
         hosts = sorted(self.rng.sample(sorted(self.site.hosts), k=3))
-        for host in self.site.hosts:
-            self.watcher.wave_limits[host] = max(self.watcher.wave_limits.get(host, 0), 0)
-        for host in hosts:
-            # Waves overlap: together they may take the sum of their limits.
-            self.watcher.wave_limits[host] = self.watcher.wave_limits.get(host, 0) + limit
+        self.watcher.wave_limits[self._waves] = limit
         wave = {"wave": self._waves, "machines": hosts, "withinS": 10, "upperLimit": limit}
         self.site.write(f"op/wave/{self._waves}", wave)
 
--- a/soak/watcher.py
+++ b/soak/watcher.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
@@ -31,8 +32,8 @@
         """Jobs whose every attempt was refused."""
         self.cancelled: set[str] = set()
         """Jobs whose cancelling was answered with success."""
-        self.wave_limits: dict[str, int] = {}
-        """Limit of the wave that each host is in."""
+        self.wave_limits: dict[int, int] = {}
+        """Limit of each wave."""
         self._site = site
         self._began = time.monotonic()
         self._seen: dict[str, int] = {}
@@ -47,10 +48,10 @@
         """Check everything that can be checked at any moment."""
         self._check_doubles()
         self._check_starts()
-        away = [host for host in self._site.hosts.values() if host.state == "upkeep"]
-        for host in away:
-            if len(away) > self.wave_limits.get(host.name, 0):
-                self._report(f"{len(away)} hosts in maintenance, limit of {host.name} exceeded")
+        away = Counter(host.wave for host in self._site.hosts.values() if host.state == "upkeep")
+        for wave, count in away.items():
+            if count > self.wave_limits.get(wave, 0):
+                self._report(f"wave {wave}: {count} hosts in maintenance at once")
 
     def _check_doubles(self) -> None:
         running: dict[TaskKey, str] = {}
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -15,7 +15,7 @@
 from foxtrestle.platform.hosts import HostRefused
 from foxtrestle.platform.http import CallError
 from foxtrestle.scheduling.checks import check_maintenance
-from foxtrestle.scheduling.hosts import HostPlan, is_back, view_hosts
+from foxtrestle.scheduling.hosts import LIST_LAG_S, HostPlan, is_back, view_hosts
 from foxtrestle.scheduling.maintaining import (
     choose_for_wave,
     choose_stops,
@@ -211,7 +211,7 @@
             if plan.wave:
                 self._stop_rest(plan, view, now)
             return
-        if not self._may_order(plan.host, now):
+        if not self._may_order(plan, now):
             return
         if plan.wave:
             entry = self._fleet.waves[plan.wave]
@@ -223,10 +223,19 @@
         plan.move("empty", now)
         self._spawn(self._order(plan))
 
-    def _may_order(self, host: str, now: float) -> bool:
-        """Tell whether a host may be ordered: not soon after another controller's order for it."""
-        settled = now - self._started_at > self._settings.bounds.turn_s
-        return self._term.is_valid() and (settled or host not in self._inherited)
+    def _may_order(self, plan: HostPlan, now: float) -> bool:
+        """Tell whether an order may be given: not soon after another controller's for the host.
+
+        Maintenance waits for any earlier order: the list may not show yet which hosts are away,
+        and a wave's limit counts them.
+        """
+        if not self._term.is_valid():
+            return False
+        bounds = self._settings.bounds
+        since = now - self._started_at
+        if plan.wave and self._inherited:
+            return since > max(bounds.turn_s, bounds.maintenance_s + LIST_LAG_S)
+        return since > bounds.turn_s or plan.host not in self._inherited
 
     def _stop_rest(self, plan: HostPlan, view: HostView, now: float) -> None:
         if view.worker is None:
--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -76,6 +76,10 @@
     """Id of its worker; empty while it has none."""
     maintained: int = 0
     """Times it was maintained."""
+    wave: int = 0
+    """Wave that it was last maintained for."""
+    waves: set[int] = msgspec.field(default_factory=set)
+    """Waves that it was maintained for."""
 
 
 class Site:
@@ -375,11 +379,14 @@
             if host is None:
                 return Response(status_code=400)
             token = int(request.headers["Foxtrestle-Fencing-Token"])
-            if "wave" in body and host.maintained >= body["wave"]:
+            if body.get("wave") in host.waves:
                 return JSONResponse({})
             if host.state != "up":
                 return JSONResponse({"reason": "busy"}, status_code=409)
             kind = "maintain" if "wave" in body else "move"
+            if "wave" in body:
+                host.wave = body["wave"]
+                host.waves.add(host.wave)
             self.host_orders.append((kind, host.name, token))
             task = asyncio.create_task(self._take_away(host, body.get("pool", host.pool), kind))
             self._late.add(task)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,6 +15,7 @@
 from foxtrestle.listener import bind
 from foxtrestle.node.process import Node
 from foxtrestle.node.settings import Bounds, NodeSettings
+from foxtrestle.scheduling.hosts import LIST_LAG_S, HostPlan
 from foxtrestle.scheduling.model import Shape, Step, TaskKey
 from foxtrestle.standins.site import Site
 from foxtrestle.store import Change, Transaction
@@ -362,8 +363,16 @@
         await wait_for(lambda: other.node.controller and other.node.controller._hosts._loaded)
         hosts = other.node.controller._hosts
         assert hosts._inherited >= ordered
-        assert not hosts._may_order(next(iter(ordered)), hosts._started_at)
-        assert hosts._may_order("another", hosts._started_at)
+
+        def may_order(host: str, wave: int, after_s: float) -> bool:
+            plan = HostPlan(host, "main", wave, "", hosts._started_at)
+            return hosts._may_order(plan, hosts._started_at + after_s)
+
+        assert not may_order(next(iter(ordered)), 0, 0.0)
+        assert may_order("another", 0, 0.0)
+        # A host that the predecessor has just sent into maintenance may not show in the list yet.
+        assert not may_order("another", 1, LIST_LAG_S)
+        assert may_order("another", 1, LIST_LAG_S + hosts._settings.bounds.maintenance_s + 0.1)
 
 
 async def test_a_start_that_was_not_sent_is_settled_and_made_anew(
