Let nobody who answers be displaced by an entry that comes late

Change: only the platform's list, and only about silent workers, says that a host has a new worker; of two workers of a host, the one that answers is the present one. Test: fails before (the former life was taken for the present one).

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -302,18 +302,10 @@
         worker.info = info
         worker.revision = record.revision
         worker.gone = False
-        self._end_older_lives(worker)
         self._link(worker)
 
     # Workers.
 
-    def _end_older_lives(self, worker: Worker) -> None:
-        """A host's new worker says that its former ones have ended."""
-        for other in list(self.fleet.workers.values()):
-            same_host = worker.info.host and other.info.host == worker.info.host
-            if same_host and other is not worker and other.revision < worker.revision:
-                self._lose_worker(other, "its host has a new worker")
-
     def _link(self, worker: Worker) -> None:
         held = self._links.get(worker.info.id)
         if held is not None and not held.done():
--- a/src/foxtrestle/scheduling/hosts.py
+++ b/src/foxtrestle/scheduling/hosts.py
@@ -99,8 +99,7 @@
         return "" if name in (fleet.hosts_before or ()) else "its host is gone"
     if host.state != "up":
         return f"its host is {host.state}"
-    listed = fleet.workers.get(host.worker)
-    if listed is not None and listed is not worker and listed.revision > worker.revision:
+    if host.worker and host.worker != worker.info.id:
         return "its host has a new worker"
     return ""
 
@@ -111,7 +110,8 @@
     for worker in fleet.workers.values():
         host = worker.info.host
         held = newest.get(host)
-        if host and (held is None or worker.revision > held.revision):
+        # An entry of a former life may be written again, late; who answers is the present one.
+        if host and (held is None or _rank(worker) > _rank(held)):
             newest[host] = worker
     views = {}
     for name, info in fleet.hosts.items():
@@ -122,6 +122,10 @@
     return views
 
 
+def _rank(worker: Worker) -> tuple[float, int]:
+    return worker.contact_at, worker.revision
+
+
 def is_back(view: HostView, away_s: float, now: float) -> bool:
     """Tell whether a host that was ordered away serves again, or is off in its new pool.
 
--- a/tests/test_host_decisions.py
+++ b/tests/test_host_decisions.py
@@ -222,6 +222,23 @@
     assert find_dead(fleet, NOW + 10) == []
 
 
+def test_an_entry_of_a_former_life_that_comes_late_displaces_nobody() -> None:
+    fleet = make_fleet(1)
+    fleet.hosts_before = frozenset(fleet.hosts)
+    enter(fleet, make_job(Step(lasting=True)))
+    start_all(fleet)
+    late = add_worker(fleet, "former", host="h-w-main-0")
+    late.known = False
+    late.contact_at = -1e9
+    fleet.hosts["h-w-main-0"] = HostInfo("h-w-main-0", "main", "up", "z", (), ROOM, "w-main-0")
+    view = view_hosts(fleet)["h-w-main-0"]
+    assert view.worker is fleet.workers["w-main-0"]
+    assert not view.is_idle(), "moving the host now would kill what runs there"
+    fleet.workers["w-main-0"].contact_at = NOW + 10
+    dead = [(worker.info.id, why) for worker, why in find_dead(fleet, NOW + 10)]
+    assert dead == [("former", "its host has a new worker")]
+
+
 def test_only_as_many_lasting_tasks_are_stopped_as_may_be_absent() -> None:
     fleet = make_fleet(1)
     entry = enter(fleet, make_job(Step(count=5, lasting=True, max_absent=2)))
