Survive a job of which every step fills

Cause: the widest counted step of such a job was taken of an empty list, which raised and ended the controller's term; found by reading the change once more. Change: such a job counts as width 0. Test: fails before, passes after.

--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -148,7 +148,8 @@
         sizes = [view.room.cpu for view in self._fleet.hosts.values() if view.room.cpu]
         if not sizes:
             return
-        widest = max(step.count * step.shape.cpu for step in entry.job.spec.steps if not step.fills)
+        counted = [step for step in entry.job.spec.steps if not step.fills]
+        widest = max((step.count * step.shape.cpu for step in counted), default=0)
         load = self.loads.setdefault(entry.job.pool, PoolLoad())
         load.sizes.append(widest * len(sizes) / sum(sizes))
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -451,3 +451,13 @@
         assert name(1) not in controller.fleet.jobs, "it would run again, on another worker"
         await asyncio.sleep(0.5)
         assert set(count_starts(site).values()) == {1}
+
+
+async def test_a_job_of_which_every_step_fills_does_not_end_the_controller() -> None:
+    site = Site()
+    async with running(site) as (client, nodes):
+        await wait_for(lambda: nodes[0].node.controller and nodes[0].node.controller.fleet.hosts)
+        first = nodes[0].node.controller
+        await client.submit(name(1), {"count": 2, "cpu": 1000, "fills": True})
+        await wait_for(lambda: is_state(client, name(1), "completed"))
+        assert nodes[0].node.controller is first
