Start background tasks in one place

Cause: four parts of the controller each kept the same set of background tasks with the same callbacks, and links had a second way to log a failure. Change: control/spawn; behaviour as before; an attribute nobody read is gone.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -19,6 +19,7 @@
 from foxtrestle.control.measures import Measures
 from foxtrestle.control.orders import CLOCK_DRIFT, HOLD_S, LAPSE_MARGIN_S, Orders
 from foxtrestle.control.ownership import GRACE_WITHOUT_STORE_S, LEASE_S
+from foxtrestle.control.spawn import Spawner
 from foxtrestle.platform.workers import ENTRIES, CallError, decode_worker
 from foxtrestle.scheduling.checks import check_start
 from foxtrestle.scheduling.hosts import find_dead
@@ -30,7 +31,7 @@
 from foxtrestle.store import Change, Compacted, Listing, Record, StoreError, Transaction
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable
 
     from foxtrestle.control.ownership import Term
     from foxtrestle.node.operators import OperatorMirror
@@ -97,7 +98,7 @@
         self._changed = asyncio.Event()
         self._links: dict[str, asyncio.Task[None]] = {}
         self._ended_lives: set[str] = set()
-        self._spawned: set[asyncio.Task[None]] = set()
+        self._background = Spawner()
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -118,7 +119,7 @@
             await asyncio.gather(*tasks)
 
     async def _close(self, tasks: list[asyncio.Task[None]]) -> None:
-        everything = [*tasks, *self._links.values(), *self._spawned]
+        everything = [*tasks, *self._links.values(), *self._background.tasks]
         for task in everything:
             task.cancel()
         await asyncio.gather(*everything, return_exceptions=True)
@@ -127,12 +128,6 @@
         """Have it decide again soon."""
         self._changed.set()
 
-    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        self._spawned.add(task)
-        task.add_done_callback(self._spawned.discard)
-        task.add_done_callback(log_failure)
-
     # Taking over.
 
     async def _load(self) -> tuple[int, int]:
@@ -263,7 +258,7 @@
             return
         log("job.cancelled", job=job)
         for stop in end_job(self.fleet, entry, "cancelled"):
-            self._spawn(self._orders.stop(stop))
+            self._background.spawn(self._orders.stop(stop))
         self._ledger.wake()
 
     def _load_entries(self, listing: Listing, now: float) -> None:
@@ -315,13 +310,9 @@
             self.wake, self._lose_worker, self._settings.bounds.pace_s, self._measures,
         )  # fmt: skip
         task = asyncio.create_task(link.run())
-        task.add_done_callback(self._note_link_end)
+        task.add_done_callback(log_failure)
         self._links[worker.info.id] = task
 
-    def _note_link_end(self, task: asyncio.Task[None]) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            log("link.failed", reason=repr(task.exception()))
-
     def _lose_worker(self, worker: Worker, why: str) -> None:
         """Give up what was placed on a worker whose life or lease is certainly over."""
         freed = release_worker(self.fleet, worker, time.monotonic())
@@ -390,7 +381,7 @@
             await self._ledger.record([placement.job])
             await asyncio.gather(*(self._orders.start(*start) for start in starts))
 
-        self._spawn(start_recorded())
+        self._background.spawn(start_recorded())
 
     # Ended jobs.
 
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from foxtrestle.control.keys import HOST_ORDERS, LOCK
-from foxtrestle.control.log import Outage, log, log_failure
+from foxtrestle.control.log import Outage, log
+from foxtrestle.control.spawn import Spawner
 from foxtrestle.control.wave_records import WaveRecords
 from foxtrestle.platform.hosts import HostRefused
 from foxtrestle.platform.http import CallError
@@ -27,7 +28,7 @@
 from foxtrestle.store import Conflict, StoreError, Transaction
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable
 
     from foxtrestle.control.orders import Orders
     from foxtrestle.control.ownership import Term
@@ -89,7 +90,7 @@
         self._started_at = time.monotonic()
         self._looked_at = 0.0
         self._seen_at: dict[str, float] = {}
-        self._spawned: set[asyncio.Task[None]] = set()
+        self._background = Spawner()
         self._ordered_at: dict[str, float] = {}
         self._inherited: frozenset[str] = frozenset()
         self._orders_revision = 0
@@ -180,9 +181,9 @@
                 entry.begun_ms = held.begun_ms
             else:
                 entry.begun_ms = int((time.time() - time.monotonic() + seen_at) * 1000)
-                self._spawn(self._waves.record(entry))
+                self._background.spawn(self._waves.record(entry))
             self._fleet.waves[number] = entry
-            self._spawn(self._waves.tell(entry))
+            self._background.spawn(self._waves.tell(entry))
 
     def _advance(self, views: dict[str, HostView], now: float) -> None:
         """Move plans on."""
@@ -222,7 +223,7 @@
             worker.cordoned = True
             plan.old_worker = worker.info.id
         plan.move("empty", now)
-        self._spawn(self._order(plan))
+        self._background.spawn(self._order(plan))
 
     def _may_order(self, plan: HostPlan, now: float) -> bool:
         """Tell whether an order may be given: not soon after another controller's for the host.
@@ -250,7 +251,7 @@
             if found is not None:
                 found[1].move("stop")
                 found[1].confirmed_at = 0.0
-            self._spawn(self._orders.stop(stop))
+            self._background.spawn(self._orders.stop(stop))
 
     def _plan_waves(
         self, views: dict[str, HostView], needs: dict[str, PoolNeed], now: float
@@ -270,7 +271,7 @@
             if entry.done.issuperset(entry.wave.hosts):
                 entry.completed = True
                 log("wave.completed", wave=entry.wave.number, took_s=round(now - seen_at, 2))
-                self._spawn(self._waves.tell(entry))
+                self._background.spawn(self._waves.tell(entry))
 
     def _plan_moves(
         self, views: dict[str, HostView], needs: dict[str, PoolNeed], now: float
@@ -364,7 +365,7 @@
         if plan.wave:
             entry = self._fleet.waves[plan.wave]
             entry.done.add(plan.host)
-            self._spawn(self._waves.record(entry))
+            self._background.spawn(self._waves.record(entry))
 
     def _take_refusal(self, plan: HostPlan, refusal: HostRefused) -> None:
         now = time.monotonic()
@@ -384,9 +385,3 @@
         worker = self._fleet.workers.get(plan.old_worker)
         if worker is not None:
             worker.cordoned = False
-
-    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        self._spawned.add(task)
-        task.add_done_callback(self._spawned.discard)
-        task.add_done_callback(log_failure)
--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -6,8 +6,9 @@
 import time
 from typing import TYPE_CHECKING, Final
 
-from foxtrestle.control.log import log, log_failure
+from foxtrestle.control.log import log
 from foxtrestle.control.orders import compute_expiry_ms, compute_lapse
+from foxtrestle.control.spawn import Spawner
 from foxtrestle.platform.http import CallError
 from foxtrestle.platform.workers import OrderRefused, OtherLife
 from foxtrestle.scheduling.pacing import choose_paces
@@ -90,7 +91,7 @@
         self._measures = measures
         self._unrecorded = False
         self._silent = False
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = Spawner()
 
     async def run(self) -> None:
         """Hold until the worker's life or the term is over."""
@@ -182,7 +183,7 @@
         for stop in stops:
             self._spawn_stop(stop)
         for pace in choose_paces(self._fleet, worker, self._pace_s, now):
-            self._spawn(self._orders.pace(pace, worker))
+            self._background.spawn(self._orders.pace(pace, worker))
         if report.ends or jobs:
             self._wake()
             await self._record({end.key.job for end in report.ends}, report)
@@ -208,7 +209,7 @@
                 continue
             if needs_stop(run, listed=(key, number) in listed, known=worker.known, now=now):
                 run.sending = True
-                self._spawn(self._orders.stop_run(*found, worker))
+                self._background.spawn(self._orders.stop_run(*found, worker))
                 continue
             if (key, number) in listed:
                 continue
@@ -230,10 +231,4 @@
             return
         if found is not None:
             found[1].move("stop")
-        self._spawn(self._orders.stop(stop))
-
-    def _spawn(self, coroutine: object) -> None:
-        task = asyncio.ensure_future(coroutine)  # type: ignore[call-overload]
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        task.add_done_callback(log_failure)
+        self._background.spawn(self._orders.stop(stop))
--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from typing import TYPE_CHECKING, Final
 
-from foxtrestle.control.log import log, log_failure
+from foxtrestle.control.log import log
+from foxtrestle.control.spawn import Spawner
 from foxtrestle.platform.http import CallError, MalformedAnswer, NoAnswer
 from foxtrestle.platform.workers import OrderRefused, OtherLife
 from foxtrestle.scheduling.model import StartOrder
@@ -74,7 +74,7 @@
         self._calls = calls
         self._wake = wake
         self._lose_worker = lose_worker
-        self._stops: set[asyncio.Task[None]] = set()
+        self._background = Spawner()
 
     async def start(self, task: Task, run: Run, worker: Worker) -> None:
         """Start a run that is recorded."""
@@ -146,7 +146,7 @@
             # The run has been there, or an earlier copy of the order may still arrive: the
             # worker's lists tell, and a stop bars what has not come yet.
             self._confirm(run)
-            self._stop_later(task, run, worker)
+            self._background.spawn(self.stop_run(task, run, worker))
             return True
         if reason == "ticket":
             key = task.key
@@ -156,12 +156,6 @@
         self._drop(task, run, worker)
         return True
 
-    def _stop_later(self, task: Task, run: Run, worker: Worker) -> None:
-        stop = asyncio.create_task(self.stop_run(task, run, worker))
-        self._stops.add(stop)
-        stop.add_done_callback(self._stops.discard)
-        stop.add_done_callback(log_failure)
-
     async def _give_up(self, task: Task, run: Run, worker: Worker, *, sent: bool) -> None:
         """Settle a start without an answer: stop it, which bars a late copy, or leave it."""
         if not sent:
--- a/src/foxtrestle/node/health.py
+++ b/src/foxtrestle/node/health.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING, Final
 
 from foxtrestle.control.keys import TERM
@@ -43,5 +42,4 @@
                     log("store.reached")
                 self._failures = 0
             self.away = self._failures >= AWAY_AFTER
-            self.noted_at = time.monotonic()
             await asyncio.sleep(PROBE_S)
