Send hosts on their way out where they are needed, and bar fewer after a takeover

Change: a host that is still being emptied to be off is redirected to a pool that lacks one; hosts that cannot be ordered yet are not planned at all; the record tells how long ago each order was settled, so that only the rest of the turn is waited for. After drops the needs are computed anew.

--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -51,13 +51,16 @@
 """Least seconds between two looks at the hosts."""
 MISSING_S: Final = 6.0
 """Seconds after which a host that is not listed counts as removed."""
+UNSETTLED: Final = float("inf")
+"""Time at which an order is settled that may still be sent."""
 
 
 class OrdersRecord(msgspec.Struct, frozen=True):
     """Orders that another controller must not follow up at once."""
 
-    hosts: list[str]
-    """Hosts ordered in the last seconds of a term, written before each order."""
+    hosts: dict[str, float]
+    """Seconds since the outcome of each host's last order was known, 0 while it is not; hosts
+    ordered longer ago are left out. Written before each order."""
 
 
 class HostOrders:
@@ -91,8 +94,8 @@
         self._looked_at = 0.0
         self._seen_at: dict[str, float] = {}
         self._background = Spawner()
-        self._ordered_at: dict[str, float] = {}
-        self._inherited: frozenset[str] = frozenset()
+        self._settled_at: dict[str, float] = {}
+        self._inherited: dict[str, float] = {}
         self._orders_revision = 0
         self._recording = asyncio.Lock()
         self._waves = WaveRecords(store, term)
@@ -141,7 +144,7 @@
         if orders is not None:
             self._orders_revision = orders.revision
             held = msgspec.json.decode(orders.value, type=OrdersRecord)
-            self._inherited = frozenset(held.hosts)
+            self._inherited = held.hosts
         self._loaded = True
 
     def note_job(self, entry: JobEntry) -> None:
@@ -237,7 +240,13 @@
         since = now - self._started_at
         if plan.wave and self._inherited:
             return since > max(bounds.turn_s, bounds.maintenance_s + LIST_LAG_S)
-        return since > bounds.turn_s or plan.host not in self._inherited
+        return plan.host not in self._list_barred(now)
+
+    def _list_barred(self, now: float) -> frozenset[str]:
+        """List hosts that an earlier controller may have ordered too shortly ago."""
+        since = now - self._started_at
+        turn_s = self._settings.bounds.turn_s
+        return frozenset(name for name, age in self._inherited.items() if age + since <= turn_s)
 
     def _stop_rest(self, plan: HostPlan, view: HostView, now: float) -> None:
         if view.worker is None:
@@ -280,12 +289,20 @@
         if configuration is None:
             return
         reserve = next((name for name, p in configuration.pools.items() if p.reserve), "")
-        for host in choose_drops(needs, views, reserve):
+        drops = choose_drops(needs, views, reserve)
+        for host in drops:
             self._drop(self._fleet.plans[host], "not needed any more", now)
-        for move in choose_moves(needs, view_hosts(self._fleet), reserve, now):
+        views = view_hosts(self._fleet)
+        if drops:
+            needs = compute_needs(self._fleet, views, self.loads, now)
+        for move in choose_moves(needs, views, reserve, now, self._list_barred(now)):
             log("host.move-decided", host=move.host, pool=move.pool,
                 needs={name: [round(n.demand, 2), n.wanted, n.have] for name, n in needs.items()},
             )  # fmt: skip
+            held = self._fleet.plans.get(move.host)
+            if held is not None:
+                held.pool = move.pool
+                continue
             self._plan(views[move.host], move.pool, 0, now)
 
     def _plan(self, view: HostView, pool: str, wave: int, now: float) -> None:
@@ -301,6 +318,12 @@
 
     async def _order(self, plan: HostPlan) -> None:
         """Give one order until its outcome is known."""
+        try:
+            await self._give(plan)
+        finally:
+            self._settled_at[plan.host] = time.monotonic()
+
+    async def _give(self, plan: HostPlan) -> None:
         if not await self._record_order(plan.host):
             plan.move("refused", time.monotonic())
             return
@@ -333,11 +356,11 @@
         """
         async with self._recording:
             now = time.monotonic()
-            self._ordered_at[host] = now
-            # Twice the turn: what was ordered late in one turn must outlast it.
-            oldest = now - 2 * self._settings.bounds.turn_s
-            self._ordered_at = {name: at for name, at in self._ordered_at.items() if at > oldest}
-            value = msgspec.json.encode(OrdersRecord(sorted(self._ordered_at)))
+            self._settled_at[host] = UNSETTLED
+            oldest = now - max(self._settings.bounds.turn_s, LIST_LAG_S)
+            self._settled_at = {name: at for name, at in self._settled_at.items() if at > oldest}
+            ages = {name: max(0.0, round(now - at, 2)) for name, at in self._settled_at.items()}
+            value = msgspec.json.encode(OrdersRecord(dict(sorted(ages.items()))))
             conditions = {
                 LOCK: self._term.lock.revision,
                 HOST_ORDERS: self._orders_revision,
--- a/src/foxtrestle/scheduling/scaling.py
+++ b/src/foxtrestle/scheduling/scaling.py
@@ -186,7 +186,11 @@
 
 
 def choose_moves(
-    needs: dict[str, PoolNeed], views: dict[str, HostView], reserve: str, now: float
+    needs: dict[str, PoolNeed],
+    views: dict[str, HostView],
+    reserve: str,
+    now: float,
+    barred: frozenset[str] = frozenset(),
 ) -> list[HostMove]:
     """Choose hosts to move: into pools that lack some, out of pools that have too many.
 
@@ -195,11 +199,12 @@
         views: All hosts.
         reserve: Name of the pool whose hosts are off; empty if there is none.
         now: Monotonic time, seconds.
+        barred: Hosts that cannot be ordered yet; planned, they would only stand idle.
     """
     targets = share_hosts(needs, count_available(views))
     have = {name: need.have for name, need in needs.items()}
     moves: list[HostMove] = []
-    taken: set[str] = set()
+    taken: set[str] = set(barred)
     lacking = sorted(
         (name for name in needs if have[name] < targets[name]),
         # A pool without any host goes first: its tasks cannot run at all.
@@ -207,7 +212,7 @@
     )
     for name in lacking:
         while have[name] < targets[name]:
-            view = _find_off(views, reserve, taken)
+            view = _find_off(views, reserve, taken) or _find_leaving(name, views, reserve, taken)
             if view is None:
                 view = _find_surplus(targets, have, views, taken, now)
             if view is None and have[name] == 0:
@@ -216,7 +221,7 @@
                 break
             taken.add(view.info.name)
             have[name] += 1
-            if view.pool in have:
+            if view.pool in have and view.plan is None:
                 have[view.pool] -= 1
             moves.append(HostMove(view.info.name, name))
     if not reserve:
@@ -263,6 +268,19 @@
     return None
 
 
+def _find_leaving(
+    pool: str, views: dict[str, HostView], reserve: str, taken: set[str]
+) -> HostView | None:
+    """Find a host of another pool that is being emptied to be off: it saves that move."""
+    for name, view in views.items():
+        plan = view.plan
+        if name in taken or plan is None or plan.wave or not reserve or view.pool == pool:
+            continue
+        if plan.state == "emptying" and plan.pool == reserve:
+            return view
+    return None
+
+
 def _find_surplus(
     targets: dict[str, int],
     have: dict[str, int],
--- a/tests/test_host_decisions.py
+++ b/tests/test_host_decisions.py
@@ -118,6 +118,25 @@
     assert choose_drops(needs, view_hosts(fleet), "off") == []
 
 
+def test_a_host_being_emptied_to_be_off_is_sent_where_it_is_needed_instead() -> None:
+    fleet = make_fleet(3, ("main", "side"))
+    plan = HostPlan("h-w-main-0", "off", 0, "w-main-0", NOW)
+    fleet.plans[plan.host] = plan
+    needs = {"main": PoolNeed(2.0, 2, 2), "side": PoolNeed(4.0, 4, 3)}
+    [move] = choose_moves(needs, view_hosts(fleet), "off", NOW)
+    assert (move.host, move.pool) == (plan.host, "side")
+    plan.move("empty", NOW)
+    assert choose_moves(needs, view_hosts(fleet), "off", NOW) == []
+
+
+def test_a_host_that_cannot_be_ordered_yet_goes_on_serving() -> None:
+    fleet = make_fleet(3, ("main", "side"))
+    needs = {"main": PoolNeed(1.0, 1, 3), "side": PoolNeed(5.0, 5, 3)}
+    barred = frozenset({"h-w-main-0", "h-w-main-1"})
+    moves = choose_moves(needs, view_hosts(fleet), "off", NOW, barred)
+    assert [move.host for move in moves] == ["h-w-main-2"]
+
+
 def test_a_host_in_maintenance_does_not_count_as_serving() -> None:
     fleet = make_fleet(1)
     fleet.plans["h-w-main-0"] = HostPlan("h-w-main-0", "main", 1, "w-main-0", NOW)
