Count the configuration as current only up to what an answer certainly tells

The configuration had grown to 1,650 queues (0.5 MB); a node behind 5 Mbit/s got answers of the watch seconds after the store had sent them, counted them as current when they arrived, and refused a queue with 404 that had been there for over three seconds.

Change: an answer with changes tells all up to when the call was sent, an empty one up to the end of its wait; a second is taken off when the history is lost. What counts as current follows from the platform's bound instead of a constant. After changes the watch waits 0.3 s only; after a slow answer everything is read, so that a thin link carries each value once. A node that is not current refuses with 503 and a time to come back, as before.

--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -58,9 +58,11 @@
 class OrdersRecord(msgspec.Struct, frozen=True):
     """Orders that another controller must not follow up at once."""
 
-    hosts: dict[str, float]
-    """Seconds since the outcome of each host's last order was known, 0 while it is not; hosts
-    ordered longer ago are left out. Written before each order."""
+    hosts: list[str]
+    """Hosts ordered in the last seconds of a term, written before each order."""
+    settled_s: dict[str, float] = {}
+    """Seconds since the outcome of a host's last order was known; hosts of which it is not, or
+    which a former release recorded, are missing."""
 
 
 class HostOrders:
@@ -144,7 +146,7 @@
         if orders is not None:
             self._orders_revision = orders.revision
             held = msgspec.json.decode(orders.value, type=OrdersRecord)
-            self._inherited = held.hosts
+            self._inherited = {name: held.settled_s.get(name, 0.0) for name in held.hosts}
         self._loaded = True
 
     def note_job(self, entry: JobEntry) -> None:
@@ -359,8 +361,12 @@
             self._settled_at[host] = UNSETTLED
             oldest = now - max(self._settings.bounds.turn_s, LIST_LAG_S)
             self._settled_at = {name: at for name, at in self._settled_at.items() if at > oldest}
-            ages = {name: max(0.0, round(now - at, 2)) for name, at in self._settled_at.items()}
-            value = msgspec.json.encode(OrdersRecord(dict(sorted(ages.items()))))
+            settled_s = {
+                name: round(now - at, 2)
+                for name, at in sorted(self._settled_at.items())
+                if at != UNSETTLED
+            }
+            value = msgspec.json.encode(OrdersRecord(sorted(self._settled_at), settled_s))
             conditions = {
                 LOCK: self._term.lock.revision,
                 HOST_ORDERS: self._orders_revision,
--- a/src/foxtrestle/node/operators.py
+++ b/src/foxtrestle/node/operators.py
@@ -16,6 +16,7 @@
     decode_configuration,
     decode_wave,
 )
+from foxtrestle.platform.store import WATCH_WAIT_S
 from foxtrestle.store import Change, Compacted, StoreError
 
 if TYPE_CHECKING:
@@ -25,41 +26,82 @@
     from foxtrestle.scheduling.model import FleetConfiguration, Queue, Wave
     from foxtrestle.store import Record
 
-CURRENT_S: Final = 2.0
-"""Seconds after the last answer for which the configuration counts as current: the watch answers
-every second, and a new version must be in force two to three seconds after it was written."""
+APPLY_MARGIN_S: Final = 0.1
+"""Seconds by which the configuration counts as out of date before a new one must be in force: a
+request is answered in a few hundredths."""
+EVENTFUL_WAIT_S: Final = 0.3
+"""Seconds the watch waits after it brought changes: when they were written is not known, and the
+next answer without any tells that nothing is missing."""
+UNHEARD_S: Final = 1.0
+"""Seconds before a loss of the history for which the watch may have kept silent; measured by the
+platform."""
+SLOW_S: Final = 0.8
+"""Seconds for an answer to arrive, beyond the wait, after which everything is read instead: a
+thin link carries each newest value once rather than all versions since."""
 RETRY_S: Final = 0.2
 """Mean pause after a failed read, seconds."""
 
 
+def find_complete(sent_at: float, took_s: float, wait_s: float, *, eventful: bool) -> float:
+    """Return the time up to which an answer to a watch tells all, as far as is certain.
+
+    An answer may be long on its way, so its arrival says nothing; an empty one, though, left the
+    store no earlier than its wait was over.
+
+    Args:
+        sent_at: Monotonic time of the call, seconds.
+        took_s: Seconds until the answer was there whole.
+        wait_s: Seconds the store was asked to wait for changes.
+        eventful: Whether it brought changes.
+    """
+    if eventful or took_s < wait_s:
+        return sent_at
+    return sent_at + wait_s
+
+
 class OperatorMirror:
     """The newest configuration and the waves, kept by one watch."""
 
-    def __init__(self, store: PlatformStore, on_change: Callable[[], None]) -> None:
-        """Create a mirror that knows nothing yet."""
+    def __init__(self, store: PlatformStore, on_change: Callable[[], None], apply_s: float) -> None:
+        """Create a mirror that knows nothing yet.
+
+        Args:
+            store: The platform's store.
+            on_change: Called after each change.
+            apply_s: Seconds after which a new configuration must be in force.
+        """
         self.configuration: FleetConfiguration | None = None
         """The newest configuration; None before the first."""
         self.waves: dict[int, tuple[Wave, float]] = {}
         """Waves by number, with the monotonic time at which each was first seen."""
-        self.answered_at = -1e9
-        """Monotonic time of the store's last answer to the watch, seconds."""
+        self.complete_at = -1e9
+        """Monotonic time up to which no change is missing for certain, seconds."""
+        self._current_s = apply_s - APPLY_MARGIN_S
         self._store = store
         self._on_change = on_change
 
     async def follow(self) -> None:
         """Keep the mirror up to date until cancelled."""
         revision = 0
+        wait_s = EVENTFUL_WAIT_S
         outage = Outage("store", "watch operators")
         while True:
             try:
                 if not revision:
                     revision = await self._read_all()
-                changes, revision = await self._store.poll(OPERATORS, revision)
+                sent_at = time.monotonic()
+                changes, revision = await self._store.poll(OPERATORS, revision, wait_s)
                 outage.note_success()
-                self.answered_at = time.monotonic()
+                took_s = time.monotonic() - sent_at
+                self.complete_at = find_complete(sent_at, took_s, wait_s, eventful=bool(changes))
                 self._take(changes)
+                if took_s > wait_s + SLOW_S:
+                    log("operators.behind", took_s=round(took_s, 2), changes=len(changes))
+                    revision = 0
+                wait_s = EVENTFUL_WAIT_S if changes else WATCH_WAIT_S
             except Compacted:
                 log("operators.relist")
+                self.complete_at -= UNHEARD_S
                 revision = 0
             except StoreError as error:
                 outage.note_failure(error)
@@ -68,12 +110,13 @@
                 await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
 
     def is_current(self) -> bool:
-        """Tell whether no change can have gone unheard for long."""
-        return time.monotonic() - self.answered_at < CURRENT_S
+        """Tell whether every configuration that must be in force by now is known."""
+        return time.monotonic() - self.complete_at < self._current_s
 
     async def _read_all(self) -> int:
+        sent_at = time.monotonic()
         listing = await self._store.scan(OPERATORS)
-        self.answered_at = time.monotonic()
+        self.complete_at = sent_at
         self._take([Change(record.key, record, record.revision) for record in listing.records])
         return listing.revision
 
--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -82,7 +82,7 @@
                 advice = AdviceCalls(settings.advice_address, session)
             hosts = HostCalls(settings.hosts_address, settings.name, session, STORE_TIMEOUT_S)
             measures = Measures()
-            self.operators = OperatorMirror(store, self._wake_controller)
+            self.operators = OperatorMirror(store, self._wake_controller, settings.bounds.apply_s)
             self.health = StoreHealth(store)
 
             async def control(term: Term) -> None:
@@ -128,7 +128,7 @@
             "ready": float(self.is_ready()),
             "store_away": float(self.health.away),
             "configuration_version": configuration.version if configuration else 0.0,
-            "configuration_age_s": time.monotonic() - self.operators.answered_at,
+            "configuration_age_s": time.monotonic() - self.operators.complete_at,
             "controls": float(self.controller is not None),
         }
         if self.controller is not None:
--- a/src/foxtrestle/node/settings.py
+++ b/src/foxtrestle/node/settings.py
@@ -14,6 +14,8 @@
     """Longest lease that a worker grants, seconds on its clock."""
     drain_s: float = 2.0
     """Seconds after which a leaving worker must get nothing new."""
+    apply_s: float = 2.0
+    """Seconds after which a new configuration must be in force."""
     turn_s: float = 3.0
     """Seconds that must lie between orders for hosts from two controllers."""
     stop_task_s: float = 0.9
--- a/src/foxtrestle/platform/settings.py
+++ b/src/foxtrestle/platform/settings.py
@@ -34,6 +34,7 @@
     graceS: float = 6
     maxHoldMs: float = 10_000
     drainMs: float = 2000
+    configApplyMs: float = 2000
     leaseMs: float = 3000
     stop_ms: float = 900
     early_ms: float = 250
@@ -109,6 +110,7 @@
                 stop_grace_s=bounds.graceS,
                 longest_hold_s=bounds.maxHoldMs / 1000,
                 drain_s=bounds.drainMs / 1000,
+                apply_s=bounds.configApplyMs / 1000,
                 turn_s=bounds.leaseMs / 1000,
                 stop_task_s=bounds.stop_ms / 1000,
                 early_s=bounds.early_ms / 1000,
--- a/src/foxtrestle/platform/store.py
+++ b/src/foxtrestle/platform/store.py
@@ -112,8 +112,10 @@
                 return Listing(records, revision)
             query |= {"dependsOn": page.items[-1].tlsKey}
 
-    async def poll(self, prefix: str, after: int) -> tuple[list[Change], int]:
-        """Wait for changes under a prefix after a revision.
+    async def poll(
+        self, prefix: str, after: int, wait_s: float = WATCH_WAIT_S
+    ) -> tuple[list[Change], int]:
+        """Wait some seconds for changes under a prefix after a revision.
 
         Returns:
             The changes, none if there were none in time, and the revision to go on from.
@@ -125,14 +127,14 @@
         query = {
             "pathPrefix": prefix,
             "dependsOn": str(after),  # the revision to go on from, not a dependency
-            "waitMs": str(int(WATCH_WAIT_S * 1000)),
+            "waitMs": str(int(wait_s * 1000)),
         }
         reply = await self._call(
             "GET",
             "kv-watch",
             query=query,
-            timeout_s=WATCH_WAIT_S + SCAN_TIMEOUT_S,
-            silence_s=WATCH_WAIT_S + WATCH_MARGIN_S,
+            timeout_s=wait_s + SCAN_TIMEOUT_S,
+            silence_s=wait_s + WATCH_MARGIN_S,
         )
         events = decode(reply.body, _Events, step="store.watch", peer=self._base)
         return [_to_change(item) for item in events.events], max(after, events.at)
