Start jobs that can still be in time before those that cannot

Change: a job's rank within its priority is whether it can still meet its objective, else whether it is still worth something, then its age. The chain of its steps is estimated from how long the tasks of its queue took lately; the client's guess counts until five have ended. A job's age counts from its acceptance, also for a new controller.

The new tests do not run on the old code.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -26,7 +26,14 @@
 from foxtrestle.scheduling.model import Job, Shape, WorkerInfo
 from foxtrestle.scheduling.placing import choose_placements
 from foxtrestle.scheduling.progress import decode_progress, restore
-from foxtrestle.scheduling.runs import add_job, end_job, place_run, release_steps, release_worker
+from foxtrestle.scheduling.runs import (
+    add_job,
+    compute_age,
+    end_job,
+    place_run,
+    release_steps,
+    release_worker,
+)
 from foxtrestle.scheduling.state import Fleet, JobEntry, Worker
 from foxtrestle.store import Change, Compacted, Listing, Record, StoreError, Transaction
 
@@ -243,7 +250,7 @@
         except msgspec.DecodeError as error:
             log("job.unreadable", key=record.key, reason=str(error))
             return None
-        entry = JobEntry(job, record.revision, now)
+        entry = JobEntry(job, record.revision, now - compute_age(job, time.time() * 1000))
         add_job(self.fleet, entry)
         self._hosts.note_job(entry)
         log("job.seen", job=job.id, queue=job.queue, pool=job.pool, revision=record.revision)
--- a/src/foxtrestle/scheduling/placing.py
+++ b/src/foxtrestle/scheduling/placing.py
@@ -9,12 +9,15 @@
 import msgspec
 
 from foxtrestle.scheduling.model import Shape
+from foxtrestle.scheduling.urgency import compute_urgency
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from foxtrestle.scheduling.durations import Durations
     from foxtrestle.scheduling.model import Step
     from foxtrestle.scheduling.state import Fleet, JobEntry, Task, Worker
+    from foxtrestle.scheduling.urgency import Urgency
 
 Allow: TypeAlias = "Callable[[Task, Worker], bool]"
 """Tells whether a policy lets a task run on a worker."""
@@ -76,12 +79,11 @@
     return bool(fleet.find_ticket(task.key, worker.info.id, now))
 
 
-def order_jobs(entries: Iterable[JobEntry]) -> list[JobEntry]:
-    """Order jobs by priority, and within one by when they are due."""
+def order_jobs(entries: Iterable[JobEntry], durations: Durations, now: float) -> list[JobEntry]:
+    """Order jobs by priority, and within one by whether they can be in time and by age."""
 
-    def rank(entry: JobEntry) -> tuple[int, float, str]:
-        due = entry.job.accepted_ms + entry.job.target_ms
-        return entry.job.priority, due, entry.job.id
+    def rank(entry: JobEntry) -> tuple[int, Urgency, str]:
+        return entry.job.priority, compute_urgency(entry, durations, now), entry.job.id
 
     return sorted((entry for entry in entries if entry.ready), key=rank)
 
@@ -97,7 +99,7 @@
     advised = {queue.name for queue in fleet.configuration.queues if queue.advised}
     claims = _Claims()
     placements: list[Placement] = []
-    for entry in order_jobs(fleet.active.values()):
+    for entry in order_jobs(fleet.active.values(), fleet.durations, now):
         workers = by_pool.get(entry.job.pool, [])
         if not workers:
             continue
--- a/src/foxtrestle/scheduling/runs.py
+++ b/src/foxtrestle/scheduling/runs.py
@@ -25,6 +25,11 @@
     """Number of the run."""
 
 
+def compute_age(job: Job, wall_ms: float) -> float:
+    """Return the seconds since a job was accepted; 0 where the clocks say that it was later."""
+    return max(0.0, (wall_ms - job.accepted_ms) / 1000)
+
+
 def add_job(fleet: Fleet, entry: JobEntry) -> None:
     """Take a job in."""
     fleet.jobs[entry.job.id] = entry
@@ -114,7 +119,7 @@
     task = entry.tasks.get(end.key) if entry else None
     if entry is None or task is None:
         return []
-    known = end.run in task.runs
+    held = task.runs.get(end.run)
     drop_run(task, end.run, worker)
     fleet.mark(end.key.job)
     if end.checkpoint:
@@ -122,11 +127,13 @@
     if end.kind == "done":
         worker.successes += 1
         worker.failed_jobs.clear()
+        if held is not None and held.confirmed_at:
+            fleet.durations.note(entry.job.queue, now - held.confirmed_at)
     if entry.ended or task.done:
         return []
     if end.kind == "done" and not task.step.lasting:
         return _finish(fleet, entry, task, now)
-    if end.kind == "failed" and known:
+    if end.kind == "failed" and held is not None:
         worker.failed_jobs.add(end.key.job)
         if not task.step.lasting:
             task.failures += 1
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from foxtrestle.chart import load_chart
+from foxtrestle.scheduling.durations import Durations
 from foxtrestle.scheduling.model import ENDED_JOB, Shape, TaskKey
 
 if TYPE_CHECKING:
@@ -127,7 +128,7 @@
         "tasks",
     )
 
-    def __init__(self, job: Job, revision: int, now: float) -> None:
+    def __init__(self, job: Job, revision: int, created_at: float) -> None:
         """Create an entry without tasks; `runs.release_steps` adds those whose turn has come."""
         self.job = job
         """The job as accepted."""
@@ -141,8 +142,8 @@
         """Whether its client cancelled it."""
         self.begun = False
         """Whether any task was ever started."""
-        self.created_at = now
-        """Monotonic time at which the controller learned of it, seconds."""
+        self.created_at = created_at
+        """Monotonic time at which it was accepted, as far as clocks agree, seconds."""
         self.archived = False
         """Whether its final state is in the store and nothing else of it is."""
         self.ended_ms = 0
@@ -308,6 +309,8 @@
         self.tickets: dict[tuple[str, int, int], dict[str, tuple[str, float]]] = {}
         """Permissions of steps by worker, each with the monotonic time of its end; an empty text
         says that the worker may not run the step."""
+        self.durations = Durations()
+        """How long tasks take."""
         self.dirty: dict[str, None] = {}
         """Ids of jobs whose progress must be recorded, oldest change first."""
 
--- /dev/null
+++ b/src/foxtrestle/scheduling/urgency.py
@@ -0,0 +1,80 @@
+"""Which jobs can still be in time, and which of them has waited longest."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+if TYPE_CHECKING:
+    from foxtrestle.scheduling.durations import Durations
+    from foxtrestle.scheduling.state import JobEntry
+
+LATE_FACTOR: Final = 3.0
+"""Multiple of the latency objective up to which a late job is still worth something; set by the
+platform."""
+
+
+class Outlook(IntEnum):
+    """What can still become of a job; the lower goes first.
+
+    Under overload, order of arrival makes every job late. Those that can still be in time go
+    first, so that part of them is; the others follow when there is room.
+    """
+
+    IN_TIME = 0
+    """It meets its objective if it goes on now."""
+    LATE = 1
+    """It misses its objective, yet its answer is still worth something."""
+    OVERDUE = 2
+    """It is past that as well, and runs when nothing else waits."""
+
+
+class Urgency(msgspec.Struct, frozen=True, order=True):
+    """Rank of a job among those of its priority; the lowest goes first."""
+
+    outlook: Outlook
+    """What can still become of it."""
+    began_at: float
+    """Monotonic time from which its latency counts, seconds: what was begun first ends first."""
+
+
+def compute_urgency(entry: JobEntry, durations: Durations, now: float) -> Urgency:
+    """Return a job's rank."""
+    steps = entry.job.spec.steps
+    if any(step.lasting for step in steps):
+        # Each second without its tasks counts, however old the job is.
+        return Urgency(Outlook.IN_TIME, entry.created_at)
+    repetition = min((key.repetition for key in entry.ready), default=0)
+    began_at = entry.created_at + _compute_due_offset(entry, repetition)
+    target_s = entry.job.target_ms / 1000
+    objective_s = entry.job.stretch * _measure_chain(entry, durations) + target_s
+    ready_at = now + _measure_chain(entry, durations, repetition)
+    if ready_at <= began_at + objective_s:
+        outlook = Outlook.IN_TIME
+    elif ready_at <= began_at + LATE_FACTOR * objective_s:
+        outlook = Outlook.LATE
+    else:
+        outlook = Outlook.OVERDUE
+    return Urgency(outlook, began_at)
+
+
+def _compute_due_offset(entry: JobEntry, repetition: int) -> float:
+    """Return the seconds from a job's acceptance to the due time of a repetition."""
+    spec = entry.job.spec
+    if not spec.repeat_count:
+        return 0.0
+    due_ms = spec.first_due_ms + repetition * spec.interval_ms
+    return max(0.0, (due_ms - entry.job.accepted_ms) / 1000)
+
+
+def _measure_chain(entry: JobEntry, durations: Durations, repetition: int | None = None) -> float:
+    """Return the longest chain of steps, seconds; of a repetition only what is not done."""
+    ends: list[float] = []
+    for number, step in enumerate(entry.job.spec.steps):
+        begin = max((ends[other] for other in step.depends_on), default=0.0)
+        done = repetition is not None and entry.open_tasks.get((repetition, number)) == 0
+        took = 0.0 if done else durations.estimate(entry.job.queue, step.estimate_ms).long_s
+        ends.append(begin + took)
+    return max(ends, default=0.0)
--- a/tests/scheduling_fakes.py
+++ b/tests/scheduling_fakes.py
@@ -78,8 +78,8 @@
     return Job(id=id, spec=spec, **(values | options))  # type: ignore[arg-type]
 
 
-def enter(fleet: Fleet, job: Job, wall_ms: float = 0.0) -> JobEntry:
-    entry = JobEntry(job, 1, NOW)
+def enter(fleet: Fleet, job: Job, wall_ms: float = 0.0, *, created_at: float = NOW) -> JobEntry:
+    entry = JobEntry(job, 1, created_at)
     add_job(fleet, entry)
     release_steps(entry, wall_ms, NOW)
     return entry
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -8,9 +8,11 @@
 import msgspec
 import pytest
 
+from foxtrestle.scheduling.durations import LEAST_SAMPLES, Durations
 from foxtrestle.scheduling.model import Shape, Step
 from foxtrestle.scheduling.placing import SILENCE_S, choose_placements, order_jobs
 from foxtrestle.scheduling.runs import place_run
+from foxtrestle.scheduling.urgency import Outlook, compute_urgency
 from tests.scheduling_fakes import NOW, add_worker, enter, make_fleet, make_job
 
 if TYPE_CHECKING:
@@ -112,6 +114,51 @@
 def test_more_urgent_jobs_go_first_then_older_ones() -> None:
     fleet = make_fleet(1)
     low = enter(fleet, make_job(id="a" * 16, priority=1))
-    old = enter(fleet, make_job(id="b" * 16, accepted_ms=5))
-    new = enter(fleet, make_job(id="c" * 16, accepted_ms=9))
-    assert order_jobs([low, new, old]) == [old, new, low]
+    old = enter(fleet, make_job(id="c" * 16), created_at=NOW - 0.2)
+    new = enter(fleet, make_job(id="b" * 16), created_at=NOW - 0.1)
+    assert order_jobs([low, new, old], Durations(), NOW) == [old, new, low]
+
+
+def test_jobs_that_can_be_in_time_go_before_those_that_cannot() -> None:
+    fleet = make_fleet(1)
+    durations = Durations()
+    for _ in range(LEAST_SAMPLES):
+        durations.note("q", 1.0)
+    # The objective is 1.6 x 1 s + 0.6 s, and up to three times that counts for something.
+    overdue = enter(fleet, make_job(id="a" * 16), created_at=NOW - 6.0)
+    late = enter(fleet, make_job(id="b" * 16), created_at=NOW - 1.3)
+    tight = enter(fleet, make_job(id="c" * 16), created_at=NOW - 1.1)
+    fresh = enter(fleet, make_job(id="d" * 16), created_at=NOW - 0.1)
+    lasting = enter(fleet, make_job(Step(lasting=True), id="e" * 16), created_at=NOW - 50.0)
+    jobs = [overdue, late, tight, fresh, lasting]
+    assert order_jobs(jobs, durations, NOW) == [lasting, tight, fresh, late, overdue]
+
+
+def test_only_the_rest_of_a_job_decides_whether_it_can_be_in_time() -> None:
+    fleet = make_fleet(1)
+    durations = Durations()
+    for _ in range(LEAST_SAMPLES):
+        durations.note("q", 1.0)
+    entry = enter(fleet, make_job(Step(), Step(depends_on=(0,))), created_at=NOW - 2.5)
+    assert compute_urgency(entry, durations, NOW).outlook is Outlook.LATE
+    entry.open_tasks[0, 0] = 0
+    assert compute_urgency(entry, durations, NOW).outlook is Outlook.IN_TIME
+
+
+def test_a_job_with_due_times_is_measured_from_the_one_that_waits() -> None:
+    fleet = make_fleet(1)
+    job = make_job(Step(estimate_ms=1000), repeat_count=5, first_due_ms=10_000, interval_ms=2_000)
+    entry = enter(fleet, job, 14_000.0, created_at=NOW - 14.0)
+    for key in [key for key in entry.ready if key.repetition < 2]:
+        del entry.ready[key]
+    assert compute_urgency(entry, Durations(), NOW).began_at == pytest.approx(NOW)
+
+
+def test_the_client_s_guess_counts_until_enough_tasks_have_ended() -> None:
+    durations = Durations()
+    for seconds in range(1, LEAST_SAMPLES):
+        durations.note("q", float(seconds))
+    assert durations.estimate("q", 9000).mean_s == 9.0
+    durations.note("q", 5.0)
+    assert durations.estimate("q", 9000).mean_s == 3.0
+    assert durations.estimate("q", 9000).long_s == pytest.approx(4.2)
