Order hosts for arriving work, and keep idle ones for less time

Cause: a pool's hosts followed what was placed and waiting; in a rise that lags the arriving jobs by their length, and a host needs 1.65 s to come. Hosts of a pool whose load had gone were kept for 4 s, although other pools lacked some.

Change: the work of the jobs of the last two seconds (tasks x cpu x learned duration) counts as demand; a new controller has it as well, from the jobs' age. The load of pools has a module of its own.

--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -17,13 +17,14 @@
 from foxtrestle.platform.http import CallError
 from foxtrestle.scheduling.checks import check_maintenance
 from foxtrestle.scheduling.hosts import LIST_LAG_S, HostPlan, is_back, view_hosts
+from foxtrestle.scheduling.load import PoolLoad, compute_needs
 from foxtrestle.scheduling.maintaining import (
     choose_for_wave,
     choose_stops,
     count_away,
     list_open,
 )
-from foxtrestle.scheduling.scaling import PoolLoad, choose_drops, choose_moves, compute_needs
+from foxtrestle.scheduling.scaling import choose_drops, choose_moves
 from foxtrestle.scheduling.state import WaveEntry
 from foxtrestle.store import Conflict, StoreError, Transaction
 
@@ -37,8 +38,8 @@
     from foxtrestle.platform.hosts import HostCalls
     from foxtrestle.platform.store import PlatformStore
     from foxtrestle.scheduling.hosts import HostView
+    from foxtrestle.scheduling.load import PoolNeed
     from foxtrestle.scheduling.model import HostInfo
-    from foxtrestle.scheduling.scaling import PoolNeed
     from foxtrestle.scheduling.state import Fleet, JobEntry, Worker
 
 LIST_S: Final = 1.0
@@ -151,13 +152,8 @@
 
     def note_job(self, entry: JobEntry) -> None:
         """Take the size of a new job into account."""
-        sizes = [view.room.cpu for view in self._fleet.hosts.values() if view.room.cpu]
-        if not sizes:
-            return
-        counted = [step for step in entry.job.spec.steps if not step.fills]
-        widest = max((step.count * step.shape.cpu for step in counted), default=0)
         load = self.loads.setdefault(entry.job.pool, PoolLoad())
-        load.sizes.append(widest * len(sizes) / sum(sizes))
+        load.note_job(entry, self._fleet.durations)
 
     # Deciding.
 
--- a/src/foxtrestle/scheduling/scaling.py
+++ b/src/foxtrestle/scheduling/scaling.py
@@ -1,10 +1,9 @@
-"""How many hosts each pool needs, and which hosts move."""
+"""Which hosts move from pool to pool, and how hosts are shared."""
 
 from __future__ import annotations
 
-from collections import deque
 from math import ceil
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -12,57 +11,7 @@
 
 if TYPE_CHECKING:
     from foxtrestle.scheduling.hosts import HostView
-    from foxtrestle.scheduling.state import Fleet
-
-MARGIN: Final = 0.35
-"""Share of a pool's recent peak that is kept free for what arrives next."""
-WINDOW_S: Final = 4.0
-"""Seconds over which a pool's peak is taken; an unneeded host costs less for that long than two
-moves do."""
-RECENT_S: Final = 1.0
-"""Seconds over which a pool's present demand is taken; about the length of one task."""
-JOB_MARGIN: Final = 1.0
-"""Largest recent jobs for which room is kept besides."""
-LARGE_JOBS: Final = 12
-"""Recent jobs of a pool whose sizes are remembered."""
-
-
-class PoolLoad:
-    """Recent demand of one pool, in hosts."""
-
-    __slots__ = ("_samples", "sizes")
-
-    def __init__(self) -> None:
-        """Create a load without samples."""
-        self.sizes: deque[float] = deque(maxlen=LARGE_JOBS)
-        """Widest step of each recent job, in hosts."""
-        self._samples: deque[tuple[float, float]] = deque()
-
-    def note(self, now: float, demand: float) -> None:
-        """Add a sample."""
-        while self._samples and (
-            self._samples[0][0] < now - WINDOW_S or self._samples[-1][1] <= demand
-        ):
-            if self._samples[-1][1] <= demand:
-                self._samples.pop()
-            else:
-                self._samples.popleft()
-        self._samples.append((now, demand))
-
-    def peak(self, now: float, window_s: float) -> float:
-        """Return the largest demand of the newest seconds, `WINDOW_S` at most."""
-        return next((size for at, size in self._samples if at >= now - window_s), 0.0)
-
-
-class PoolNeed(msgspec.Struct, frozen=True):
-    """What a pool has and needs, in hosts."""
-
-    demand: float
-    """Room that placed and waiting tasks take, the most of the last second."""
-    wanted: int
-    """Hosts it should have if there are enough."""
-    have: int
-    """Hosts that serve it or are on their way to it."""
+    from foxtrestle.scheduling.load import PoolNeed
 
 
 class HostMove(msgspec.Struct, frozen=True):
@@ -74,75 +23,6 @@
     """Pool it goes to."""
 
 
-def measure_demand(fleet: Fleet, views: dict[str, HostView]) -> dict[str, float]:
-    """Return what each pool's placed and waiting tasks take, in hosts."""
-    sizes = _host_sizes(views)
-    cpu: dict[str, float] = {}
-    memory: dict[str, float] = {}
-    for worker in fleet.workers.values():
-        if not worker.gone:
-            pool = worker.info.pool
-            cpu[pool] = cpu.get(pool, 0.0) + worker.used.cpu
-            memory[pool] = memory.get(pool, 0.0) + worker.used.memory_mb
-    for entry in fleet.active.values():
-        pool = entry.job.pool
-        for task in entry.ready.values():
-            shape = task.step.shape
-            cpu[pool] = cpu.get(pool, 0.0) + (0 if task.step.fills else shape.cpu)
-            memory[pool] = memory.get(pool, 0.0) + shape.memory_mb
-    return {
-        pool: max(cpu.get(pool, 0.0) / size[0], memory.get(pool, 0.0) / size[1])
-        for pool, size in sizes.items()
-    }
-
-
-def _host_sizes(views: dict[str, HostView]) -> dict[str, tuple[float, float]]:
-    """Return the mean host of each pool that any host may be in: cpu and memory."""
-    rooms = [view.info.room for view in views.values() if view.info.room.cpu]
-    if not rooms:
-        return {}
-    mean = (
-        sum(room.cpu for room in rooms) / len(rooms),
-        max(1.0, sum(room.memory_mb for room in rooms) / len(rooms)),
-    )
-    return {view.pool: mean for view in views.values()}
-
-
-def compute_needs(
-    fleet: Fleet, views: dict[str, HostView], loads: dict[str, PoolLoad], now: float
-) -> dict[str, PoolNeed]:
-    """Return what each pool that serves has and needs."""
-    configuration = fleet.configuration
-    if configuration is None:
-        return {}
-    demand = measure_demand(fleet, views)
-    needs = {}
-    for name, pool in configuration.pools.items():
-        if pool.reserve:
-            continue
-        load = loads.setdefault(name, PoolLoad())
-        load.note(now, demand.get(name, 0.0))
-        peak = load.peak(now, WINDOW_S)
-        recent = load.peak(now, RECENT_S)
-        largest = max(load.sizes, default=0.0) * JOB_MARGIN
-        wanted = max(1, ceil(peak * (1 + MARGIN) + largest))
-        needs[name] = PoolNeed(recent, wanted, _count_hosts(name, views, now))
-    return needs
-
-
-def _count_hosts(pool: str, views: dict[str, HostView], now: float) -> int:
-    count = 0
-    for view in views.values():
-        plan = view.plan
-        if plan is not None:
-            # A host in maintenance takes nothing now; if it were counted, a pool with no other
-            # host would have its tasks wait until it is back.
-            count += plan.pool == pool and not plan.wave
-        elif view.pool == pool and view.worker is not None and is_usable(view.worker, now):
-            count += 1
-    return count
-
-
 def share_hosts(needs: dict[str, PoolNeed], total: int) -> dict[str, int]:
     """Share hosts among pools: first what present demand takes, then what they want besides.
 
--- a/tests/test_host_decisions.py
+++ b/tests/test_host_decisions.py
@@ -7,7 +7,9 @@
 import pytest
 from hypothesis import given
 
+from foxtrestle.scheduling.durations import LEAST_SAMPLES, Durations
 from foxtrestle.scheduling.hosts import HostPlan, find_dead, is_back, view_hosts
+from foxtrestle.scheduling.load import PoolLoad, PoolNeed, compute_needs
 from foxtrestle.scheduling.maintaining import (
     choose_for_wave,
     choose_stops,
@@ -18,15 +20,12 @@
 from foxtrestle.scheduling.placing import choose_placements
 from foxtrestle.scheduling.runs import confirm_run, place_run
 from foxtrestle.scheduling.scaling import (
-    PoolLoad,
-    PoolNeed,
     choose_drops,
     choose_moves,
-    compute_needs,
     count_available,
     share_hosts,
 )
-from foxtrestle.scheduling.state import Fleet, WaveEntry
+from foxtrestle.scheduling.state import Fleet, JobEntry, WaveEntry
 from tests.scheduling_fakes import NOW, ROOM, add_worker, enter, make_fleet, make_job
 
 
@@ -144,6 +143,31 @@
     assert needs["main"].have == 0
 
 
+def test_arriving_work_asks_for_hosts_before_it_is_placed() -> None:
+    fleet = make_fleet(2)
+    views = view_hosts(fleet)
+    durations = Durations()
+    for _ in range(LEAST_SAMPLES):
+        durations.note("q", 2.0)
+    load = PoolLoad()
+    # 4 x 8 cores for 2 s each keep one host busy for 2 s: 10 such jobs in 2 s want 10 hosts.
+    for number in range(10):
+        job = make_job(Step(count=4, shape=Shape(8000, 1)), id=f"{number:016x}")
+        load.note_job(JobEntry(job, 1, NOW - number * 0.15), durations)
+    assert load.compute_rate(NOW) == pytest.approx(10 * ROOM.cpu)
+    needs = compute_needs(fleet, views, {"main": load}, NOW)
+    assert needs["main"].wanted >= 10
+    assert load.compute_rate(NOW + 3.0) == 0.0
+
+
+def test_lasting_and_filling_steps_are_no_arriving_work() -> None:
+    load = PoolLoad()
+    lasting = Step(count=5, shape=Shape(8000, 1), lasting=True)
+    filling = Step(count=5, shape=Shape(8000, 1), estimate_ms=1000, fills=True)
+    load.note_job(JobEntry(make_job(lasting, filling), 1, NOW), Durations())
+    assert load.compute_rate(NOW) == 0.0
+
+
 def test_peak_forgets_what_is_past_the_window() -> None:
     load = PoolLoad()
     for at, demand in [(0.0, 5.0), (1.0, 2.0), (2.0, 3.0)]:
