Record orders of one moment in one write, and hand inherited ones on

A controller that lasted shortly wrote its own orders over those of its predecessor, so that a third one could order such a host too early.

Change: orders recorded while a write waits share the next; what was inherited stays in the record until it is old enough. The records have a module and a type of their own.

The tests of the shared write and of the third controller fail on the old code by their signature.

--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -7,10 +7,9 @@
 import time
 from typing import TYPE_CHECKING, Final
 
-import msgspec
-
-from foxtrestle.control.keys import HOST_ORDERS, LOCK
+from foxtrestle.control.keys import HOST_ORDERS
 from foxtrestle.control.log import Outage, log
+from foxtrestle.control.order_records import OrderRecords
 from foxtrestle.control.spawn import Spawner
 from foxtrestle.control.wave_records import WaveRecords
 from foxtrestle.platform.hosts import HostRefused
@@ -26,7 +25,7 @@
 )
 from foxtrestle.scheduling.scaling import choose_drops, choose_moves
 from foxtrestle.scheduling.state import WaveEntry
-from foxtrestle.store import Conflict, StoreError, Transaction
+from foxtrestle.store import StoreError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -52,18 +51,6 @@
 """Least seconds between two looks at the hosts."""
 MISSING_S: Final = 6.0
 """Seconds after which a host that is not listed counts as removed."""
-UNSETTLED: Final = float("inf")
-"""Time at which an order is settled that may still be sent."""
-
-
-class OrdersRecord(msgspec.Struct, frozen=True):
-    """Orders that another controller must not follow up at once."""
-
-    hosts: list[str]
-    """Hosts ordered in the last seconds of a term, written before each order."""
-    settled_s: dict[str, float] = {}
-    """Seconds since the outcome of a host's last order was known; hosts of which it is not, or
-    which a former release recorded, are missing."""
 
 
 class HostOrders:
@@ -97,10 +84,7 @@
         self._looked_at = 0.0
         self._seen_at: dict[str, float] = {}
         self._background = Spawner()
-        self._settled_at: dict[str, float] = {}
-        self._inherited: dict[str, float] = {}
-        self._orders_revision = 0
-        self._recording = asyncio.Lock()
+        self._records = OrderRecords(store, term, settings.bounds.turn_s)
         self._waves = WaveRecords(store, term)
         self._loaded = False
 
@@ -139,15 +123,11 @@
         while True:
             try:
                 await self._waves.load()
-                orders = await self._store.get(HOST_ORDERS)
+                await self._records.load(self._started_at)
                 break
             except StoreError as error:
                 log("control.load-failed", prefix=HOST_ORDERS, reason=error.reason)
                 await asyncio.sleep(RETRY_S)
-        if orders is not None:
-            self._orders_revision = orders.revision
-            held = msgspec.json.decode(orders.value, type=OrdersRecord)
-            self._inherited = {name: held.settled_s.get(name, 0.0) for name in held.hosts}
         self._loaded = True
 
     def note_job(self, entry: JobEntry) -> None:
@@ -236,15 +216,9 @@
             return False
         bounds = self._settings.bounds
         since = now - self._started_at
-        if plan.wave and self._inherited:
+        if plan.wave and self._records.inherited:
             return since > max(bounds.turn_s, bounds.maintenance_s + LIST_LAG_S)
-        return plan.host not in self._list_barred(now)
-
-    def _list_barred(self, now: float) -> frozenset[str]:
-        """List hosts that an earlier controller may have ordered too shortly ago."""
-        since = now - self._started_at
-        turn_s = self._settings.bounds.turn_s
-        return frozenset(name for name, age in self._inherited.items() if age + since <= turn_s)
+        return plan.host not in self._records.list_barred(now)
 
     def _stop_rest(self, plan: HostPlan, view: HostView, now: float) -> None:
         if view.worker is None:
@@ -293,7 +267,7 @@
         views = view_hosts(self._fleet)
         if drops:
             needs = compute_needs(self._fleet, views, self.loads, now)
-        for move in choose_moves(needs, views, reserve, now, self._list_barred(now)):
+        for move in choose_moves(needs, views, reserve, now, self._records.list_barred(now)):
             log("host.move-decided", host=move.host, pool=move.pool,
                 needs={name: [round(n.demand, 2), n.wanted, n.have] for name, n in needs.items()},
             )  # fmt: skip
@@ -319,10 +293,10 @@
         try:
             await self._give(plan)
         finally:
-            self._settled_at[plan.host] = time.monotonic()
+            self._records.settle(plan.host)
 
     async def _give(self, plan: HostPlan) -> None:
-        if not await self._record_order(plan.host):
+        if not await self._records.record(plan.host):
             plan.move("refused", time.monotonic())
             return
         for _ in range(ATTEMPTS):
@@ -346,40 +320,6 @@
         # Whether it was carried out shows in the list; until then the host counts as away.
         plan.move("accepted", time.monotonic())
 
-    async def _record_order(self, host: str) -> bool:
-        """Record that a host is about to be ordered, so that a successor leaves it alone a while.
-
-        Returns:
-            Whether it is recorded; without that the order must not be given.
-        """
-        async with self._recording:
-            now = time.monotonic()
-            self._settled_at[host] = UNSETTLED
-            oldest = now - max(self._settings.bounds.turn_s, LIST_LAG_S)
-            self._settled_at = {name: at for name, at in self._settled_at.items() if at > oldest}
-            settled_s = {
-                name: round(now - at, 2)
-                for name, at in sorted(self._settled_at.items())
-                if at != UNSETTLED
-            }
-            value = msgspec.json.encode(OrdersRecord(sorted(self._settled_at), settled_s))
-            conditions = {
-                LOCK: self._term.lock.revision,
-                HOST_ORDERS: self._orders_revision,
-            }
-            try:
-                transaction = Transaction(conditions, {HOST_ORDERS: value})
-                self._orders_revision = await self._store.commit(transaction)
-            except Conflict as conflict:
-                # A write of ours whose answer was lost: go on from what is there.
-                held = conflict.records.get(HOST_ORDERS)
-                self._orders_revision = held.revision if held is not None else 0
-                return False
-            except StoreError as error:
-                log("host.record-failed", host=host, reason=error.reason)
-                return False
-            return True
-
     def _accept(self, plan: HostPlan) -> None:
         now = time.monotonic()
         log("host.ordered", host=plan.host, pool=plan.pool, wave=plan.wave, term=self._term.number)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -362,7 +362,7 @@
         [other] = [one for one in nodes if one is not holder]
         await wait_for(lambda: other.node.controller and other.node.controller._hosts._loaded)
         hosts = other.node.controller._hosts
-        assert hosts._inherited.keys() >= ordered
+        assert hosts._records.inherited.keys() >= ordered
 
         def may_order(host: str, wave: int, after_s: float) -> bool:
             plan = HostPlan(host, "main", wave, "", hosts._started_at)
@@ -372,7 +372,7 @@
         assert may_order("another", 0, 0.0)
         # One whose order was settled a while before the record was written is free earlier.
         turn_s = hosts._settings.bounds.turn_s
-        hosts._inherited["older"] = turn_s - 1.0
+        hosts._records.inherited["older"] = hosts._started_at - (turn_s - 1.0)
         assert not may_order("older", 0, 0.9)
         assert may_order("older", 0, 1.1)
         # A host that the predecessor has just sent into maintenance may not show in the list yet.
--- /dev/null
+++ b/tests/test_order_records.py
@@ -0,0 +1,100 @@
+"""What a controller records of its orders for hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, cast
+
+import msgspec
+
+from foxtrestle.control.order_records import OrderRecords, OrdersRecord
+from foxtrestle.control.ownership import Term
+from foxtrestle.store import Record, StoreError, Transaction
+
+if TYPE_CHECKING:
+    from foxtrestle.platform.store import PlatformStore
+
+TURN_S = 3.0
+
+
+class OneRecord:
+    """A store with a single record."""
+
+    def __init__(self) -> None:
+        self.record: Record | None = None
+        self.commits = 0
+        self.away = False
+
+    async def get(self, key: str) -> Record | None:
+        return self.record
+
+    async def commit(self, transaction: Transaction) -> int:
+        await asyncio.sleep(0.005)
+        if self.away:
+            raise StoreError("away", step="test", peer="store")
+        self.commits += 1
+        [(key, value)] = transaction.puts.items()
+        self.record = Record(key, value, self.commits)
+        return self.commits
+
+    def read(self) -> OrdersRecord:
+        assert self.record is not None
+        return msgspec.json.decode(self.record.value, type=OrdersRecord)
+
+
+def make_records(store: OneRecord) -> OrderRecords:
+    term = Term(1, Record("lock", b"", 1), time.monotonic() + 60.0)
+    return OrderRecords(cast("PlatformStore", store), term, TURN_S)
+
+
+async def test_orders_of_one_moment_share_a_write() -> None:
+    store = OneRecord()
+    records = make_records(store)
+    names = [f"h{number}" for number in range(20)]
+    assert all(await asyncio.gather(*(records.record(name) for name in names)))
+    assert store.commits == 1
+    assert store.read().hosts == sorted(names)
+
+
+async def test_a_host_is_recorded_anew_for_its_next_order() -> None:
+    store = OneRecord()
+    records = make_records(store)
+    assert await records.record("h1")
+    records.settle("h1")
+    assert await records.record("h2")
+    assert store.read().settled_s.keys() == {"h1"}
+    assert await records.record("h1")
+    assert store.commits == 3
+    assert store.read().settled_s == {}
+
+
+async def test_without_a_record_no_order_is_given() -> None:
+    store = OneRecord()
+    store.away = True
+    records = make_records(store)
+    assert not any(await asyncio.gather(records.record("h1"), records.record("h2")))
+    store.away = False
+    assert await records.record("h1")
+
+
+async def test_a_third_controller_still_leaves_the_first_one_s_hosts_alone() -> None:
+    store = OneRecord()
+    first, second, third = (make_records(store) for _ in range(3))
+    assert await first.record("h1")
+    now = time.monotonic()
+    # The second's term began a second ago: so long at least the first has given no order.
+    await second.load(now - 1.0)
+    assert await second.record("h2")
+    await third.load(now)
+    assert third.list_barred(now) == {"h1", "h2"}
+    assert third.list_barred(now + TURN_S - 0.5) == {"h2"}
+
+
+async def test_the_record_of_a_former_release_bars_all_its_hosts() -> None:
+    store = OneRecord()
+    store.record = Record("orders", b'{"hosts":["h1"]}', 7)
+    records = make_records(store)
+    await records.load(100.0)
+    assert records.list_barred(100.0 + TURN_S) == {"h1"}
+    assert records.list_barred(100.1 + TURN_S) == frozenset()
