--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -12,13 +12,14 @@
 
 from foxtrestle.control.advisor import Advisor
 from foxtrestle.control.hosts import HostOrders
-from foxtrestle.control.keys import CANCELS, ENDED, INBOX, JOBS, PROGRESS
+from foxtrestle.control.keys import CANCELS, INBOX, JOBS, PROGRESS
 from foxtrestle.control.ledger import Ledger
 from foxtrestle.control.link import LAPSED, WorkerLink
 from foxtrestle.control.log import Outage, log, log_failure
 from foxtrestle.control.measures import Measures
 from foxtrestle.control.orders import CLOCK_DRIFT, HOLD_S, LAPSE_MARGIN_S, Orders
 from foxtrestle.control.ownership import GRACE_WITHOUT_STORE_S, LEASE_S
+from foxtrestle.control.retention import follow_retention
 from foxtrestle.control.spawn import Spawner
 from foxtrestle.platform.workers import ENTRIES, CallError, decode_worker
 from foxtrestle.scheduling.checks import check_start
@@ -35,7 +36,7 @@
     release_worker,
 )
 from foxtrestle.scheduling.state import Fleet, JobEntry, Worker
-from foxtrestle.store import Change, Compacted, Listing, Record, StoreError, Transaction
+from foxtrestle.store import Change, Compacted, Listing, Record, StoreError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -56,12 +57,6 @@
 TAKEOVER_S: Final = LEASE_S + GRACE_WITHOUT_STORE_S + HOLD_S * CLOCK_DRIFT + LAPSE_MARGIN_S
 """Seconds after a takeover during which a worker out of reach may still run what an earlier
 controller placed: that one may have gone on extending leases until its grace was over."""
-FORGET_FACTOR: Final = 1.5
-"""How much longer than promised an ended job is kept."""
-FORGET_EVERY_S: Final = 60.0
-"""Seconds between two looks for ended jobs to forget; a fraction of how long they are kept."""
-FORGET_AT_ONCE: Final = 15
-"""Jobs forgotten in one transaction."""
 
 
 class Controller:
@@ -116,7 +111,7 @@
             self._follow(INBOX, inbox, self._take_inbox),
             self._follow(ENTRIES, entries, self._take_entries),
             self._hosts.run(),
-            self._forget(),
+            follow_retention(store=self._store, keep_s=self._settings.bounds.keep_status_s),
         ]
         if self._advice is not None:
             loops.append(Advisor(self.fleet, self._advice, self.wake).run())
@@ -389,32 +384,3 @@
             await asyncio.gather(*(self._orders.start(*start) for start in starts))
 
         self._background.spawn(start_recorded())
-
-    # Ended jobs.
-
-    async def _forget(self) -> None:
-        """Delete the final states of jobs some time after the platform allows it."""
-        keep_ms = self._settings.bounds.keep_status_s * FORGET_FACTOR * 1000
-        outage = Outage("store", "forget")
-        while True:
-            await asyncio.sleep(FORGET_EVERY_S)
-            limit = time.time() * 1000 - keep_ms
-            try:
-                listing = await self._store.scan(ENDED, stale=True)
-                old = [
-                    record
-                    for record in listing.records
-                    if decode_progress(record.value).ended_ms < limit
-                ]
-                while old:
-                    await self._forget_jobs(old[:FORGET_AT_ONCE])
-                    old = old[FORGET_AT_ONCE:]
-                outage.note_success()
-            except StoreError as error:
-                outage.note_failure(error)
-
-    async def _forget_jobs(self, records: list[Record]) -> None:
-        conditions = {record.key: record.revision for record in records}
-        await self._store.commit(Transaction(conditions, removals=tuple(conditions)))
-        for record in records:
-            log("job.forgotten", job=record.key.removeprefix(ENDED))
--- /dev/null
+++ b/src/foxtrestle/control/retention.py
@@ -0,0 +1,58 @@
+"""How long the final states of jobs stay in the store."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Final
+
+from foxtrestle.control.keys import ENDED
+from foxtrestle.control.log import Outage, log
+from foxtrestle.scheduling.progress import decode_progress
+from foxtrestle.store import StoreError, Transaction
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from foxtrestle.platform.store import PlatformStore
+    from foxtrestle.store import Record
+
+KEEP_FACTOR: Final = 1.5
+"""How much longer than promised an ended job is kept."""
+LOOK_EVERY_S: Final = 60.0
+"""Seconds between two looks for old records; a fraction of how long they are kept."""
+AT_ONCE: Final = 15
+"""Records deleted in one transaction."""
+
+
+def choose_old(records: Iterable[Record], limit_ms: float) -> list[Record]:
+    """Return the records of jobs that ended before a wall time."""
+    return [record for record in records if decode_progress(record.value).ended_ms < limit_ms]
+
+
+async def follow_retention(store: PlatformStore, keep_s: float) -> None:
+    """Delete the final states of jobs some time after they need not be told any more.
+
+    Args:
+        store: The platform's store.
+        keep_s: Seconds for which the state of an ended job must be told.
+    """
+    outage = Outage("store", "retention")
+    while True:
+        await asyncio.sleep(LOOK_EVERY_S)
+        limit_ms = (time.time() - keep_s * KEEP_FACTOR) * 1000
+        try:
+            listing = await store.scan(ENDED, stale=True)
+            old = choose_old(listing.records, limit_ms)
+            for first in range(0, len(old), AT_ONCE):
+                await _delete(store, old[first : first + AT_ONCE])
+            outage.note_success()
+        except StoreError as error:
+            outage.note_failure(error)
+
+
+async def _delete(store: PlatformStore, records: list[Record]) -> None:
+    conditions = {record.key: record.revision for record in records}
+    await store.commit(Transaction(conditions, removals=tuple(conditions)))
+    for record in records:
+        log("job.forgotten", job=record.key.removeprefix(ENDED))
