Give up calls that hang from an outage as soon as the store answers again

Change: when a call is answered after one was not, watches and renewals that are under way are given up and sent again. A refusal for the rate counts as neither. The probe of a node waits 0.4 s and 0.1 s between failures; any answer ends that the store counts as away.

The tests of the cut calls fail on the old code, which has no such error.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -36,7 +36,7 @@
     release_worker,
 )
 from foxtrestle.scheduling.state import Fleet, JobEntry, Worker
-from foxtrestle.store import Change, Compacted, Listing, Record, StoreError
+from foxtrestle.store import Change, Compacted, Listing, Record, StaleCall, StoreError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -205,6 +205,8 @@
                 revision = listing.revision
                 changes = self._compare(prefix, listing)
                 log("control.relisted", prefix=prefix, changes=len(changes))
+            except StaleCall:
+                continue
             except StoreError as error:
                 outage.note_failure(error)
                 await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
--- a/src/foxtrestle/control/ownership.py
+++ b/src/foxtrestle/control/ownership.py
@@ -18,6 +18,7 @@
     Conflict,
     OutcomeUnknown,
     Record,
+    StaleCall,
     StoreError,
     Transaction,
 )
@@ -162,6 +163,8 @@
             except Compacted:
                 record, revision = await self._read_lock()
                 continue
+            except StaleCall:
+                continue
             for change in changes:
                 if change.key == LOCK:
                     record = change.record
@@ -228,6 +231,8 @@
             sent_at = time.monotonic()
             try:
                 kept = await self._store.keep_alive(self._lease)
+            except StaleCall:
+                continue
             except StoreError as error:
                 outage.note_failure(error)
                 await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S))
@@ -254,6 +259,8 @@
                     term.lose("lock gone or replaced")
                     return
                 continue
+            except StaleCall:
+                continue
             except StoreError as error:
                 outage.note_failure(error)
                 await asyncio.sleep(RETRY_S)
--- a/src/foxtrestle/node/health.py
+++ b/src/foxtrestle/node/health.py
@@ -14,8 +14,12 @@
 
 PROBE_S: Final = 0.7
 """Seconds between two probes."""
-AWAY_AFTER: Final = 2
-"""Failed probes in a row after which the store counts as away."""
+PROBE_AWAY_S: Final = 0.1
+"""Seconds between two probes while they fail, so that its return is known soon."""
+PROBE_TIMEOUT_S: Final = 0.4
+"""Seconds for a probe's answer; the store takes up to 0.3 s when it is slow."""
+AWAY_AFTER: Final = 3
+"""Failed probes in a row after which the store counts as away: no answer for over a second."""
 
 
 class StoreHealth:
@@ -23,23 +27,34 @@
 
     def __init__(self, store: PlatformStore) -> None:
         """Create a health that has not heard from the store."""
-        self.away = True
-        """Whether the store counts as away."""
         self._store = store
         self._failures = AWAY_AFTER
+        self._told_away = True
+
+    @property
+    def away(self) -> bool:
+        """Whether the store counts as away; the first answer to any call ends that."""
+        return self._failures >= AWAY_AFTER and not self._store.answers
 
     async def follow(self) -> None:
         """Probe until cancelled."""
         while True:
             try:
-                await self._store.get(TERM, stale=True)
+                await self._store.get(TERM, stale=True, timeout_s=PROBE_TIMEOUT_S)
             except StoreError as error:
                 self._failures += 1
-                if self._failures == AWAY_AFTER:
-                    log("store.lost", reason=error.reason)
+                self._tell(error.reason)
+                await asyncio.sleep(PROBE_AWAY_S)
             else:
-                if self.away:
-                    log("store.reached")
                 self._failures = 0
-            self.away = self._failures >= AWAY_AFTER
-            await asyncio.sleep(PROBE_S)
+                self._tell("")
+                await asyncio.sleep(PROBE_S)
+
+    def _tell(self, reason: str) -> None:
+        if self.away == self._told_away:
+            return
+        self._told_away = self.away
+        if self.away:
+            log("store.lost", reason=reason)
+        else:
+            log("store.reached")
--- a/src/foxtrestle/node/operators.py
+++ b/src/foxtrestle/node/operators.py
@@ -17,7 +17,7 @@
     decode_wave,
 )
 from foxtrestle.platform.store import WATCH_WAIT_S
-from foxtrestle.store import Change, Compacted, StoreError
+from foxtrestle.store import Change, Compacted, StaleCall, StoreError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -103,6 +103,8 @@
                 log("operators.relist")
                 self.complete_at -= UNHEARD_S
                 revision = 0
+            except StaleCall:
+                continue
             except StoreError as error:
                 outage.note_failure(error)
                 # What was written meanwhile may be many versions; only the newest matters.
--- a/src/foxtrestle/platform/store.py
+++ b/src/foxtrestle/platform/store.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import msgspec
 
@@ -17,11 +18,14 @@
     OutcomeUnknown,
     RateExceeded,
     Record,
+    StaleCall,
     StoreError,
     Transaction,
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     import aiohttp
 
 WATCH_WAIT_S: Final = 1.0
@@ -82,15 +86,20 @@
         """
         self.calls = {"write": 0, "read": 0, "watch": 0, "lease": 0}
         """Calls made, by kind."""
+        self.answers = False
+        """Whether the last call was answered."""
+        self._returned: asyncio.Future[None] | None = None
         self._base = f"http://{address}/-/"
         self._session = session
         self._timeout_s = timeout_s
 
-    async def get(self, key: str, *, stale: bool = False) -> Record | None:
+    async def get(
+        self, key: str, *, stale: bool = False, timeout_s: float | None = None
+    ) -> Record | None:
         """Read one key; a stale read is cheaper and may be seconds old."""
         self.calls["read"] += 1
         query = {"tlsKey": key} | ({"stale": "1"} if stale else {})
-        reply = await self._call("GET", "kv-key", query=query)
+        reply = await self._call("GET", "kv-key", query=query, timeout_s=timeout_s)
         if reply.status == 404:
             return None
         item = decode(reply.body, _One, step="store.get", peer=self._base)
@@ -122,6 +131,7 @@
 
         Raises:
             Compacted: The store has dropped the history asked for.
+            StaleCall: The store was away since the call was sent; it may never be answered.
         """
         self.calls["watch"] += 1
         query = {
@@ -129,16 +139,37 @@
             "dependsOn": str(after),  # the revision to go on from, not a dependency
             "waitMs": str(int(wait_s * 1000)),
         }
-        reply = await self._call(
+        waiting = self._call(
             "GET",
             "kv-watch",
             query=query,
             timeout_s=wait_s + SCAN_TIMEOUT_S,
             silence_s=wait_s + WATCH_MARGIN_S,
         )
+        reply = await self._wait_unless_returned(waiting)
         events = decode(reply.body, _Events, step="store.watch", peer=self._base)
         return [_to_change(item) for item in events.events], max(after, events.at)
 
+    async def _wait_unless_returned(self, waiting: Coroutine[Any, Any, Reply]) -> Reply:
+        """Wait for an answer, but no longer than until the store returns from being away."""
+        if self._returned is None or self._returned.done():
+            self._returned = asyncio.get_running_loop().create_future()
+        returned = self._returned
+        call = asyncio.ensure_future(waiting)
+        try:
+            either: set[asyncio.Future[Any]] = {call, returned}
+            await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
+            if call.done():
+                return call.result()
+        finally:
+            call.cancel()
+        raise StaleCall("the store was away meanwhile", step="store.wait", peer=self._base)
+
+    def _note_outcome(self, *, answered: bool) -> None:
+        if answered and not self.answers and self._returned and not self._returned.done():
+            self._returned.set_result(None)
+        self.answers = answered
+
     async def commit(self, transaction: Transaction) -> int:
         """Carry out a transaction whole or not at all.
 
@@ -179,9 +210,14 @@
         return decode(reply.body, _Lease, step="store.grant", peer=self._base).lease
 
     async def keep_alive(self, lease: int) -> bool:
-        """Renew a lease; False if it has ended."""
+        """Renew a lease; False if it has ended.
+
+        Raises:
+            StaleCall: The store was away since the call was sent; it may never be answered.
+        """
         self.calls["lease"] += 1
-        reply = await self._call("POST", f"kv-keep/{lease}", body=b"{}")
+        renewal = self._call("POST", f"kv-keep/{lease}", body=b"{}")
+        reply = await self._wait_unless_returned(renewal)
         return reply.status != 404
 
     async def revoke(self, lease: int) -> None:
@@ -212,9 +248,14 @@
                 silence_s=silence_s,
             )
         except NoAnswer as error:
+            self._note_outcome(answered=False)
             raise OutcomeUnknown(error.reason, step=step, peer=self._base) from error
         except CallError as error:
+            self._note_outcome(answered=False)
             raise StoreError(error.reason, step=step, peer=self._base) from error
+        if reply.status != 429:
+            # Over the rate says nothing, and watches that are cut for it would add to the calls.
+            self._note_outcome(answered=reply.status != 503)
         _check_status(reply, step, self._base)
         return reply
 
--- a/src/foxtrestle/store.py
+++ b/src/foxtrestle/store.py
@@ -86,6 +86,10 @@
     """A write named a lease that is over; nothing was written."""
 
 
+class StaleCall(StoreError):
+    """A call was given up: it was sent before the store was away, and the store answers again."""
+
+
 class Conflict(StoreError):
     """A condition of a transaction did not hold; nothing was written."""
 
--- /dev/null
+++ b/tests/test_store_return.py
@@ -0,0 +1,89 @@
+"""What a client of the store does when the store returns after it was away."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+import pytest
+
+from foxtrestle.node.health import AWAY_AFTER, PROBE_AWAY_S, StoreHealth
+from foxtrestle.platform import store as module
+from foxtrestle.platform.http import NoAnswer, Reply
+from foxtrestle.platform.store import PlatformStore
+from foxtrestle.store import StaleCall, StoreError
+
+
+class Wire:
+    """Answers reads at once, not at all, or refuses them; watches and renewals hang."""
+
+    def __init__(self) -> None:
+        self.status = 404
+        self.silent = False
+
+    async def call(self, session: Any, method: str, url: str, **options: Any) -> Reply:
+        if "kv-watch" in url or "kv-keep" in url:
+            await asyncio.sleep(60)
+        if self.silent:
+            await asyncio.sleep(0.01)
+            raise NoAnswer("no answer", step=options["step"], peer=url)
+        return Reply(self.status, b"{}")
+
+
+@pytest.fixture
+def wire(monkeypatch: pytest.MonkeyPatch) -> Wire:
+    made = Wire()
+    monkeypatch.setattr(module, "call", made.call)
+    return made
+
+
+def make_store() -> PlatformStore:
+    return PlatformStore("127.0.0.1:1", None, 0.5)  # type: ignore[arg-type]
+
+
+async def test_calls_sent_before_an_outage_are_cut_at_the_store_s_return(wire: Wire) -> None:
+    store = make_store()
+    watch = asyncio.create_task(store.poll("a/", 1))
+    renewal = asyncio.create_task(store.keep_alive(7))
+    wire.silent = True
+    with pytest.raises(StoreError):
+        await store.get("b")
+    assert not watch.done()
+    wire.silent = False
+    began = time.monotonic()
+    await store.get("b")
+    for call in (watch, renewal):
+        with pytest.raises(StaleCall):
+            await call
+    assert time.monotonic() - began < 1.0
+
+
+async def test_a_watch_outlives_answers_and_refusals_for_the_rate(wire: Wire) -> None:
+    store = make_store()
+    await store.get("b")
+    watch = asyncio.create_task(store.poll("a/", 1))
+    await store.get("b")
+    wire.status = 429
+    with pytest.raises(StoreError):
+        await store.get("b")
+    wire.status = 404
+    await store.get("b")
+    await asyncio.sleep(0)
+    assert not watch.done()
+    watch.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await watch
+
+
+async def test_any_answer_ends_that_the_store_counts_as_away(wire: Wire) -> None:
+    store = make_store()
+    health = StoreHealth(store)
+    wire.silent = True
+    following = asyncio.create_task(health.follow())
+    await asyncio.sleep((PROBE_AWAY_S + 0.02) * AWAY_AFTER)
+    assert health.away
+    wire.silent = False
+    await store.get("b")
+    assert not health.away
+    following.cancel()
