Take a pool's peak over two seconds

Cause: hosts that a pool keeps after its peak are missing in the pool whose load rises next.

Change: the window of the peak 2.5 s -> 2 s, about what a host needs to leave and come.

--- a/src/foxtrestle/scheduling/load.py
+++ b/src/foxtrestle/scheduling/load.py
@@ -17,7 +17,7 @@
 
 MARGIN: Final = 0.35
 """Share of a pool's recent peak that is kept free for what arrives next."""
-WINDOW_S: Final = 2.5
+WINDOW_S: Final = 2.0
 """Seconds over which a pool's peak is taken; an unneeded host costs less for that long than two
 moves do."""
 RECENT_S: Final = 1.0
