Keep tasks from a worker that fails whatever it starts

One of 32 workers failed every task from 10.4 to 15.9 s; as its tasks ended at once it always had room, drew 280 of the tasks that waited, also the same ones again, and 43 checks ended as failed after three runs there. Suspicion only ranked it last.

Change: a worker on which two jobs failed without a success between gets nothing for two seconds after a failure, then one task at a time until one succeeds; meanwhile it does not count as a host of its pool. A task goes back to where it failed only if there is no other worker. A task that fails on two workers makes neither suspect, and tasks that last say nothing.

--- a/src/foxtrestle/scheduling/placing.py
+++ b/src/foxtrestle/scheduling/placing.py
@@ -24,6 +24,10 @@
 SUSPECT_JOBS: Final = 2
 """Jobs that failed on a worker, without a success between, after which it is avoided. One failure
 may be the job's own fault; two jobs failing in a row by chance is rare (0.2 % x 0.2 %)."""
+SUSPECT_S: Final = 2.0
+"""Seconds for which a suspect worker gets nothing after a failure, then one task at a time until
+one succeeds. A worker that fails at once is always free and would draw every task that waits;
+about as long as another host takes to come in its place."""
 HOLD_WAIT_S: Final = 1.0
 """Seconds a hold waits at a worker for an end; more makes cut-off workers known later."""
 SILENCE_S: Final = HOLD_WAIT_S + 0.7
@@ -67,10 +71,16 @@
         and not worker.cordoned
         and not worker.info.draining
         and now >= worker.full_until
+        and not (is_suspect(worker) and now - worker.failed_at < SUSPECT_S)
         and now - worker.contact_at < SILENCE_S
     )
 
 
+def is_suspect(worker: Worker) -> bool:
+    """Tell whether a worker fails tasks that are not at fault themselves, as far as is known."""
+    return len(worker.failed_jobs) >= SUSPECT_JOBS
+
+
 def _always(task: Task, worker: Worker) -> bool:
     return True
 
@@ -180,10 +190,14 @@
 def choose_worker(
     task: Task, workers: list[Worker], claims: _Claims, allow: Allow
 ) -> Worker | None:
-    """Choose the worker for one task: near its data, trusted, and with the least room to spare."""
+    """Choose the worker for one task: near its data, trusted, and with the least room to spare.
+
+    A task never goes back to a worker on which it failed while there are others.
+    """
     best: Worker | None = None
     best_rank: tuple[bool, bool, int, str] | None = None
-    for worker in workers:
+    elsewhere = [worker for worker in workers if worker.info.id not in task.failed_on]
+    for worker in elsewhere or workers:
         if not _may_run(task, worker, claims) or not allow(task, worker):
             continue
         rank = _rank(task.step, worker, claims)
@@ -194,10 +208,9 @@
 
 def _rank(step: Step, worker: Worker, claims: _Claims) -> tuple[bool, bool, int, str]:
     far = bool(step.data_rack) and step.data_rack not in worker.info.labels
-    suspect = len(worker.failed_jobs) >= SUSPECT_JOBS
     claimed = claims.used.get(worker.info.id, Shape())
     left = worker.info.room.cpu - worker.used.cpu - claimed.cpu
-    return suspect, far, left, worker.info.id
+    return is_suspect(worker), far, left, worker.info.id
 
 
 def _may_run(task: Task, worker: Worker, claims: _Claims) -> bool:
@@ -205,6 +218,8 @@
     if step.label and step.label not in worker.info.labels:
         return False
     claimed = claims.used.get(worker.info.id, Shape())
+    if is_suspect(worker) and (worker.runs or claimed != Shape()):
+        return False
     wanted = Shape(
         claimed.cpu + step.shape.cpu,
         claimed.memory_mb + step.shape.memory_mb,
--- a/src/foxtrestle/scheduling/runs.py
+++ b/src/foxtrestle/scheduling/runs.py
@@ -133,16 +133,29 @@
         return []
     if end.kind == "done" and not task.step.lasting:
         return _finish(fleet, entry, task, now)
-    if end.kind == "failed" and held is not None:
-        worker.failed_jobs.add(end.key.job)
-        if not task.step.lasting:
-            task.failures += 1
-            if task.failures >= entry.job.max_attempts:
-                return end_job(fleet, entry, "failed")
+    # Lasting tasks may fail at any time and never succeed: they say nothing of the worker.
+    if end.kind == "failed" and held is not None and not task.step.lasting:
+        _note_failure(fleet, task, worker, now)
+        task.failures += 1
+        if task.failures >= entry.job.max_attempts:
+            return end_job(fleet, entry, "failed")
     requeue(entry, task, now)
     return []
 
 
+def _note_failure(fleet: Fleet, task: Task, worker: Worker, now: float) -> None:
+    """Note who may be at fault: the worker, or a task that fails on two of them."""
+    worker.failed_at = now
+    task.failed_on.add(worker.info.id)
+    if len(task.failed_on) == 1:
+        worker.failed_jobs.add(task.key.job)
+        return
+    for name in task.failed_on:
+        held = fleet.workers.get(name)
+        if held is not None:
+            held.failed_jobs.discard(task.key.job)
+
+
 def drop_run(task: Task, number: int, worker: Worker | None) -> None:
     """Forget a run that is certainly over."""
     run = task.runs.pop(number, None)
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -81,6 +81,7 @@
     __slots__ = (
         "checkpoint",
         "done",
+        "failed_on",
         "failures",
         "key",
         "runs",
@@ -99,6 +100,8 @@
         """Runs so far; the newest has this number."""
         self.failures = 0
         """Runs that ended `failed`."""
+        self.failed_on: set[str] = set()
+        """Workers on which they did, as far as this controller has seen it."""
         self.done = False
         """Whether a run ended `done`."""
         self.checkpoint = ""
@@ -179,6 +182,7 @@
         "clock_offset_ms",
         "contact_at",
         "cordoned",
+        "failed_at",
         "failed_jobs",
         "first_seen",
         "full_until",
@@ -223,7 +227,9 @@
         self.acknowledged = 0
         """Newest end that is recorded."""
         self.failed_jobs: set[str] = set()
-        """Jobs that failed there since its last success."""
+        """Jobs that failed there since its last success; not those whose tasks are at fault."""
+        self.failed_at = -1e9
+        """Monotonic time of the last failed run there, seconds."""
         self.successes = 0
         """Runs that ended `done` there."""
         self.full_until = 0.0
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -10,13 +10,20 @@
 
 from foxtrestle.scheduling.durations import LEAST_SAMPLES, Durations
 from foxtrestle.scheduling.model import Shape, Step
-from foxtrestle.scheduling.placing import SILENCE_S, choose_placements, order_jobs
-from foxtrestle.scheduling.runs import place_run
+from foxtrestle.scheduling.placing import (
+    SILENCE_S,
+    SUSPECT_S,
+    choose_placements,
+    is_suspect,
+    is_usable,
+    order_jobs,
+)
+from foxtrestle.scheduling.runs import place_run, record_end
 from foxtrestle.scheduling.urgency import Outlook, compute_urgency
-from tests.scheduling_fakes import NOW, add_worker, enter, make_fleet, make_job
+from tests.scheduling_fakes import NOW, ROOM, add_worker, end, enter, make_fleet, make_job
 
 if TYPE_CHECKING:
-    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.state import Fleet, JobEntry
 
 
 def place(fleet: Fleet) -> list[str]:
@@ -111,6 +118,71 @@
     assert set(place(fleet)) == {"w-main-1"}
 
 
+SMALL = Shape(1000, 100)
+
+
+def fail_on(fleet: Fleet, entry: JobEntry, worker: str, now: float = NOW) -> None:
+    """Run the first task of a job on a worker, where it fails."""
+    task = next(iter(entry.tasks.values()))
+    run = place_run(fleet, task, fleet.workers[worker], task.starts + 1, now)
+    run.move("confirm")
+    record_end(fleet, fleet.workers[worker], end(task.key, run.number, "failed"), now)
+
+
+def test_a_worker_that_fails_at_once_does_not_draw_every_task_that_waits() -> None:
+    fleet = make_fleet(2)
+    good, bad = fleet.workers["w-main-0"], fleet.workers["w-main-1"]
+    for name in ("a", "b"):
+        job = make_job(Step(shape=SMALL), id=name * 16, max_attempts=9)
+        fail_on(fleet, enter(fleet, job), "w-main-1")
+    good.used = good.info.room
+    assert is_suspect(bad)
+    assert not is_usable(bad, NOW + SUSPECT_S - 0.1)
+    good.contact_at = bad.contact_at = NOW + SUSPECT_S
+    enter(fleet, make_job(Step(count=5, shape=SMALL), id="c" * 16))
+    # Later it gets one task at a time, until one succeeds.
+    [placement] = choose_placements(fleet, NOW + SUSPECT_S)
+    [(task, worker)] = placement.members
+    assert worker is bad
+    run = place_run(fleet, task, bad, 1, NOW + SUSPECT_S)
+    assert choose_placements(fleet, NOW + SUSPECT_S) == []
+    run.move("confirm")
+    record_end(fleet, bad, end(task.key, 1, "done"), NOW + SUSPECT_S)
+    assert len(choose_placements(fleet, NOW + SUSPECT_S)) > 1
+
+
+def test_a_task_does_not_go_back_to_a_worker_where_it_failed_while_there_are_others() -> None:
+    fleet = make_fleet(2)
+    entry = enter(fleet, make_job(Step(shape=SMALL), max_attempts=9))
+    fail_on(fleet, entry, "w-main-0")
+    fleet.workers["w-main-1"].used = ROOM
+    assert place(fleet) == []
+    fleet.workers["w-main-1"].used = Shape()
+    assert place(fleet) == ["w-main-1"]
+
+
+def test_a_task_goes_back_to_the_only_worker_there_is() -> None:
+    fleet = make_fleet(1)
+    fail_on(fleet, enter(fleet, make_job(max_attempts=9)), "w-main-0")
+    assert place(fleet) == ["w-main-0"]
+
+
+def test_a_job_whose_task_fails_on_two_workers_makes_neither_suspect() -> None:
+    fleet = make_fleet(2)
+    for name in ("a", "b"):
+        entry = enter(fleet, make_job(id=name * 16, max_attempts=9))
+        fail_on(fleet, entry, "w-main-0")
+        fail_on(fleet, entry, "w-main-1")
+    assert not any(is_suspect(worker) for worker in fleet.workers.values())
+
+
+def test_failures_of_lasting_tasks_make_no_worker_suspect() -> None:
+    fleet = make_fleet(1)
+    for name in ("a", "b", "c"):
+        fail_on(fleet, enter(fleet, make_job(Step(lasting=True), id=name * 16)), "w-main-0")
+    assert not is_suspect(fleet.workers["w-main-0"])
+
+
 def test_more_urgent_jobs_go_first_then_older_ones() -> None:
     fleet = make_fleet(1)
     low = enter(fleet, make_job(id="a" * 16, priority=1))
