--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,8 +9,10 @@
 import pytest
 
 ROOT = Path(__file__).parent.parent
-FAILED_SEEDS: list[int] = []
-"""Seeds that ever failed, each with a comment on its cause; none so far."""
+FAILED_SEEDS: list[int] = [
+    340,  # No node answered at the end. Cause not known: sources changed under it, never again.
+]
+"""Seeds that ever failed, each with a comment on its cause."""
 
 
 @pytest.mark.parametrize("seed", [1, *FAILED_SEEDS])
