Tell in the log which workers are suspect

Cause: found reading the change: a worker that is passed over left no line that says why.

Change: one line when a worker becomes suspect and one when it is trusted again, with the jobs. No decision changes.

--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -12,7 +12,7 @@
 from foxtrestle.platform.http import CallError
 from foxtrestle.platform.workers import OrderRefused, OtherLife
 from foxtrestle.scheduling.pacing import choose_paces
-from foxtrestle.scheduling.placing import HOLD_WAIT_S
+from foxtrestle.scheduling.placing import HOLD_WAIT_S, is_suspect
 from foxtrestle.scheduling.runs import confirm_run, drop_run, record_end, requeue
 
 if TYPE_CHECKING:
@@ -158,6 +158,7 @@
         worker.clock_offset_ms = report.clock_ms - now * 1000
         jobs: set[str] = set()
         stops: list[StopOrder] = []
+        suspected = is_suspect(worker)
         for end in report.ends:
             if end.number <= worker.seen_end:
                 continue
@@ -167,6 +168,9 @@
                 index=end.key.number, run=end.run, how=end.kind, worker=worker.info.id)  # fmt: skip
             self._measures.note_end(end.kind)
             stops += record_end(self._fleet, worker, end, now)
+        if is_suspect(worker) != suspected:
+            log("worker.trusted" if suspected else "worker.suspect", worker=worker.info.id,
+                failed_jobs=sorted(worker.failed_jobs))  # fmt: skip
         for seen in report.running:
             stop = confirm_run(self._fleet, seen, worker, now)
             if stop is not None:
