Take a due time from one function, and measure the mean host once a round

Cause: found in the last reading of the change: urgency.py computed due times beside runs.compute_due_ms, and the mean host was measured twice in each round over the hosts.

Change: urgency calls compute_due_ms; the demand takes the host that was measured. Behaviour is as before.

--- a/src/foxtrestle/scheduling/load.py
+++ b/src/foxtrestle/scheduling/load.py
@@ -89,11 +89,10 @@
     """Hosts that serve it or are on their way to it."""
 
 
-def measure_demand(fleet: Fleet, views: dict[str, HostView]) -> dict[str, float]:
-    """Return what each pool's placed and waiting tasks take, in hosts."""
-    host = _measure_host(views)
-    if host is None:
-        return {}
+def _measure_demand(
+    fleet: Fleet, views: dict[str, HostView], host: tuple[float, float]
+) -> dict[str, float]:
+    """Return what each pool's placed and waiting tasks take, in hosts of a size."""
     host_cpu, host_memory = host
     cpu: dict[str, float] = {}
     memory: dict[str, float] = {}
@@ -136,7 +135,7 @@
     if host is None:
         return {}
     host_cpu, _ = host
-    demand = measure_demand(fleet, views)
+    demand = _measure_demand(fleet, views, host)
     needs = {}
     for name, pool in configuration.pools.items():
         if pool.reserve:
--- a/src/foxtrestle/scheduling/urgency.py
+++ b/src/foxtrestle/scheduling/urgency.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from foxtrestle.scheduling.runs import compute_due_ms
+
 if TYPE_CHECKING:
     from foxtrestle.scheduling.durations import Durations
     from foxtrestle.scheduling.state import JobEntry
@@ -62,10 +64,7 @@
 
 def _compute_due_offset(entry: JobEntry, repetition: int) -> float:
     """Return the seconds from a job's acceptance to the due time of a repetition."""
-    spec = entry.job.spec
-    if not spec.repeat_count:
-        return 0.0
-    due_ms = spec.first_due_ms + repetition * spec.interval_ms
+    due_ms = compute_due_ms(entry.job, repetition)
     return max(0.0, (due_ms - entry.job.accepted_ms) / 1000)
 
 
