Give a worker nothing new while it lists runs that no record explains

Change: the runs a worker lists and the state does not hold are counted; while there are any, the worker is not usable. Their size is not known, and they are gone within the time of a stop.

Test: the state machine of the controller plays workers without a guard, stops that take 0.9 s, tasks that fail, and takeovers that read only live jobs; it fails before the change (5 of 4 cores after cancel, takeover, place) and holds after it.

--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -13,7 +13,7 @@
 from foxtrestle.platform.workers import OrderRefused, OtherLife
 from foxtrestle.scheduling.pacing import choose_paces
 from foxtrestle.scheduling.placing import HOLD_WAIT_S, is_suspect
-from foxtrestle.scheduling.runs import confirm_run, drop_run, record_end, requeue
+from foxtrestle.scheduling.runs import confirm_listing, drop_run, record_end, requeue
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -171,15 +171,14 @@
         if is_suspect(worker) != suspected:
             log("worker.trusted" if suspected else "worker.suspect", worker=worker.info.id,
                 failed_jobs=sorted(worker.failed_jobs))  # fmt: skip
-        for seen in report.running:
-            stop = confirm_run(self._fleet, seen, worker, now)
-            if stop is not None:
-                log("run.unwanted", job=seen.key.job, run=seen.run, worker=worker.info.id)
-                stops.append(stop)
+        for stop in confirm_listing(self._fleet, worker, report.running, now):
+            log("run.unwanted", job=stop.key.job, run=stop.run, worker=worker.info.id)
+            stops.append(stop)
         if len(report.ends) < MAX_ENDS:
             self._settle(report, sent_at, now)
             if not worker.known:
                 worker.known = True
+                worker.known_at = now
                 # Earlier controllers are fenced off from here on: what they leased ends soon.
                 worker.lapse_at = compute_lapse(now)
                 log("worker.known", worker=worker.info.id, runs=len(worker.runs))
--- a/src/foxtrestle/scheduling/placing.py
+++ b/src/foxtrestle/scheduling/placing.py
@@ -69,6 +69,7 @@
         worker.known
         and not worker.gone
         and not worker.cordoned
+        and not worker.unknown_runs
         and not worker.info.draining
         and now >= worker.full_until
         and not (is_suspect(worker) and now - worker.failed_at < SUSPECT_S)
--- a/src/foxtrestle/scheduling/runs.py
+++ b/src/foxtrestle/scheduling/runs.py
@@ -10,6 +10,8 @@
 from foxtrestle.scheduling.state import Run, Task
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from foxtrestle.scheduling.model import EndedRun, Job, RunningTask
     from foxtrestle.scheduling.state import Fleet, JobEntry, Worker
 
@@ -86,6 +88,28 @@
     return run
 
 
+def confirm_listing(
+    fleet: Fleet, worker: Worker, running: Iterable[RunningTask], now: float
+) -> list[StopOrder]:
+    """Take in everything that a worker lists as running.
+
+    A run that no record explains, such as one of a job that ended under an earlier controller,
+    takes room of unknown size until it has stopped; meanwhile the worker gets nothing new.
+
+    Returns:
+        Orders to stop what nothing wants to run.
+    """
+    stops = []
+    unknown = 0
+    for seen in running:
+        stop = confirm_run(fleet, seen, worker, now)
+        if stop is not None:
+            stops.append(stop)
+        unknown += (seen.key, seen.run) not in worker.runs
+    worker.unknown_runs = unknown
+    return stops
+
+
 def confirm_run(fleet: Fleet, seen: RunningTask, worker: Worker, now: float) -> StopOrder | None:
     """Take in that a worker lists a run.
 
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -189,12 +189,14 @@
         "gone",
         "info",
         "known",
+        "known_at",
         "lapse_at",
         "lasting",
         "revision",
         "runs",
         "seen_end",
         "successes",
+        "unknown_runs",
         "used",
     )
 
@@ -208,10 +210,15 @@
         """Runs that may be there."""
         self.used = Shape()
         """Room that they take."""
+        self.unknown_runs = 0
+        """Runs that it listed last and that are not among `runs`; how much room they take is not
+        known."""
         self.lasting = 0
         """Lasting tasks that may be there."""
         self.known = False
         """Whether it has answered this controller, so that all that runs there is known."""
+        self.known_at = -1e9
+        """Monotonic time at which it first did, seconds."""
         self.gone = False
         """Whether its entry has disappeared."""
         self.cordoned = False
--- a/src/foxtrestle/standins/worker.py
+++ b/src/foxtrestle/standins/worker.py
@@ -38,6 +38,8 @@
     """How it ends by itself."""
     text: str = ""
     """Text that came with the start."""
+    stopped_ms: float = 0.0
+    """Worker's clock at which a stop takes effect; 0 unless one was ordered."""
 
 
 class SimulatedWorker:
@@ -48,6 +50,9 @@
         info: WorkerInfo,
         clock_ms: Callable[[], float],
         describe: Callable[[TaskKey], tuple[Shape, float, EndKind]],
+        *,
+        guards_room: bool = True,
+        stop_ms: float = 0.0,
     ) -> None:
         """Create a worker that runs nothing.
 
@@ -55,6 +60,8 @@
             info: What it says of itself.
             clock_ms: Its steady clock, milliseconds.
             describe: Returns the size of a task, how long it works, and how it ends.
+            guards_room: Whether it refuses what does not fit.
+            stop_ms: How long a stopped run goes on taking its room, milliseconds.
         """
         self.info = info
         """What it says of itself."""
@@ -72,6 +79,8 @@
         """Whether this life is over."""
         self._clock_ms = clock_ms
         self._describe = describe
+        self._guards_room = guards_room
+        self._stop_ms = stop_ms
         self._barred: dict[TaskKey, int] = {}
         self._expires_ms = 0.0
         self._next_end = 1
@@ -92,7 +101,7 @@
         if run <= self._barred.get(key, 0):
             raise Refused("old")
         shape, work_ms, ends = self._describe(key)
-        if not self._fits(shape):
+        if self._guards_room and not self._fits(shape):
             raise Refused("room")
         now = self._clock_ms()
         self.running[key, run] = SimulatedRun(key, run, shape, now, work_ms, ends, text)
@@ -102,8 +111,10 @@
         """Stop a run, and bar it if it is not there yet."""
         self.advance()
         self._fence(token)
-        if (key, run) in self.running:
-            self._end(key, run, "stopped")
+        held = self.running.get((key, run))
+        if held is not None and not held.stopped_ms:
+            held.stopped_ms = self._clock_ms() + self._stop_ms
+            self.advance()
         self._barred[key] = max(self._barred.get(key, 0), run)
 
     def hold(self, token: int, acknowledged: int, expires_ms: float | None) -> WorkerReport:
@@ -132,8 +143,11 @@
         return min(99, int(100 * (now - run.started_ms) / max(1.0, run.work_ms)))
 
     def advance(self) -> None:
-        """End what has worked long enough, and everything once the lease is over."""
+        """End what has worked long enough or was stopped, and everything once the lease is over."""
         now = self._clock_ms()
+        for (key, run), one in list(self.running.items()):
+            if one.stopped_ms and one.stopped_ms <= min(now, self._expires_ms):
+                self._end(key, run, "stopped")
         for (key, run), one in list(self.running.items()):
             if one.started_ms + one.work_ms <= min(now, self._expires_ms):
                 self._end(key, run, one.ends)
@@ -153,6 +167,15 @@
         self.highest_token = token
 
     def _fits(self, shape: Shape) -> bool:
-        cpu = sum(one.shape.cpu for one in self.running.values()) + shape.cpu
-        memory = sum(one.shape.memory_mb for one in self.running.values()) + shape.memory_mb
-        return cpu <= self.info.room.cpu and memory <= self.info.room.memory_mb
+        used = self.measure_use()
+        room = self.info.room
+        return (
+            used.cpu + shape.cpu <= room.cpu and used.memory_mb + shape.memory_mb <= room.memory_mb
+        )
+
+    def measure_use(self) -> Shape:
+        """Return what all that runs takes, stopped runs that have not ended included."""
+        shapes = [one.shape for one in self.running.values()]
+        return Shape(
+            sum(shape.cpu for shape in shapes), sum(shape.memory_mb for shape in shapes), 0
+        )
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -12,12 +12,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from foxtrestle.control.orders import CLOCK_DRIFT, HOLD_S, compute_lapse
-from foxtrestle.scheduling.model import Shape, Step, TaskKey
+from foxtrestle.scheduling.model import ENDED_JOB, EndKind, Shape, Step, TaskKey
 from foxtrestle.scheduling.placing import choose_placements
 from foxtrestle.scheduling.progress import decode_progress, encode_progress, restore
 from foxtrestle.scheduling.runs import (
     add_job,
-    confirm_run,
+    confirm_listing,
     end_job,
     place_run,
     record_end,
@@ -29,6 +29,9 @@
 from tests.scheduling_fakes import make_configuration, make_job
 
 WORKERS = ("w0", "w1", "w2")
+ROOM = Shape(4_000, 1_000)
+"""Small enough that what is being stopped matters to what may start."""
+STOP_MS = 900.0
 TAKEOVER_WAIT_S = 13.0
 
 
@@ -47,6 +50,7 @@
         self.workers: dict[str, SimulatedWorker] = {}
         self.max_ends: dict[str, int] = {}
         self.completed: set[str] = set()
+        self.faulty: set[tuple[str, int]] = set()
 
     @initialize()
     def begin(self) -> None:
@@ -54,17 +58,21 @@
         self._set_up_fleet()
         for name in WORKERS:
             info = self.fleet.workers[name].info
-            self.workers[name] = SimulatedWorker(info, lambda: self.now * 1000, self._describe)
+            # Workers that guard their room would hide a controller that overfills them.
+            self.workers[name] = SimulatedWorker(
+                info, lambda: self.now * 1000, self._describe, guards_room=False, stop_ms=STOP_MS
+            )
 
-    def _describe(self, key: TaskKey) -> tuple[Shape, float, str]:
-        return Shape(1000, 100, 0), 400.0 + 300.0 * key.number, "done"
+    def _describe(self, key: TaskKey) -> tuple[Shape, float, EndKind]:
+        how: EndKind = "failed" if (key.job, key.number) in self.faulty else "done"
+        return Shape(1000, 100, 0), 400.0 + 300.0 * key.number, how
 
     def _set_up_fleet(self) -> None:
         from tests.scheduling_fakes import add_worker
 
         self.fleet.configuration = make_configuration()
         for name in WORKERS:
-            worker = add_worker(self.fleet, name)
+            worker = add_worker(self.fleet, name, room=ROOM)
             worker.known = False
             worker.contact_at = -1e9
             worker.lapse_at = self.now + TAKEOVER_WAIT_S if self.term > 1 else 0.0
@@ -79,9 +87,11 @@
                 self.completed.add(job)
         self.fleet.dirty.clear()
 
-    @rule(count=st.integers(1, 4), steps=st.integers(1, 2))
-    def submit(self, count: int, steps: int) -> None:
+    @rule(count=st.integers(1, 4), steps=st.integers(1, 2), faulty=st.booleans())
+    def submit(self, count: int, steps: int, faulty: bool) -> None:
         name = f"{len(self.jobs):016x}"
+        if faulty:
+            self.faulty.add((name, 0))
         parts = [Step(count=count, shape=Shape(1000, 100))]
         parts += [Step(count=1, depends_on=(0,), shape=Shape(1000, 100))] * (steps - 1)
         entry = JobEntry(make_job(*parts, id=name), 1, self.now)
@@ -133,7 +143,7 @@
                 worker.seen_end = one.number
                 record_end(self.fleet, worker, one, self.now)
         listed = {(one.key, one.run) for one in report.running}
-        stops = [confirm_run(self.fleet, one, worker, self.now) for one in report.running]
+        stops = confirm_listing(self.fleet, worker, report.running, self.now)
         for (key, number), run in list(worker.runs.items()):
             if (key, number) in listed:
                 continue
@@ -145,8 +155,7 @@
                 run.move("stop")
                 run.confirmed_at = self.now
         for stop in stops:
-            if stop is not None:
-                self.workers[name].stop(stop.key, stop.run, self.term)
+            self.workers[name].stop(stop.key, stop.run, self.term)
         worker.known = True
         self._record()
         worker.acknowledged = worker.seen_end
@@ -160,10 +169,10 @@
             requeue(self.fleet.jobs[key.job], found[0], self.now)
             self.fleet.mark(key.job)
 
-    @precondition(lambda self: self.jobs)
+    @precondition(lambda self: self.fleet.jobs)
     @rule(data=st.data())
     def cancel(self, data: st.DataObject) -> None:
-        name = data.draw(st.sampled_from(sorted(self.jobs)))
+        name = data.draw(st.sampled_from(sorted(self.fleet.jobs)))
         entry = self.fleet.jobs[name]
         self.cancelled.add(name)
         for stop in end_job(self.fleet, entry, "cancelled"):
@@ -179,6 +188,10 @@
         self.fleet = Fleet(self.term)
         self._set_up_fleet()
         for name, entry in self.jobs.items():
+            held = self.recorded.get(name)
+            if held is not None and decode_progress(held).state in ENDED_JOB:
+                # A new controller reads only what has not ended.
+                continue
             fresh = JobEntry(entry.job, 1, self.now)
             add_job(self.fleet, fresh)
             if name in self.recorded:
@@ -231,6 +244,11 @@
                 assert key not in running, f"{key} on {running[key]} and {name}"
                 running[key] = name
 
+    @invariant()
+    def no_worker_is_overfilled(self) -> None:
+        for name, worker in self.workers.items():
+            assert worker.measure_use().cpu <= ROOM.cpu, f"{name} carries more than its room"
+
     @invariant()
     def nothing_starts_after_its_end_was_noted(self) -> None:
         for worker in self.workers.values():
