Count tasks as absent unless they are certainly at work

What a silent worker last told was believed however old it was. And a new controller believed the first answer of a worker, although stops ordered by the one before, whose own count is lost, may take effect up to the stop time after it.

Change: a run counts as at work only if its worker has answered within the time of a hold and its time-out, and has been known to this controller for longer than a stop takes. A host is not ordered away while its worker lists runs that no record explains.

--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -189,7 +189,7 @@
         self, plan: HostPlan, view: HostView, views: dict[str, HostView], now: float
     ) -> None:
         worker = view.worker
-        if worker is not None and not worker.gone and worker.runs:
+        if worker is not None and not worker.gone and (worker.runs or worker.unknown_runs):
             worker.cordoned = True
             if plan.wave:
                 self._stop_rest(plan, view, now)
@@ -224,8 +224,11 @@
         if view.worker is None:
             return
         emptying_s = now - plan.changed_at
-        save_s = self._settings.bounds.save_s
-        for stop in choose_stops(self._fleet, view.worker, emptying_s, save_s, now):
+        bounds = self._settings.bounds
+        stops = choose_stops(
+            self._fleet, view.worker, emptying_s, bounds.save_s, bounds.stop_task_s, now
+        )
+        for stop in stops:
             log("run.evacuated", job=stop.key.job, step=stop.key.step, index=stop.key.number,
                 run=stop.run, worker=stop.worker, wave=plan.wave)  # fmt: skip
             found = self._fleet.find_run(stop.key, stop.run)
--- a/src/foxtrestle/scheduling/maintaining.py
+++ b/src/foxtrestle/scheduling/maintaining.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from foxtrestle.scheduling.model import TaskKey
+from foxtrestle.scheduling.placing import SILENCE_S
 from foxtrestle.scheduling.runs import StopOrder
 
 if TYPE_CHECKING:
@@ -89,12 +90,20 @@
 
 
 def choose_stops(
-    fleet: Fleet, worker: Worker, emptying_s: float, save_s: float, now: float
+    fleet: Fleet, worker: Worker, emptying_s: float, save_s: float, stop_s: float, now: float
 ) -> list[StopOrder]:
     """Choose what to stop on a worker whose host is being emptied.
 
     Lasting tasks are stopped as their step's budget allows; tasks that save their progress at
     once; others when they have had their time.
+
+    Args:
+        fleet: The state.
+        worker: The worker to empty.
+        emptying_s: Seconds for which it has been emptied.
+        save_s: Seconds of work after which a task that saves its progress has saved some.
+        stop_s: Seconds for which a stopped run may go on.
+        now: Monotonic time, seconds.
     """
     stops: list[StopOrder] = []
     taken: dict[tuple[str, int, int], int] = {}
@@ -105,7 +114,8 @@
         task, _ = found
         where = (key.job, key.repetition, key.step)
         if task.step.lasting:
-            if count_absent(fleet, key) + taken.get(where, 0) >= max(1, task.step.max_absent):
+            absent = count_absent(fleet, key, stop_s, now) + taken.get(where, 0)
+            if absent >= max(1, task.step.max_absent):
                 continue
             taken[where] = taken.get(where, 0) + 1
         elif not _may_stop(task, run, emptying_s, save_s, now):
@@ -120,18 +130,23 @@
     return emptying_s > URGENT_S
 
 
-def count_absent(fleet: Fleet, key: TaskKey) -> int:
-    """Count tasks of a lasting step that are not at work."""
+def count_absent(fleet: Fleet, key: TaskKey, stop_s: float, now: float) -> int:
+    """Count tasks of a lasting step that are not certainly at work."""
     entry = fleet.jobs[key.job]
     absent = 0
     for number in range(entry.job.spec.steps[key.step].count):
         task = entry.tasks.get(TaskKey(key.job, key.repetition, key.step, number))
-        if task is None or not any(_is_at_work(fleet, run) for run in task.runs.values()):
-            absent += 1
+        runs = task.runs.values() if task is not None else ()
+        absent += not any(_is_at_work(fleet, run, stop_s, now) for run in runs)
     return absent
 
 
-def _is_at_work(fleet: Fleet, run: Run) -> bool:
+def _is_at_work(fleet: Fleet, run: Run, stop_s: float, now: float) -> bool:
+    """Tell whether a run is certainly at work.
+
+    What a silent worker last told may be over. So may what a worker tells a new controller first:
+    the one before may have ordered stops that still take effect.
+    """
     worker = fleet.workers.get(run.worker)
     return (
         run.state == "running"
@@ -139,6 +154,8 @@
         and worker is not None
         and not worker.gone
         and not worker.info.draining
+        and now - worker.contact_at < SILENCE_S
+        and now - worker.known_at > stop_s
     )
 
 
--- a/tests/test_host_decisions.py
+++ b/tests/test_host_decisions.py
@@ -28,6 +28,8 @@
 from foxtrestle.scheduling.state import Fleet, JobEntry, WaveEntry
 from tests.scheduling_fakes import NOW, ROOM, add_worker, enter, make_fleet, make_job
 
+STOP_S = 0.9
+
 
 def start_all(fleet: Fleet) -> None:
     for placement in choose_placements(fleet, NOW):
@@ -287,12 +289,13 @@
     entry = enter(fleet, make_job(Step(count=5, lasting=True, max_absent=2)))
     start_all(fleet)
     worker = next(iter(fleet.workers.values()))
-    stops = choose_stops(fleet, worker, 0.0, 2.0, NOW)
+    stops = choose_stops(fleet, worker, 0.0, 2.0, STOP_S, NOW)
     assert len(stops) == 2
     for stop in stops:
         entry.tasks[stop.key].runs[stop.run].move("stop")
-    assert count_absent(fleet, TaskKey(entry.job.id, 0, 0, 0)) == 2
-    assert choose_stops(fleet, worker, 9.0, 2.0, NOW + 9) == []
+    assert count_absent(fleet, TaskKey(entry.job.id, 0, 0, 0), STOP_S, NOW) == 2
+    worker.contact_at = NOW + 9
+    assert choose_stops(fleet, worker, 9.0, 2.0, STOP_S, NOW + 9) == []
 
 
 def test_a_lasting_task_that_is_not_at_work_uses_up_the_budget() -> None:
@@ -303,15 +306,38 @@
     [(key, number)] = lone.runs
     confirm_run(fleet, RunningTask(key, number, "", 10), lone, NOW)
     other = next(worker for worker in fleet.workers.values() if worker is not lone)
-    assert choose_stops(fleet, other, 0.0, 2.0, NOW) == []
+    assert choose_stops(fleet, other, 0.0, 2.0, STOP_S, NOW) == []
     assert entry.state == "running"
 
 
+def test_the_tasks_of_a_silent_worker_use_up_the_budget() -> None:
+    fleet = make_fleet(2)
+    enter(fleet, make_job(Step(count=4, lasting=True, max_absent=2, max_per_worker=2)))
+    start_all(fleet)
+    silent, other = fleet.workers.values()
+    later = NOW + 2.0
+    other.contact_at = later
+    assert len(silent.runs) == 2
+    assert choose_stops(fleet, other, 0.0, 2.0, STOP_S, later) == []
+    silent.contact_at = later
+    assert len(choose_stops(fleet, other, 0.0, 2.0, STOP_S, later)) == 2
+
+
+def test_tasks_that_the_former_controller_may_have_stopped_use_up_the_budget() -> None:
+    fleet = make_fleet(2)
+    enter(fleet, make_job(Step(count=4, lasting=True, max_absent=2, max_per_worker=2)))
+    start_all(fleet)
+    fresh, other = fleet.workers.values()
+    fresh.known_at = NOW - STOP_S / 2
+    assert choose_stops(fleet, other, 0.0, 2.0, STOP_S, NOW) == []
+    assert len(choose_stops(fleet, other, 0.0, 2.0, STOP_S, NOW + STOP_S)) == 2
+
+
 def test_tasks_that_save_progress_are_stopped_at_once_others_later() -> None:
     fleet = make_fleet(1)
     enter(fleet, make_job(Step(checkpoints=True), Step()))
     start_all(fleet)
     worker = next(iter(fleet.workers.values()))
-    stops = choose_stops(fleet, worker, 0.0, 1.0, NOW + 1.5)
+    stops = choose_stops(fleet, worker, 0.0, 1.0, STOP_S, NOW + 1.5)
     assert [stop.key.step for stop in stops] == [0]
-    assert len(choose_stops(fleet, worker, 99.0, 1.0, NOW + 1.5)) == 2
+    assert len(choose_stops(fleet, worker, 99.0, 1.0, STOP_S, NOW + 1.5)) == 2
