--- /dev/null
+++ b/tests/test_compare.py
@@ -0,0 +1,34 @@
+"""The instrument that compares two policies on the same days."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from benches.compare import Report, Window, compute_difference, find_worst, parse_seeds
+
+
+def test_seeds_are_a_range_or_a_list() -> None:
+    assert parse_seeds("11-13") == [11, 12, 13]
+    assert parse_seeds("5,7") == [5, 7]
+    with pytest.raises(ValueError):
+        parse_seeds("x")
+
+
+@given(st.lists(st.floats(-1, 1), min_size=2, max_size=20), st.floats(-1, 1))
+def test_a_shift_of_every_pair_is_found_without_doubt(before: list[float], shift: float) -> None:
+    change = compute_difference(before, [value + shift for value in before])
+    assert change.mean == pytest.approx(shift, abs=1e-9)
+    assert change.margin == pytest.approx(0.0, abs=1e-9)
+
+
+def test_one_pair_says_nothing_of_its_certainty() -> None:
+    assert math.isinf(compute_difference([0.1], [0.2]).margin)
+
+
+def test_windows_in_which_nothing_was_owed_are_not_the_worst() -> None:
+    windows = [Window("0", 0.5), Window("2", None), Window("4", 0.2), Window("6", 0.9)]
+    assert [window.name for window in find_worst(Report(0.0, windows=windows))] == ["4", "0"]
