Write batches of different jobs at once while the store is slow

Cause: progress was written in one transaction at a time.

Change: up to eight transactions for different jobs overlap, a further one only when 20 ms have passed or the last is answered, one while the store is away. Of one job, one is under way at most, so its records take effect in order; the counts of waiting jobs go with one at a time.

Tests: a slow answer holds up nobody else (fails before: it times out), never two writes of one job at once, one batch at a time while the store is away."

--- a/src/foxtrestle/control/ledger.py
+++ b/src/foxtrestle/control/ledger.py
@@ -1,4 +1,8 @@
-"""The recorded progress of jobs: batched transactions, one at a time, fenced by the lock."""
+"""The recorded progress of jobs: batched transactions, fenced by the lock.
+
+Transactions under way at one time are for different jobs, so they cannot conflict; of one job, one
+is under way at most, so its records take effect in order.
+"""
 
 from __future__ import annotations
 
@@ -35,6 +39,12 @@
 """Seconds a batch waits for further changes; about one answer of the store."""
 RETRY_S: Final = 0.1
 """Mean pause after a failed transaction, seconds."""
+OVERLAP_S: Final = 0.02
+"""Seconds after which a further batch does not wait for those under way: five answers of the store,
+so that batches overlap only while it is slow."""
+MAX_UNDER_WAY: Final = 8
+"""Most transactions under way at once. At 0.3 s an answer they carry 400 jobs a second; one alone
+carries 50, fewer than change under load."""
 PENDING_S: Final = 0.7
 """Most seconds for which the queues' counts may lag; the platform allows 2."""
 
@@ -54,7 +64,9 @@
         self._changed = asyncio.Event()
         self._waiting: dict[str, list[asyncio.Future[None]]] = {}
         self._pending: bytes = b""
-        self._pending_at = 0.0
+        self._telling_pending = False
+        self._jobs_under_way: set[str] = set()
+        self._writes: set[asyncio.Task[None]] = set()
 
     def wake(self) -> None:
         """Have what is marked in the fleet written soon."""
@@ -75,17 +87,39 @@
 
     async def run(self) -> None:
         """Write batches until the term is lost."""
-        while not self._term.lost.is_set():
-            if not self._fleet.dirty:
-                self._changed.clear()
-                with suppress(TimeoutError):
-                    await asyncio.wait_for(self._changed.wait(), PENDING_S)
-                await asyncio.sleep(GATHER_S)
-            if self._fleet.dirty or self._count_pending() != self._pending:
-                await self._write()
-
-    async def _write(self) -> None:
-        jobs, waiting = self._gather()
+        try:
+            while not self._term.lost.is_set():
+                if not self._has_work():
+                    self._changed.clear()
+                    with suppress(TimeoutError):
+                        await asyncio.wait_for(self._changed.wait(), PENDING_S)
+                    await asyncio.sleep(GATHER_S)
+                if self._has_work():
+                    self._writes.add(asyncio.create_task(self._write(*self._gather())))
+                    await self._wait_for_turn()
+        finally:
+            for write in self._writes:
+                write.cancel()
+
+    def _has_work(self) -> bool:
+        """Tell whether there is anything to write that is not under way."""
+        if self._fleet.dirty.keys() - self._jobs_under_way:
+            return True
+        return not self._writes and self._count_pending() != self._pending
+
+    async def _wait_for_turn(self) -> None:
+        """Wait until the next batch may be sent; raises what a write has raised."""
+        done, _ = await asyncio.wait(self._writes, timeout=OVERLAP_S)
+        limit = 1 if self.away_since else MAX_UNDER_WAY
+        while len(self._writes) - len(done) >= limit:
+            more, _ = await asyncio.wait(self._writes - done, return_when=asyncio.FIRST_COMPLETED)
+            done |= more
+        self._writes -= done
+        for write in done:
+            write.result()
+
+    async def _write(self, jobs: list[str], waiting: dict[str, list[asyncio.Future[None]]]) -> None:
+        self._jobs_under_way.update(jobs)
         try:
             await self._commit(jobs)
         except Conflict as conflict:
@@ -101,13 +135,16 @@
             self.away_since = 0.0
             for futures in waiting.values():
                 _release(futures)
+        finally:
+            self._jobs_under_way.difference_update(jobs)
+            self._changed.set()
 
     def _gather(self) -> tuple[list[str], dict[str, list[asyncio.Future[None]]]]:
         """Take the oldest changes that fit into one transaction, and who waits for each."""
         jobs: list[str] = []
         waiting: dict[str, list[asyncio.Future[None]]] = {}
         entries = 0
-        for job in list(self._fleet.dirty):
+        for job in [job for job in self._fleet.dirty if job not in self._jobs_under_way]:
             entry = self._fleet.jobs.get(job)
             size = 0
             if entry is not None and not entry.archived:
@@ -149,12 +186,19 @@
             puts[ENDED + job] = encode_progress(entry)
             removals += [PROGRESS + job, JOBS + job, CANCELS + job]
         pending = self._count_pending()
-        if pending != self._pending:
+        # Of two under way at once, the older might take effect last.
+        tells_pending = pending != self._pending and not self._telling_pending
+        if tells_pending:
             puts[PENDING] = pending
         if not puts:
             return
-        revision = await self._store.commit(Transaction(conditions, puts, tuple(removals)))
-        self._pending = pending
+        self._telling_pending |= tells_pending
+        try:
+            revision = await self._store.commit(Transaction(conditions, puts, tuple(removals)))
+        finally:
+            self._telling_pending &= not tells_pending
+        if tells_pending:
+            self._pending = pending
         for job in jobs:
             self._fleet.jobs[job].progress_revision = revision
         for entry in ended:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -14,17 +14,43 @@
 from tests.scheduling_fakes import enter, make_fleet, make_job
 
 
+class SlowStore:
+    """A store whose commits are answered when the test says so."""
+
+    def __init__(self) -> None:
+        self.engine = Engine(writes_per_s=0)
+        self.under_way: list[set[str]] = []
+        self.all_sent = asyncio.Event()
+        self.answer = asyncio.Event()
+
+    async def commit(self, transaction: Transaction) -> int:
+        jobs = {key for key in transaction.conditions if key.startswith("foxtrestle/progress/")}
+        assert all(not jobs & others for others in self.under_way), "two writes of one job at once"
+        self.under_way.append(jobs)
+        if sum(map(len, self.under_way)) == 40:
+            self.all_sent.set()
+        await self.answer.wait()
+        self.under_way.remove(jobs)
+        return self.engine.commit(transaction)
+
+
 class FailingStore:
     """A store whose next commits go wrong as ordered: refused, or done without an answer."""
 
-    def __init__(self) -> None:
+    def __init__(self, answer_s: float = 0.002) -> None:
+        self.answer_s = answer_s
         self.engine = Engine(writes_per_s=0)
         self.plan: list[str] = []
+        self.under_way = 0
+        self.most_under_way = 0
 
     async def commit(self, transaction: Transaction) -> int:
         entries = len(transaction.conditions) + len(transaction.puts) + len(transaction.removals)
         assert entries <= 32
-        await asyncio.sleep(0.002)
+        self.under_way += 1
+        self.most_under_way = max(self.most_under_way, self.under_way)
+        await asyncio.sleep(self.answer_s)
+        self.under_way -= 1
         fate = self.plan.pop(0) if self.plan else ""
         if fate == "refused":
             raise StoreError("try later", step="test")
@@ -34,8 +60,7 @@
         return revision
 
 
-def set_up(jobs: int) -> tuple[FailingStore, Any, Ledger]:
-    store = FailingStore()
+def set_up(jobs: int, store: Any) -> tuple[Any, Any, Ledger]:
     lock = "foxtrestle/control/lock"
     revision = store.engine.commit(Transaction({}, {lock: b"me"}))
     fleet = make_fleet()
@@ -56,7 +81,7 @@
 
 
 async def run_batches(plan: list[str], *, end_after: int = 0) -> None:
-    store, fleet, ledger = set_up(40)
+    store, fleet, ledger = set_up(40, FailingStore())
     store.plan = plan
     waits = [asyncio.create_task(wait_and_check(store, ledger, job)) for job in list(fleet.jobs)]
     await asyncio.sleep(0)
@@ -82,5 +107,33 @@
     await run_batches(["lost", "refused", "lost"], end_after=12)
 
 
+async def test_a_slow_answer_holds_up_nobody_else() -> None:
+    store, fleet, ledger = set_up(40, SlowStore())
+    waits = [asyncio.create_task(wait_and_check(store, ledger, job)) for job in list(fleet.jobs)]
+    loop = asyncio.create_task(ledger.run())
+    async with asyncio.timeout(10):
+        await store.all_sent.wait()
+        again = asyncio.create_task(ledger.record(list(fleet.jobs)[:20]))
+        await asyncio.sleep(0.1)
+        store.answer.set()
+        await asyncio.gather(*waits, again)
+    loop.cancel()
+
+
+async def test_only_one_batch_at_a_time_is_tried_while_the_store_is_away() -> None:
+    store, fleet, ledger = set_up(40, FailingStore(answer_s=0.05))
+    ledger.away_since = 1.0
+    store.plan = ["refused"] * 3
+    waits = [asyncio.create_task(wait_and_check(store, ledger, job)) for job in list(fleet.jobs)]
+    loop = asyncio.create_task(ledger.run())
+    async with asyncio.timeout(10):
+        while store.plan:
+            assert store.most_under_way <= 1
+            await asyncio.sleep(0)
+        await asyncio.gather(*waits)
+    assert not ledger.away_since
+    loop.cancel()
+
+
 def test_a_batch_of_ends_fits_into_a_transaction() -> None:
     assert MAX_ENTRIES <= 30
