Build a batch of the ledger whole at one moment

Cause: with writes as tasks of their own, a batch was cut by size in one turn of the loop and encoded in the next.

Change: the transaction is built where the batch is cut.

Test: jobs end one in each turn of the loop while batches are sent; it fails before (33 entries and more).

--- a/src/foxtrestle/control/ledger.py
+++ b/src/foxtrestle/control/ledger.py
@@ -49,6 +49,40 @@
 """Most seconds for which the queues' counts may lag; the platform allows 2."""
 
 
+class _Batch:
+    """One transaction on its way."""
+
+    __slots__ = ("conditions", "ended", "pending", "puts", "removals", "waiting")
+
+    def __init__(self) -> None:
+        self.waiting: dict[str, list[asyncio.Future[None]]] = {}
+        """Jobs that are written, each with who waits for it."""
+        self.ended: list[JobEntry] = []
+        """Those of them of which the final state is written."""
+        self.pending: bytes | None = None
+        """Counts of the queues, if they are told."""
+        self.conditions: dict[str, int] = {}
+        self.puts: dict[str, bytes] = {}
+        self.removals: list[str] = []
+
+    def add(self, entry: JobEntry) -> None:
+        """Add the present state of a job."""
+        job = entry.job.id
+        self.conditions[PROGRESS + job] = entry.progress_revision
+        if not entry.ended:
+            self.puts[PROGRESS + job] = encode_progress(entry)
+            return
+        entry.ended_ms = entry.ended_ms or int(time.time() * 1000)
+        self.ended.append(entry)
+        self.puts[ENDED + job] = encode_progress(entry)
+        self.removals += [PROGRESS + job, JOBS + job, CANCELS + job]
+
+    @property
+    def transaction(self) -> Transaction:
+        """The transaction that writes it."""
+        return Transaction(self.conditions, self.puts, tuple(self.removals))
+
+
 class Ledger:
     """Writes what has changed about jobs, and tells when it is recorded."""
 
@@ -95,8 +129,10 @@
                         await asyncio.wait_for(self._changed.wait(), PENDING_S)
                     await asyncio.sleep(GATHER_S)
                 if self._has_work():
-                    self._writes.add(asyncio.create_task(self._write(*self._gather())))
-                    await self._wait_for_turn()
+                    batch = self._gather()
+                    if batch.puts:
+                        self._writes.add(asyncio.create_task(self._write(batch)))
+                        await self._wait_for_turn()
         finally:
             for write in self._writes:
                 write.cancel()
@@ -118,31 +154,43 @@
         for write in done:
             write.result()
 
-    async def _write(self, jobs: list[str], waiting: dict[str, list[asyncio.Future[None]]]) -> None:
-        self._jobs_under_way.update(jobs)
+    async def _write(self, batch: _Batch) -> None:
         try:
-            await self._commit(jobs)
+            revision = await self._store.commit(batch.transaction)
         except Conflict as conflict:
-            self._adopt(jobs, conflict)
-            self._put_back(jobs, waiting)
+            self._adopt(batch, conflict)
+            self._put_back(batch)
         except StoreError as error:
             self.away_since = self.away_since or time.monotonic()
             self._outage.note_failure(error)
-            self._put_back(jobs, waiting)
+            self._put_back(batch)
             await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
         else:
             self._outage.note_success()
             self.away_since = 0.0
-            for futures in waiting.values():
-                _release(futures)
+            self._take_success(batch, revision)
         finally:
-            self._jobs_under_way.difference_update(jobs)
+            self._jobs_under_way.difference_update(batch.waiting)
+            if batch.pending is not None:
+                self._telling_pending = False
             self._changed.set()
 
-    def _gather(self) -> tuple[list[str], dict[str, list[asyncio.Future[None]]]]:
-        """Take the oldest changes that fit into one transaction, and who waits for each."""
-        jobs: list[str] = []
-        waiting: dict[str, list[asyncio.Future[None]]] = {}
+    def _take_success(self, batch: _Batch, revision: int) -> None:
+        if batch.pending is not None:
+            self._pending = batch.pending
+        for job in batch.waiting:
+            self._fleet.jobs[job].progress_revision = revision
+        for entry in batch.ended:
+            self._archive(entry)
+        for futures in batch.waiting.values():
+            _release(futures)
+
+    def _gather(self) -> _Batch:
+        """Take the oldest changes that fit into one transaction, as they are at this moment.
+
+        A job that ends later takes more entries, and who waits for its record waits for this one.
+        """
+        batch = _Batch()
         entries = 0
         for job in [job for job in self._fleet.dirty if job not in self._jobs_under_way]:
             entry = self._fleet.jobs.get(job)
@@ -154,55 +202,32 @@
             entries += size
             del self._fleet.dirty[job]
             futures = self._waiting.pop(job, [])
-            if size:
-                jobs.append(job)
-                waiting[job] = futures
+            if entry is not None and size:
+                batch.waiting[job] = futures
+                batch.add(entry)
                 continue
             # Its final state is in the store already.
             _release(futures)
             if entry is not None and not entry.has_runs():
                 self._fleet.jobs.pop(job)
-        return jobs, waiting
-
-    def _put_back(self, jobs: list[str], waiting: dict[str, list[asyncio.Future[None]]]) -> None:
-        """Have a batch written again; nobody waits for another job's record than before."""
-        self._fleet.dirty = dict.fromkeys(jobs) | self._fleet.dirty
-        for job, futures in waiting.items():
-            self._waiting[job] = futures + self._waiting.get(job, [])
+        self._add_pending(batch)
+        batch.conditions[LOCK] = self._term.lock.revision
+        self._jobs_under_way.update(batch.waiting)
+        return batch
 
-    async def _commit(self, jobs: list[str]) -> None:
-        conditions = {LOCK: self._term.lock.revision}
-        puts: dict[str, bytes] = {}
-        removals: list[str] = []
-        ended: list[JobEntry] = []
-        for job in jobs:
-            entry = self._fleet.jobs[job]
-            conditions[PROGRESS + job] = entry.progress_revision
-            if not entry.ended:
-                puts[PROGRESS + job] = encode_progress(entry)
-                continue
-            entry.ended_ms = entry.ended_ms or int(time.time() * 1000)
-            ended.append(entry)
-            puts[ENDED + job] = encode_progress(entry)
-            removals += [PROGRESS + job, JOBS + job, CANCELS + job]
+    def _add_pending(self, batch: _Batch) -> None:
+        """Tell the queues' counts if they have changed."""
         pending = self._count_pending()
         # Of two under way at once, the older might take effect last.
-        tells_pending = pending != self._pending and not self._telling_pending
-        if tells_pending:
-            puts[PENDING] = pending
-        if not puts:
-            return
-        self._telling_pending |= tells_pending
-        try:
-            revision = await self._store.commit(Transaction(conditions, puts, tuple(removals)))
-        finally:
-            self._telling_pending &= not tells_pending
-        if tells_pending:
-            self._pending = pending
-        for job in jobs:
-            self._fleet.jobs[job].progress_revision = revision
-        for entry in ended:
-            self._archive(entry)
+        if pending != self._pending and not self._telling_pending:
+            batch.pending = batch.puts[PENDING] = pending
+            self._telling_pending = True
+
+    def _put_back(self, batch: _Batch) -> None:
+        """Have a batch written again; nobody waits for another job's record than before."""
+        self._fleet.dirty = dict.fromkeys(batch.waiting) | self._fleet.dirty
+        for job, futures in batch.waiting.items():
+            self._waiting[job] = futures + self._waiting.get(job, [])
 
     def _archive(self, entry: JobEntry) -> None:
         for where in [where for where in self._fleet.tickets if where[0] == entry.job.id]:
@@ -216,20 +241,20 @@
         if not entry.has_runs():
             self._fleet.jobs.pop(entry.job.id, None)
 
-    def _adopt(self, jobs: list[str], conflict: Conflict) -> None:
+    def _adopt(self, batch: _Batch, conflict: Conflict) -> None:
         """Take over revisions that a write of ours with a lost answer has left."""
         lock = conflict.records.get(LOCK)
         if lock is None or lock.revision != self._term.lock.revision:
             self._term.lose("lock is another's")
             return
-        for job in jobs:
+        for job in batch.waiting:
             entry = self._fleet.jobs[job]
             record = conflict.records.get(PROGRESS + job)
             if record is None and entry.ended and entry.progress_revision:
                 # The removal was ours: nobody else writes under this lock.
                 self._archive(entry)
             entry.progress_revision = record.revision if record else 0
-        log("ledger.lost-answer", jobs=len(jobs))
+        log("ledger.lost-answer", jobs=len(batch.waiting))
 
     def _count_pending(self) -> bytes:
         counts = Counter(
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -107,6 +107,19 @@
     await run_batches(["lost", "refused", "lost"], end_after=12)
 
 
+async def test_a_job_that_ends_while_its_batch_is_sent_does_not_make_it_too_large() -> None:
+    store, fleet, ledger = set_up(40, FailingStore())
+    waits = [asyncio.create_task(wait_and_check(store, ledger, job)) for job in list(fleet.jobs)]
+    loop = asyncio.create_task(ledger.run())
+    for entry in list(fleet.jobs.values()):
+        await asyncio.sleep(0)
+        end_job(fleet, entry, "cancelled")
+    async with asyncio.timeout(10):
+        await asyncio.gather(*waits)
+    assert not loop.done(), "a transaction of more than 32 entries was sent"
+    loop.cancel()
+
+
 async def test_a_slow_answer_holds_up_nobody_else() -> None:
     store, fleet, ledger = set_up(40, SlowStore())
     waits = [asyncio.create_task(wait_and_check(store, ledger, job)) for job in list(fleet.jobs)]
