--- a/benches/compare.py
+++ b/benches/compare.py
@@ -45,7 +45,7 @@
     day: str
     """Name of the day."""
     seed: int
-    """Seed of its luck."""
+    """Seed of its luck; 0 for the day's own."""
 
 
 class Window(msgspec.Struct):
@@ -131,7 +131,8 @@
     if report.exists():
         return msgspec.json.decode(report.read_bytes(), type=Report, strict=False)
     command: list[str | Path] = [player, "run", one.site, one.day]
-    command += ["--seed", str(one.seed), "--report", report, "--why", why]
+    command += ["--report", report, "--why", why]
+    command += ["--seed", str(one.seed)] if one.seed else []
     try:
         run = subprocess.run(
             command, cwd=one.checkout, capture_output=True, timeout=PLAY_TIMEOUT_S, check=False
