--- /dev/null
+++ b/src/foxtrestle/scheduling/arrivals.py
@@ -0,0 +1,98 @@
+"""How fast jobs arrive now, with a change of pace found as soon as it is certain."""
+
+from __future__ import annotations
+
+from collections import deque
+from math import exp, log
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+MEMORY_S: Final = 8.0
+"""Seconds of arrivals that are weighed; long against a rise, so that what was before shows."""
+MOST_ARRIVALS: Final = 160
+"""Newest arrivals that are weighed: a change shows in fewer, and all are looked at each round."""
+CHANGE_ODDS: Final = 0.3
+"""Odds that the pace has changed in what is remembered, before the arrivals are looked at; load
+that goes by turns changes more often, steady load never."""
+PRIOR_S: Final = 0.3
+"""Seconds at the mean pace that are added to the time since a rise: a pace that only two or three
+arrivals tell is not believed whole."""
+MOST_GAIN: Final = 200.0
+"""Gain beyond which a case is certain whatever the others are; bounds the sum of weights."""
+SIZES: Final = 40
+"""Newest jobs from which the mean work of a job is taken; a few are ten times the mean."""
+
+
+def _measure(count: int, span_s: float) -> float:
+    """Return the log likelihood of some arrivals at their own mean pace."""
+    return count * log(count / span_s) if count else 0.0
+
+
+def compute_pace(times: Sequence[float], start: float, now: float) -> float:
+    """Return the present pace of arrivals, a second.
+
+    It may have changed at any arrival. Each of these cases, and that it has not changed, is
+    weighed by how likely it makes what was seen.
+
+    Args:
+        times: Monotonic times of arrivals after `start`, oldest first, seconds.
+        start: Monotonic time since which all arrivals are known, seconds.
+        now: Monotonic time, seconds.
+    """
+    count = len(times)
+    span_s = now - start
+    if not count or span_s <= 0:
+        return 0.0
+    whole = _measure(count, span_s)
+    mean = count / span_s
+    total = 1.0
+    pace = mean
+    for number, at in enumerate(times):
+        before_s, since_s = at - start, now - at
+        if before_s <= 0 or since_s <= 0:
+            continue
+        # The arrival at which a rise begins says nothing of the pace after it.
+        after = count - number - 1
+        gain = _measure(number + 1, before_s) + _measure(after, since_s) - whole
+        weight = exp(min(gain, MOST_GAIN)) * CHANGE_ODDS / count
+        total += weight
+        before = min(mean, after / since_s)
+        pace += weight * (after + PRIOR_S * before) / (since_s + PRIOR_S)
+    return pace / total
+
+
+class Arrivals:
+    """Recent arrivals of jobs at a pool."""
+
+    __slots__ = ("_since", "_times", "_works")
+
+    def __init__(self, since: float = 0.0) -> None:
+        """Create arrivals without any.
+
+        Args:
+            since: Monotonic time since which all arrivals are told, seconds.
+        """
+        self._times: deque[float] = deque(maxlen=MOST_ARRIVALS)
+        self._works: deque[float] = deque(maxlen=SIZES)
+        self._since = since
+
+    def note(self, at: float, work: float) -> None:
+        """Take in a job.
+
+        Args:
+            at: Monotonic time of its arrival, seconds.
+            work: Room that its tasks take times their duration, hosts x seconds.
+        """
+        if len(self._times) == MOST_ARRIVALS:
+            self._since = self._times[0]
+        self._times.append(at)
+        self._works.append(work)
+
+    def forecast(self, now: float) -> float:
+        """Return the room that arriving work keeps busy, hosts."""
+        start = max(now - MEMORY_S, self._since)
+        times = sorted(at for at in self._times if at > start)
+        pace = compute_pace(times, start, now)
+        return pace * sum(self._works) / len(self._works) if pace else 0.0
--- /dev/null
+++ b/tests/test_arrivals.py
@@ -0,0 +1,86 @@
+"""The pace of arrivals: steady ones, rises, falls."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from foxtrestle.scheduling.arrivals import (
+    MEMORY_S,
+    MOST_ARRIVALS,
+    Arrivals,
+    compute_pace,
+)
+
+START = 100.0
+
+
+def draw(seed: int, *parts: tuple[float, float]) -> list[float]:
+    """Draw arrivals at random: of each part its pace a second and its length in seconds."""
+    luck = random.Random(seed)
+    times = []
+    begin = START
+    for pace, length in parts:
+        at = begin + luck.expovariate(pace)
+        while at < begin + length:
+            times.append(at)
+            at += luck.expovariate(pace)
+        begin += length
+    return times
+
+
+def measure_mean(*parts: tuple[float, float]) -> float:
+    """Return the mean of the pace found over many draws."""
+    end = START + sum(length for _, length in parts)
+    return sum(compute_pace(draw(seed, *parts), START, end) for seed in range(200)) / 200
+
+
+def test_a_steady_pace_is_found() -> None:
+    assert measure_mean((10.0, 8.0)) == pytest.approx(10.0, rel=0.15)
+
+
+def test_a_rise_is_found_by_half_after_half_a_second() -> None:
+    assert measure_mean((0.1, 7.5), (10.0, 0.5)) > 4.5
+
+
+def test_a_fall_is_found_by_nine_tenths_after_a_second() -> None:
+    assert measure_mean((10.0, 7.0), (0.1, 1.0)) < 1.0
+
+
+@given(st.lists(st.floats(0.01, 8.0), max_size=60), st.floats(0.0, 3.0))
+def test_a_pace_is_never_negative_nor_faster_than_the_closest_arrivals(
+    offsets: list[float], later: float
+) -> None:
+    times = sorted(START + offset for offset in offsets)
+    now = START + 8.0 + later
+    pace = compute_pace(times, START, now)
+    assert 0.0 <= pace <= max(1, len(times)) / 0.3
+
+
+def test_nothing_is_known_before_anything_arrives() -> None:
+    assert compute_pace([], START, START + 1) == 0.0
+    assert Arrivals().forecast(START) == 0.0
+
+
+def test_a_forecast_is_the_work_that_is_in_service_at_a_time() -> None:
+    arrivals = Arrivals(START)
+    for number in range(40):
+        arrivals.note(START + 0.2 * number + 0.1, 3.0)
+    assert arrivals.forecast(START + 8.0) == pytest.approx(5 * 3.0, rel=0.15)
+
+
+def test_what_is_past_the_memory_is_forgotten() -> None:
+    arrivals = Arrivals(START)
+    arrivals.note(START, 1.0)
+    assert arrivals.forecast(START + MEMORY_S + 0.1) == 0.0
+
+
+def test_more_arrivals_than_are_kept_shorten_what_is_looked_at() -> None:
+    arrivals = Arrivals(START)
+    for number in range(4 * MOST_ARRIVALS):
+        arrivals.note(START + 0.01 * number, 1.0)
+    forecast = arrivals.forecast(START + 0.01 * 4 * MOST_ARRIVALS)
+    assert forecast == pytest.approx(100.0, rel=0.15)
