Stop an unwanted run once, not at each listing of its worker

Cause: a worker answers a hold at each end, and each answer lists a run that is being stopped; each time a stop was sent and a line was logged.

--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -23,7 +23,7 @@
     from foxtrestle.control.orders import Orders
     from foxtrestle.control.ownership import Term
     from foxtrestle.platform.workers import WorkerCalls
-    from foxtrestle.scheduling.model import WorkerReport
+    from foxtrestle.scheduling.model import TaskKey, WorkerReport
     from foxtrestle.scheduling.runs import StopOrder
     from foxtrestle.scheduling.state import Fleet, Run, Worker
 
@@ -91,6 +91,7 @@
         self._measures = measures
         self._unrecorded = False
         self._silent = False
+        self._stopped_at: dict[tuple[TaskKey, int], float] = {}
         self._background = Spawner()
 
     async def run(self) -> None:
@@ -171,9 +172,8 @@
         if is_suspect(worker) != suspected:
             log("worker.trusted" if suspected else "worker.suspect", worker=worker.info.id,
                 failed_jobs=sorted(worker.failed_jobs))  # fmt: skip
-        for stop in confirm_listing(self._fleet, worker, report.running, now):
-            log("run.unwanted", job=stop.key.job, run=stop.run, worker=worker.info.id)
-            stops.append(stop)
+        unwanted = confirm_listing(self._fleet, worker, report.running, now)
+        stops += [stop for stop in unwanted if self._is_due(stop, now)]
         if len(report.ends) < MAX_ENDS:
             self._settle(report, sent_at, now)
             if not worker.known:
@@ -191,6 +191,16 @@
             self._wake()
             await self._record({end.key.job for end in report.ends}, report)
 
+    def _is_due(self, stop: StopOrder, now: float) -> bool:
+        """Tell whether an unwanted run is to be stopped now: not again while a stop takes effect."""
+        run = stop.key, stop.run
+        if now - self._stopped_at.get(run, -1e9) < RESTOP_S:
+            return False
+        if run not in self._stopped_at:
+            log("run.unwanted", job=stop.key.job, run=stop.run, worker=stop.worker)
+        self._stopped_at[run] = now
+        return True
+
     async def _record(self, jobs: set[str], report: WorkerReport) -> None:
         """Acknowledge ends once they are recorded; go on holding if that takes long."""
         known = [job for job in jobs if job in self._fleet.jobs]
--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,23 @@
+"""The link to one worker."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from foxtrestle.control.link import RESTOP_S, WorkerLink
+from foxtrestle.scheduling.model import TaskKey
+from foxtrestle.scheduling.runs import StopOrder
+from tests.scheduling_fakes import NOW, make_fleet
+
+
+def test_an_unwanted_run_is_not_stopped_again_while_a_stop_takes_effect() -> None:
+    fleet = make_fleet(1)
+    [worker] = fleet.workers.values()
+    others: Any = None
+    link = WorkerLink(fleet, worker, others, others, others, others, others, others, 0.1, others)
+    stop = StopOrder(worker.info.id, TaskKey("j", 0, 0, 0), 1)
+    other = StopOrder(worker.info.id, TaskKey("j", 0, 0, 1), 1)
+    assert link._is_due(stop, NOW)
+    assert not link._is_due(stop, NOW + RESTOP_S / 2)
+    assert link._is_due(other, NOW + RESTOP_S / 2)
+    assert link._is_due(stop, NOW + RESTOP_S + 0.1)
