--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -192,7 +192,7 @@
             await self._record({end.key.job for end in report.ends}, report)
 
     def _is_due(self, stop: StopOrder, now: float) -> bool:
-        """Tell whether an unwanted run is to be stopped now: not again while a stop takes effect."""
+        """Tell whether an unwanted run is to be stopped now, no stop for it being under way."""
         run = stop.key, stop.run
         if now - self._stopped_at.get(run, -1e9) < RESTOP_S:
             return False
