Replace the pool of a peer on whose connections a call had no answer

Cause: open connections can go silent for good while new ones work. The pool handed idle ones out one after another: ten calls failed, one time-out each, and a controller lost its lock.

Change: a time-out has further calls to that peer go out on a fresh pool; calls under way are left alone; failures of a former pool say nothing of the present one. The first renewal after an answered one gets 0.4 s, so that a second still comes in time. The relay of the soak silences open connections (all, or all but one in two or three), and the soak does so.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -244,7 +244,8 @@
     def _list_faults(self) -> list[Callable[[], Awaitable[None]]]:
         return [
             self._kill, self._kill, self._pause, self._pause, self._stop, self._cut_node,
-            self._cut_node, self._store_down, self._store_loses, self._starts_lost,
+            self._cut_node, self._silence_connections, self._store_down, self._store_loses,
+            self._starts_lost,
             self._drop_history, self._take_lock, self._silence_worker, self._crash_worker,
             self._begin_wave, self._change_configuration,
         ]  # fmt: skip
@@ -281,6 +282,10 @@
         proxy.mode = "open"
         proxy.delay_s = 0.0
 
+    async def _silence_connections(self) -> None:
+        for node in self.nodes:
+            node.store.silence_open(self.rng.choice([0, 2, 3]))
+
     async def _store_down(self) -> None:
         faults = self.site.faults
         name = self.rng.choice(["store_down", "store_silent"])
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -21,7 +21,8 @@
         self.address = ""
         """Where it listens, once it does."""
         self._target = target
-        self._pairs: set[asyncio.StreamWriter] = set()
+        self._pairs: dict[asyncio.StreamWriter, asyncio.StreamWriter] = {}
+        self._silenced: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
     async def open(self) -> None:
@@ -29,10 +30,21 @@
         self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
         self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
+    def silence_open(self, spared: int = 0) -> None:
+        """Hold all that passes on the connections there are, for good; new ones work.
+
+        Args:
+            spared: One in how many connections is left sound; 0 for none.
+        """
+        for number, pair in enumerate(self._pairs.items()):
+            if not spared or number % spared:
+                self._silenced.update(pair)
+
     def reset(self) -> None:
         """Break every connection there is."""
-        for writer in list(self._pairs):
-            writer.transport.abort()
+        for pair in list(self._pairs.items()):
+            for writer in pair:
+                writer.transport.abort()
 
     def close(self) -> None:
         """Stop listening and break what is open."""
@@ -50,23 +62,25 @@
         except OSError:
             writer.transport.abort()
             return
-        self._pairs |= {writer, back_writer}
+        self._pairs[writer] = back_writer
         try:
             await asyncio.gather(
                 self._pass(reader, back_writer, {"silent"}),
                 self._pass(back_reader, writer, {"silent", "one-way"}),
             )
         finally:
-            self._pairs -= {writer, back_writer}
+            del self._pairs[writer]
+            self._silenced -= {writer, back_writer}
 
     async def _pass(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, held_by: set[str]
     ) -> None:
+        # What holds bytes back changes from outside, so it is looked at again and again.
         with suppress(OSError):
             while data := await reader.read(1 << 16):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
-                while self.mode in held_by:  # noqa: ASYNC110 - modes change from outside
+                while self.mode in held_by or writer in self._silenced:  # noqa: ASYNC110
                     await asyncio.sleep(0.02)
                 writer.write(data)
                 await writer.drain()
--- a/src/foxtrestle/control/ownership.py
+++ b/src/foxtrestle/control/ownership.py
@@ -34,6 +34,10 @@
 lease rides out two lost answers."""
 RENEW_S: Final = 0.35
 """Seconds between renewals."""
+FIRST_RENEWAL_S: Final = 0.4
+"""Seconds for the first renewal after an answered one: past the 0.3 s of a slow store, and short
+enough that a second one, on a fresh connection, keeps a lease whose connections have all fallen
+silent. Later ones get the usual time, in case the store is slower than that."""
 LEASE_MARGIN_S: Final = 0.15
 """Seconds by which a controller takes its lease as over before the store does."""
 RACE_PAUSE_S: Final = 0.1
@@ -227,17 +231,23 @@
     async def _renew(self, term: Term) -> None:
         """Renew the lease; lose the term when the store says it is over or is away too long."""
         outage = Outage("store", "renewal")
+        failures = 0
         while term.may_hold():
             sent_at = time.monotonic()
             try:
-                kept = await self._store.keep_alive(self._lease)
+                kept = await self._store.keep_alive(
+                    self._lease, timeout_s=None if failures else FIRST_RENEWAL_S
+                )
             except StaleCall:
                 continue
             except StoreError as error:
                 outage.note_failure(error)
-                await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S))
+                failures += 1
+                if failures > 1:
+                    await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S))
                 continue
             outage.note_success()
+            failures = 0
             if not kept:
                 term.lose("lease is over")
                 return
--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -21,9 +21,9 @@
 from foxtrestle.node.intake import Intake
 from foxtrestle.node.operators import OperatorMirror
 from foxtrestle.platform.advice import AdviceCalls
+from foxtrestle.platform.connections import Connections
 from foxtrestle.platform.front import build_front, build_ready
 from foxtrestle.platform.hosts import HostCalls
-from foxtrestle.platform.http import open_session
 from foxtrestle.platform.settings import find_settings, read_settings
 from foxtrestle.platform.store import PlatformStore
 from foxtrestle.platform.workers import WorkerCalls
@@ -74,13 +74,13 @@
         """Serve until a stop is asked for, and stop in order."""
         settings = self.settings
         async with AsyncExitStack() as stack:
-            session = await stack.enter_async_context(open_session())
-            store = PlatformStore(settings.store_address, session, STORE_TIMEOUT_S)
-            workers = WorkerCalls(session)
+            connections = await stack.enter_async_context(Connections())
+            store = PlatformStore(settings.store_address, connections, STORE_TIMEOUT_S)
+            workers = WorkerCalls(connections)
             advice = None
             if settings.advice_address:
-                advice = AdviceCalls(settings.advice_address, session)
-            hosts = HostCalls(settings.hosts_address, settings.name, session, STORE_TIMEOUT_S)
+                advice = AdviceCalls(settings.advice_address, connections)
+            hosts = HostCalls(settings.hosts_address, settings.name, connections, STORE_TIMEOUT_S)
             measures = Measures()
             self.operators = OperatorMirror(store, self._wake_controller, settings.bounds.apply_s)
             self.health = StoreHealth(store)
--- a/src/foxtrestle/platform/advice.py
+++ b/src/foxtrestle/platform/advice.py
@@ -9,8 +9,7 @@
 from foxtrestle.platform.http import CallError, call, decode
 
 if TYPE_CHECKING:
-    import aiohttp
-
+    from foxtrestle.platform.connections import Connections
     from foxtrestle.scheduling.model import TaskKey
 
 MOST_WORKERS: Final = 100
@@ -37,10 +36,10 @@
 class AdviceCalls:
     """Client of the policy service."""
 
-    def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
-        """Create a client on the session of this process."""
+    def __init__(self, address: str, connections: Connections) -> None:
+        """Create a client on the connections of this process."""
         self._url = f"http://{address}/-/advise"
-        self._session = session
+        self._connections = connections
 
     async def ask(self, key: TaskKey, workers: list[str]) -> Advice:
         """Ask which workers may run the step of a task."""
@@ -49,7 +48,7 @@
             "workers": workers[:MOST_WORKERS],
         }
         reply = await call(
-            self._session,
+            self._connections,
             "POST",
             self._url,
             step="advice.ask",
--- a/src/foxtrestle/platform/hosts.py
+++ b/src/foxtrestle/platform/hosts.py
@@ -11,7 +11,7 @@
 from foxtrestle.scheduling.model import HostInfo, HostState
 
 if TYPE_CHECKING:
-    import aiohttp
+    from foxtrestle.platform.connections import Connections
 
 
 class _Machine(msgspec.Struct):
@@ -46,22 +46,20 @@
 class HostCalls:
     """Client of the platform's hosts."""
 
-    def __init__(
-        self, address: str, node: str, session: aiohttp.ClientSession, timeout_s: float
-    ) -> None:
+    def __init__(self, address: str, node: str, connections: Connections, timeout_s: float) -> None:
         """Create a client.
 
         Args:
             address: `ip:port` of the platform's interface for hosts.
             node: Name of this node, which orders carry.
-            session: Session of this process.
+            connections: Connections of this process.
             timeout_s: Seconds to wait for an answer.
         """
         self.calls = 0
         """Calls made."""
         self._base = f"http://{address}/-/"
         self._node = node
-        self._session = session
+        self._connections = connections
         self._timeout_s = timeout_s
 
     async def list_hosts(self) -> list[HostInfo]:
@@ -71,7 +69,7 @@
         while True:
             self.calls += 1
             reply = await call(
-                self._session,
+                self._connections,
                 "GET",
                 self._base + "machines",
                 step="hosts.list",
@@ -98,7 +96,7 @@
         step = f"hosts.{path}"
         self.calls += 1
         reply = await call(
-            self._session,
+            self._connections,
             "POST",
             self._base + path,
             step=step,
--- a/src/foxtrestle/platform/http.py
+++ b/src/foxtrestle/platform/http.py
@@ -1,4 +1,4 @@
-"""HTTP calls to the platform: one session, one way to time out, one mapping of failures."""
+"""HTTP calls to the platform: one way to time out, one mapping of failures."""
 
 from __future__ import annotations
 
@@ -12,12 +12,10 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from foxtrestle.platform.connections import Connections
+
 T = TypeVar("T")
 
-KEEP_ALIVE_S: Final = 60.0
-"""Seconds an idle connection is kept; new connections to workers are priced by the platform."""
-CONNECTIONS_PER_HOST: Final = 16
-"""Most connections to one address: some wait in watches, the rest carry calls."""
 CONNECT_TIMEOUT_S: Final = 0.5
 """Seconds to connect; links on the platform take a few milliseconds."""
 JSON_HEADERS: Final = {"Content-Type": "application/json"}
@@ -44,24 +42,8 @@
     """The body, as sent."""
 
 
-def open_session() -> aiohttp.ClientSession:
-    """Open the session that all calls to the platform share."""
-    connector = aiohttp.TCPConnector(
-        limit=0,
-        limit_per_host=CONNECTIONS_PER_HOST,
-        keepalive_timeout=KEEP_ALIVE_S,
-        enable_cleanup_closed=False,
-    )
-    return aiohttp.ClientSession(
-        connector=connector,
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-    )
-
-
 async def call(
-    session: aiohttp.ClientSession,
+    connections: Connections,
     method: str,
     url: str,
     *,
@@ -75,7 +57,7 @@
     """Make one call and read its whole answer.
 
     Args:
-        session: Session of this process.
+        connections: Connections of this process.
         method: HTTP method.
         url: Where to.
         step: Name of the step, for errors.
@@ -93,15 +75,22 @@
         total=timeout_s, sock_connect=CONNECT_TIMEOUT_S, sock_read=silence_s
     )
     sent = {**JSON_HEADERS, **headers} if body is not None else dict(headers)
+    peer = url.split("/", 3)[2]
+    pool = connections.begin(peer)
     try:
-        async with session.request(
+        async with pool.session.request(
             method, url, data=body, headers=sent, params=query, timeout=timeout
         ) as response:
             return Reply(response.status, await response.read())
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         raise CallError(_describe(error), step=step, peer=url) from error
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+    except TimeoutError as error:
+        connections.condemn(peer, pool)
+        raise NoAnswer(_describe(error), step=step, peer=url) from error
+    except (aiohttp.ClientError, OSError) as error:
         raise NoAnswer(_describe(error), step=step, peer=url) from error
+    finally:
+        connections.end(pool)
 
 
 def decode(body: bytes, kind: type[T], *, step: str, peer: str) -> T:
--- a/src/foxtrestle/platform/store.py
+++ b/src/foxtrestle/platform/store.py
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
-    import aiohttp
+    from foxtrestle.platform.connections import Connections
 
 WATCH_WAIT_S: Final = 1.0
 """Seconds a watch waits at the store. A watch may be cut without a sign (seen on kovacs scale-1: no
@@ -76,12 +76,12 @@
 class PlatformStore:
     """Client of the platform's store."""
 
-    def __init__(self, address: str, session: aiohttp.ClientSession, timeout_s: float) -> None:
+    def __init__(self, address: str, connections: Connections, timeout_s: float) -> None:
         """Create a client.
 
         Args:
             address: `ip:port` of the store.
-            session: Session of this process.
+            connections: Connections of this process.
             timeout_s: Seconds to wait for an answer other than a watch's.
         """
         self.calls = {"write": 0, "read": 0, "watch": 0, "lease": 0}
@@ -90,7 +90,7 @@
         """Whether the last call was answered."""
         self._returned: asyncio.Future[None] | None = None
         self._base = f"http://{address}/-/"
-        self._session = session
+        self._connections = connections
         self._timeout_s = timeout_s
 
     async def get(
@@ -209,14 +209,14 @@
         reply = await self._call("POST", "kv-lease", body=body)
         return decode(reply.body, _Lease, step="store.grant", peer=self._base).lease
 
-    async def keep_alive(self, lease: int) -> bool:
+    async def keep_alive(self, lease: int, *, timeout_s: float | None = None) -> bool:
         """Renew a lease; False if it has ended.
 
         Raises:
             StaleCall: The store was away since the call was sent; it may never be answered.
         """
         self.calls["lease"] += 1
-        renewal = self._call("POST", f"kv-keep/{lease}", body=b"{}")
+        renewal = self._call("POST", f"kv-keep/{lease}", body=b"{}", timeout_s=timeout_s)
         reply = await self._wait_unless_returned(renewal)
         return reply.status != 404
 
@@ -238,7 +238,7 @@
         step = f"store.{path.split('/', maxsplit=1)[0]}"
         try:
             reply = await call(
-                self._session,
+                self._connections,
                 method,
                 self._base + path,
                 step=step,
--- a/src/foxtrestle/platform/workers.py
+++ b/src/foxtrestle/platform/workers.py
@@ -20,7 +20,7 @@
 )
 
 if TYPE_CHECKING:
-    import aiohttp
+    from foxtrestle.platform.connections import Connections
 
 ENTRIES: Final = "servers/"
 """Prefix of the workers' entries in the store."""
@@ -86,9 +86,9 @@
 class WorkerCalls:
     """Client of all workers."""
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
-        """Create a client on the session of this process."""
-        self._session = session
+    def __init__(self, connections: Connections) -> None:
+        """Create a client on the connections of this process."""
+        self._connections = connections
 
     async def start(
         self, worker: WorkerInfo, order: StartOrder, expires_ms: int, timeout_s: float
@@ -169,7 +169,7 @@
     ) -> _Answer:
         step = f"workers.{path}"
         reply = await call(
-            self._session,
+            self._connections,
             "POST",
             f"http://{worker.address}/-/{path}",
             step=step,
--- /dev/null
+++ b/tests/test_silent_connections.py
@@ -0,0 +1,163 @@
+"""Open connections go silent for good, without a reset, while new ones work."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+import pytest
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from foxtrestle.listener import bind, listen
+from foxtrestle.platform.connections import Connections
+from foxtrestle.platform.http import NoAnswer, call
+from foxtrestle.standins.site import Site
+from soak.proxy import Proxy
+from tests.test_node import (
+    CONFIGURATION,
+    Client,
+    RunningNode,
+    count_starts,
+    name,
+    short_times,
+    wait_for,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from starlette.requests import Request
+
+__all__ = ["short_times"]
+
+TIMEOUT_S = 1.0
+CONNECTIONS = 10
+
+
+async def _answer(request: Request) -> Response:
+    await asyncio.sleep(float(request.query_params.get("wait", "0")))
+    return JSONResponse({})
+
+
+@asynccontextmanager
+async def relayed() -> AsyncIterator[tuple[Proxy, Connections]]:
+    """A server behind a relay, and connections to it that have carried calls."""
+    async with AsyncExitStack() as stack:
+        socket = bind("127.0.0.1", 0)
+        address = f"127.0.0.1:{socket.getsockname()[1]}"
+        await stack.enter_async_context(
+            listen(Starlette(routes=[Route("/", _answer)]), [socket], stop_limit_s=0.1)
+        )
+        proxy = Proxy(address)
+        await proxy.open()
+        stack.callback(proxy.close)
+        connections = await stack.enter_async_context(Connections())
+        await asyncio.gather(*(ask(proxy, connections, 0.1) for _ in range(CONNECTIONS)))
+        yield proxy, connections
+
+
+async def ask(
+    proxy: Proxy, connections: Connections, wait_s: float = 0.0, timeout_s: float = TIMEOUT_S
+) -> bool:
+    """Make a call that is answered after a while; False if it has no answer in time."""
+    url = f"http://{proxy.address}/?wait={wait_s}"
+    try:
+        reply = await call(connections, "GET", url, step="ask", timeout_s=timeout_s)
+    except NoAnswer:
+        return False
+    return reply.status == 200
+
+
+@pytest.mark.parametrize("spared", [0, 2, 3])
+async def test_one_call_without_an_answer_condemns_the_idle_connections(spared: int) -> None:
+    async with relayed() as (proxy, connections):
+        for _ in range(2):
+            proxy.silence_open(spared)
+            answers = [await ask(proxy, connections) for _ in range(CONNECTIONS + 2)]
+            assert answers.count(False) <= 1
+            await asyncio.gather(*(ask(proxy, connections, 0.1) for _ in range(CONNECTIONS)))
+
+
+async def test_a_call_under_way_is_not_cut_by_the_failure_of_another() -> None:
+    async with relayed() as (proxy, connections):
+        slow = asyncio.create_task(ask(proxy, connections, 1.0, 20.0))
+        await asyncio.sleep(0.1)
+        assert not await ask(proxy, connections, 5.0, 0.2)
+        assert not slow.done()
+        assert await slow
+
+
+async def test_calls_that_fail_together_condemn_once() -> None:
+    async with relayed() as (proxy, connections):
+        proxy.silence_open()
+        answers = await asyncio.gather(*(ask(proxy, connections) for _ in range(CONNECTIONS)))
+        assert not any(answers)
+        assert await ask(proxy, connections)
+        # The failed ones were all of the pool condemned first: the fresh one is kept.
+        assert await ask(proxy, connections)
+        assert len(connections._fresh) == 1
+
+
+@asynccontextmanager
+async def relayed_site() -> AsyncIterator[tuple[Site, Proxy, list[Proxy], RunningNode, Client]]:
+    """A node whose connections to the store and to two workers pass through relays."""
+    async with AsyncExitStack() as stack:
+        site = Site()
+        await stack.enter_async_context(site.serve())
+        site.write("op/config", CONFIGURATION)
+        to_workers = []
+        for number in range(2):
+            await site.add_host(f"h{number}", "main")
+        for worker in site.workers.values():
+            proxy = Proxy(worker.info.address)
+            await proxy.open()
+            stack.callback(proxy.close)
+            worker.info = msgspec.structs.replace(worker.info, address=proxy.address)
+            site.write_entry(worker)
+            to_workers.append(proxy)
+        to_store = Proxy(site.store_address)
+        await to_store.open()
+        stack.callback(to_store.close)
+        site.store_address = to_store.address
+        node = RunningNode(site, "n0")
+        stack.push_async_callback(node.kill)
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        await wait_for(lambda: getattr(node.node, "health", None) and node.node.is_ready())
+        await wait_for(lambda: node.node.controller is not None)
+        yield site, to_store, to_workers, node, Client(session, [node])
+
+
+async def test_a_controller_keeps_its_term_while_its_store_connections_fall_silent() -> None:
+    async with relayed_site() as (site, to_store, _, node, client):
+        controller = node.node.controller
+        for number in range(3):
+            # Many idle connections, each of which would cost a call and its time-out.
+            await asyncio.gather(*(client.state(name(99)) for _ in range(2 * CONNECTIONS)))
+            to_store.silence_open()
+            assert await client.submit(name(number)) == 200
+            await asyncio.sleep(2.0)
+            assert node.node.controller is controller
+        await wait_for(lambda: count_starts(site).total() == 3)
+        assert set(count_starts(site).values()) == {1}
+
+
+async def test_starts_go_out_although_connections_to_workers_fall_silent() -> None:
+    async with relayed_site() as (site, _, to_workers, _, client):
+        for number in range(6):
+            for proxy in to_workers if number % 2 else to_workers[:1]:
+                proxy.silence_open()
+            began = time.monotonic()
+            assert await client.submit(name(number)) == 200
+
+            async def completed(number: int = number) -> bool:
+                return await client.state(name(number)) == "completed"
+
+            await wait_for(completed)
+            assert time.monotonic() - began < 4.0
+        assert set(count_starts(site).values()) == {1}
