Gather wakes into rounds, and tell how late the loop is

Cause: each ending task and arriving job began a round at once. At a rise some hundred a second do; rounds of a few milliseconds then take all of a node of half a core, and renewals, reports and requests wait behind them.

Change: a round is followed by a pause of 5 ms, or of 7/3 of its own time, 0.1 s at most, so rounds take 0.3 of the processor. Histograms of rounds and of the loop's lag, a line loop.lagged from 0.2 s on.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -29,6 +29,7 @@
 from foxtrestle.scheduling.model import Job, Shape, WorkerInfo
 from foxtrestle.scheduling.placing import choose_placements
 from foxtrestle.scheduling.progress import decode_progress, restore
+from foxtrestle.scheduling.rounds import ROUND_S, compute_pause
 from foxtrestle.scheduling.runs import (
     add_job,
     compute_age,
@@ -52,8 +53,6 @@
     from foxtrestle.platform.workers import WorkerCalls
     from foxtrestle.scheduling.placing import Placement
 
-ROUND_S: Final = 0.1
-"""Most seconds between two rounds of decisions: due times and silences need no event."""
 RETRY_S: Final = 0.2
 """Mean pause after a failed read of the store, seconds."""
 TAKEOVER_S: Final = LEASE_S + GRACE_WITHOUT_STORE_S + HOLD_S * CLOCK_DRIFT + LAPSE_MARGIN_S
@@ -387,7 +386,11 @@
             with suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), ROUND_S)
             self._changed.clear()
+            began_at = time.monotonic()
             self._decide_once()
+            took_s = time.monotonic() - began_at
+            self._measures.note_round(took_s)
+            await asyncio.sleep(compute_pause(took_s))
 
     def _decide_once(self) -> None:
         now = time.monotonic()
--- a/src/foxtrestle/control/measures.py
+++ b/src/foxtrestle/control/measures.py
@@ -24,6 +24,8 @@
         self._requests = self._histogram("request_seconds", "Clients' requests.")
         self._starts = self._histogram("start_wait_seconds", "Waits of tasks for a worker.")
         self._jobs = self._histogram("job_seconds", "Jobs from the controller's view.")
+        self._rounds = self._histogram("round_seconds", "Rounds of a controller's decisions.")
+        self._lags = self._histogram("loop_lag_seconds", "Lags of the event loop.")
         self._ends = Counter("foxtrestle_run_ends", "Ends of runs.", registry=self._registry)
         self._refusals = Counter(
             "foxtrestle_violations", "Acts stopped by a check.", registry=self._registry
@@ -45,6 +47,14 @@
         """Count a job's end."""
         self._jobs.add({"queue": queue, "state": state}, seconds)
 
+    def note_round(self, seconds: float) -> None:
+        """Count a round of decisions."""
+        self._rounds.add({}, seconds)
+
+    def note_lag(self, seconds: float) -> None:
+        """Count a look at how late the event loop is."""
+        self._lags.add({}, seconds)
+
     def note_end(self, kind: str) -> None:
         """Count a run's end."""
         self._ends.inc({"how": kind})
--- /dev/null
+++ b/src/foxtrestle/node/loop_lag.py
@@ -0,0 +1,29 @@
+"""How late the event loop runs: what holds it holds up every lease and every request."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Final
+
+from foxtrestle.control.log import log
+
+if TYPE_CHECKING:
+    from foxtrestle.control.measures import Measures
+
+LOOK_S: Final = 0.25
+"""Seconds between two looks, short against the lock's lease (1.4 s); costs four wake-ups a
+second."""
+TOLD_S: Final = 0.2
+"""Lag from which a line is written, seconds: an order to a worker times out after it."""
+
+
+async def watch_loop(measures: Measures) -> None:
+    """Measure the lag of the loop until cancelled."""
+    while True:
+        due = time.monotonic() + LOOK_S
+        await asyncio.sleep(LOOK_S)
+        lag_s = max(0.0, time.monotonic() - due)
+        measures.note_lag(lag_s)
+        if lag_s >= TOLD_S:
+            log("loop.lagged", lag_s=round(lag_s, 3))
--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -19,6 +19,7 @@
 from foxtrestle.listener import bind, listen
 from foxtrestle.node.health import StoreHealth
 from foxtrestle.node.intake import Intake
+from foxtrestle.node.loop_lag import watch_loop
 from foxtrestle.node.operators import OperatorMirror
 from foxtrestle.platform.advice import AdviceCalls
 from foxtrestle.platform.connections import Connections
@@ -108,7 +109,14 @@
             sockets = [_bind(settings.ready_address), *_bind_metrics(settings)]
             await stack.enter_async_context(listen(ready, sockets))
             calls = _tell_calls(store, hosts)
-            for loop in (self.operators.follow(), self.health.follow(), ownership.run(), calls):
+            lag = watch_loop(measures)
+            for loop in (
+                self.operators.follow(),
+                self.health.follow(),
+                ownership.run(),
+                calls,
+                lag,
+            ):
                 stack.push_async_callback(_cancel, asyncio.create_task(_watch(loop)))
             await stack.enter_async_context(
                 listen(front, [_bind(settings.client_address)], stop_limit_s=CLOSE_S)
--- /dev/null
+++ b/tests/test_rounds.py
@@ -0,0 +1,43 @@
+"""How often a controller decides, and what it tells when its loop is late."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from foxtrestle.control.measures import Measures
+from foxtrestle.node import loop_lag
+from foxtrestle.scheduling.rounds import DECIDING_SHARE, GATHER_S, ROUND_S, compute_pause
+
+
+@pytest.mark.parametrize("took_s", [0.0, 0.001, 0.006, 0.02, 0.04])
+def test_rounds_leave_most_of_the_processor_to_leases_and_requests(took_s: float) -> None:
+    """A rise: ends of tasks ask for rounds without a pause, each round takes as long."""
+    pause_s = compute_pause(took_s)
+    assert took_s / (took_s + pause_s) <= DECIDING_SHARE + 1e-9
+
+
+def test_wakes_of_one_moment_share_a_round() -> None:
+    assert compute_pause(0.0) == GATHER_S
+
+
+def test_a_very_long_round_does_not_put_off_the_next_without_end() -> None:
+    assert compute_pause(5.0) == ROUND_S
+
+
+async def test_a_late_loop_is_counted_and_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    told: list[tuple[str, dict[str, object]]] = []
+    monkeypatch.setattr(loop_lag, "log", lambda event, **fields: told.append((event, fields)))
+    monkeypatch.setattr(loop_lag, "LOOK_S", 0.01)
+    monkeypatch.setattr(loop_lag, "TOLD_S", 0.05)
+    measures = Measures()
+    watch = asyncio.create_task(loop_lag.watch_loop(measures))
+    await asyncio.sleep(0.03)
+    time.sleep(0.2)  # noqa: ASYNC251 - holds the loop on purpose
+    await asyncio.sleep(0.05)
+    watch.cancel()
+    late = [fields["lag_s"] for event, fields in told if event == "loop.lagged"]
+    assert max(late) >= 0.1  # type: ignore[type-var, operator]
+    assert b"foxtrestle_loop_lag_seconds_count" in measures.render()
