Carry the growth of a rise over the time that a host takes to come

While a pool fell it went on asking for a third more than it had, against the pool that rose.

Change: arrivals of one second are set against those of the second before; what the scatter of the two counts does not explain is taken for growth, and a pool asks for what that brings until its hosts come. A pool that certainly falls keeps no margin.

Tests: scatter, steady pace, a rise, arrivals not yet known.

--- a/src/foxtrestle/scheduling/arrivals.py
+++ b/src/foxtrestle/scheduling/arrivals.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from math import exp, log
+from math import copysign, exp, log, sqrt
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
@@ -21,6 +21,9 @@
 arrivals tell is not believed whole."""
 MOST_GAIN: Final = 200.0
 """Gain beyond which a case is certain whatever the others are; bounds the sum of weights."""
+GROWTH_S: Final = 1.0
+"""Seconds of arrivals that are set against as many before them to tell growth: a rise lasts some
+seconds, and hosts that are ordered for it serve 1.9 s later."""
 SIZES: Final = 40
 """Newest jobs from which the mean work of a job is taken; a few are ten times the mean."""
 
@@ -63,10 +66,25 @@
     return pace / total
 
 
+def compute_growth(earlier: int, later: int) -> float:
+    """Return by how much the pace of arrivals changes, a second each second.
+
+    Only what is beyond the scatter of the two counts is believed: jobs that come one by one at a
+    steady pace show no growth to speak of, hundreds that come faster and faster do.
+
+    Args:
+        earlier: Arrivals in `GROWTH_S`.
+        later: Arrivals in the `GROWTH_S` after that.
+    """
+    change = later - earlier
+    certain = max(0.0, abs(change) - sqrt(earlier + later))
+    return copysign(certain, change) / GROWTH_S**2
+
+
 class Arrivals:
     """Recent arrivals of jobs at a pool."""
 
-    __slots__ = ("_since", "_times", "_works")
+    __slots__ = ("_newest", "_since", "_times", "_told_since", "_works")
 
     def __init__(self, since: float = 0.0) -> None:
         """Create arrivals without any.
@@ -74,6 +92,8 @@
         Args:
             since: Monotonic time since which all arrivals are told, seconds.
         """
+        self._newest: deque[float] = deque()
+        self._told_since = since
         self._times: deque[float] = deque(maxlen=MOST_ARRIVALS)
         self._works: deque[float] = deque(maxlen=SIZES)
         self._since = since
@@ -88,11 +108,24 @@
         if len(self._times) == MOST_ARRIVALS:
             self._since = self._times[0]
         self._times.append(at)
+        self._newest.append(at)
         self._works.append(work)
 
     def forecast(self, now: float) -> float:
         """Return the room that arriving work keeps busy, hosts."""
         start = max(now - MEMORY_S, self._since)
         times = sorted(at for at in self._times if at > start)
-        pace = compute_pace(times, start, now)
-        return pace * sum(self._works) / len(self._works) if pace else 0.0
+        return compute_pace(times, start, now) * self._mean_work()
+
+    def find_growth(self, now: float) -> float:
+        """Return by how much that room changes, hosts a second; 0 if it is not known."""
+        begin = now - 2 * GROWTH_S
+        while self._newest and self._newest[0] <= begin:
+            self._newest.popleft()
+        if self._told_since > begin:
+            return 0.0
+        later = sum(1 for at in self._newest if at > now - GROWTH_S)
+        return compute_growth(len(self._newest) - later, later) * self._mean_work()
+
+    def _mean_work(self) -> float:
+        return sum(self._works) / len(self._works) if self._works else 0.0
--- a/src/foxtrestle/scheduling/needs.py
+++ b/src/foxtrestle/scheduling/needs.py
@@ -19,7 +19,8 @@
 MARGIN: Final = 0.35
 """Share of a pool's load that is kept free for what arrives next, besides room for its largest
 recent job: what a rise brings in the 2 s until hosts come. Less of it saves 0.03 of a day's worth
-in hosts and loses as much or more in late jobs, on three deployments."""
+in hosts and loses as much or more in late jobs, on three deployments. None is kept while arrivals
+certainly become fewer: another pool's rise wants those hosts."""
 LEAD_MARGIN_S: Final = 0.4
 """Seconds beyond the platform's own time for a move until a host serves: recording the order and
 its worker's first answer take 0.15 s, the next look at the hosts up to 0.1 s."""
@@ -85,9 +86,11 @@
         load.demand.note(now, demand.get(name, 0.0))
         fixed = lasting.get(name, _Lasting())
         # What arrives is placed over the next seconds, and a host needs as long to come.
-        busy = max(load.demand.find(now), coming[name])
+        growth = load.arrivals.find_growth(now)
+        busy = max(load.demand.find(now), coming[name] + max(0.0, growth) * lead_s)
+        margin = MARGIN if growth >= 0 else 0.0
         largest = max(load.widths, default=0.0)
-        room = max(busy * (1 + MARGIN) + largest, ready.get(name, 0.0) + fixed.room)
+        room = max(busy * (1 + margin) + largest, ready.get(name, 0.0) + fixed.room)
         wanted = max(1, ceil(room), fixed.spread)
         have = _count_hosts(name, views, now)
         if name in stuck and have >= wanted:
--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -12,6 +12,7 @@
     MEMORY_S,
     MOST_ARRIVALS,
     Arrivals,
+    compute_growth,
     compute_pace,
 )
 
@@ -84,3 +85,47 @@
         arrivals.note(START + 0.01 * number, 1.0)
     forecast = arrivals.forecast(START + 0.01 * 4 * MOST_ARRIVALS)
     assert forecast == pytest.approx(100.0, rel=0.15)
+
+
+def test_growth_that_scatter_explains_is_not_believed() -> None:
+    assert compute_growth(9, 15) == pytest.approx(6 - 24**0.5)
+    assert compute_growth(10, 13) == 0.0
+    assert compute_growth(3, 5) == 0.0
+    assert compute_growth(15, 9) == -compute_growth(9, 15)
+
+
+def test_a_steady_pace_shows_next_to_no_growth() -> None:
+    """Twenty jobs a second, as a queue that is high has them."""
+    grown = []
+    for seed in range(200):
+        arrivals = Arrivals(START)
+        for at in draw(seed, (20.0, 4.0)):
+            arrivals.note(at, 1.0)
+        grown.append(abs(arrivals.find_growth(START + 4.0)))
+    assert sum(grown) / len(grown) < 1.5
+
+
+def test_hosts_are_asked_for_as_the_rise_will_be_when_they_come() -> None:
+    """A queue at 3 jobs a second gets 15 a second faster each second, to five times its mean.
+
+    Each job keeps 1.4 hosts busy. At second 2 its 30 jobs a second take 42 hosts; hosts ordered
+    now serve 1.9 s later, when its 60 jobs a second take 84.
+    """
+    luck = random.Random(5)
+    arrivals = Arrivals(START)
+    at = START
+    while at < START + 2.0:
+        at += luck.expovariate(3.0 + 15.0 * (at - START))
+        arrivals.note(at, 1.4)
+    now = START + 2.0
+    held = arrivals.forecast(now)
+    asked = held + max(0.0, arrivals.find_growth(now)) * 1.9
+    assert held < 50.0
+    assert 55.0 < asked < 110.0
+
+
+def test_growth_is_not_told_before_its_arrivals_are_known() -> None:
+    arrivals = Arrivals(START)
+    for number in range(30):
+        arrivals.note(START + 0.9 + number / 300, 1.0)
+    assert arrivals.find_growth(START + 1.0) == 0.0
--- a/tests/test_turning_off.py
+++ b/tests/test_turning_off.py
@@ -1,4 +1,4 @@
-"""How many hosts are turned off, and when: a host off for less than its way there and back is a loss.
+"""How many hosts are turned off: one off for less than its way there and back is a loss.
 
 The load is that of queues whose demand goes by turns: five times its mean for some seconds, a
 twentieth between, each queue in its time.
