--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -3,30 +3,30 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import time
 from contextlib import AsyncExitStack, suppress
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from foxtrestle.control.advisor import Advisor
+from foxtrestle.control.following import follow, list_as_changes, scan_until_answered
 from foxtrestle.control.hosts import HostOrders
 from foxtrestle.control.keys import CANCELS, INBOX, JOBS, LEARNED, PROGRESS
 from foxtrestle.control.learned import adopt, decode_learned, follow_learned
 from foxtrestle.control.ledger import Ledger
-from foxtrestle.control.link import LAPSED, WorkerLink
-from foxtrestle.control.log import Outage, log, log_failure
+from foxtrestle.control.link import WorkerLink
+from foxtrestle.control.log import log
 from foxtrestle.control.measures import Measures
-from foxtrestle.control.orders import CLOCK_DRIFT, HOLD_S, LAPSE_MARGIN_S, Orders
-from foxtrestle.control.ownership import GRACE_WITHOUT_STORE_S, LEASE_S
+from foxtrestle.control.orders import Orders
 from foxtrestle.control.retention import follow_retention
+from foxtrestle.control.roster import Roster
 from foxtrestle.control.spawn import Spawner
 from foxtrestle.control.sweep import SWEEP_S, sweep
-from foxtrestle.platform.workers import ENTRIES, CallError, decode_worker
+from foxtrestle.platform.workers import ENTRIES
 from foxtrestle.scheduling.checks import check_start
-from foxtrestle.scheduling.hosts import find_dead, is_worker_overdue
-from foxtrestle.scheduling.model import Job, Shape, WorkerInfo
+from foxtrestle.scheduling.hosts import is_worker_overdue
+from foxtrestle.scheduling.model import Job
 from foxtrestle.scheduling.placing import choose_placements
 from foxtrestle.scheduling.progress import decode_progress, restore
 from foxtrestle.scheduling.rounds import ROUND_S, compute_pause
@@ -36,14 +36,10 @@
     end_job,
     place_run,
     release_steps,
-    release_worker,
 )
 from foxtrestle.scheduling.state import Fleet, JobEntry, Worker
-from foxtrestle.store import Change, Compacted, Listing, Record, StaleCall, StoreError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from foxtrestle.control.ownership import Term
     from foxtrestle.node.operators import OperatorMirror
     from foxtrestle.node.settings import NodeSettings
@@ -52,12 +48,7 @@
     from foxtrestle.platform.store import PlatformStore
     from foxtrestle.platform.workers import WorkerCalls
     from foxtrestle.scheduling.placing import Placement
-
-RETRY_S: Final = 0.2
-"""Mean pause after a failed read of the store, seconds."""
-TAKEOVER_S: Final = LEASE_S + GRACE_WITHOUT_STORE_S + HOLD_S * CLOCK_DRIFT + LAPSE_MARGIN_S
-"""Seconds after a takeover during which a worker out of reach may still run what an earlier
-controller placed: that one may have gone on extending leases until its grace was over."""
+    from foxtrestle.store import Change, Listing, Record
 
 
 class Controller:
@@ -86,7 +77,8 @@
         self._operators = operators
         self._started_at = time.monotonic()
         self._ledger = Ledger(store, self.fleet, term, self._measures)
-        self._orders = Orders(self.fleet, term, workers, self.wake, self._lose_worker)
+        self._roster = Roster(self.fleet, self._hold, self._note_loss)
+        self._orders = Orders(self.fleet, term, workers, self.wake, self._roster.lose)
         self._hosts = HostOrders(
             self.fleet,
             term,
@@ -96,11 +88,9 @@
             operators,
             self._orders,
             self.wake,
-            self._lose_worker,
+            self._roster.lose,
         )
         self._changed = asyncio.Event()
-        self._links: dict[str, asyncio.Task[None]] = {}
-        self._ended_lives: set[str] = set()
         self._heard_at = self._started_at
         self._background = Spawner()
 
@@ -110,8 +100,8 @@
         loops = [
             self._ledger.run(),
             self._decide(),
-            self._follow(INBOX, inbox, self._take_inbox),
-            self._follow(ENTRIES, entries, self._take_entries),
+            follow(self._store, INBOX, inbox, list_as_changes, self._take_inbox),
+            follow(self._store, ENTRIES, entries, self._roster.compare, self._take_entries),
             self._hosts.run(),
             sweep(self._store, INBOX, self._is_inbox_quiet, self._take_inbox_listing),
             sweep(self._store, ENTRIES, self._is_host_overdue, self._take_entries_listing),
@@ -126,7 +116,7 @@
             await asyncio.gather(*tasks)
 
     async def _close(self, tasks: list[asyncio.Task[None]]) -> None:
-        everything = [*tasks, *self._links.values(), *self._background.tasks]
+        everything = [*tasks, *self._roster.links.values(), *self._background.tasks]
         for task in everything:
             task.cancel()
         await asyncio.gather(*everything, return_exceptions=True)
@@ -145,30 +135,19 @@
         """
         now = time.monotonic()
         inbox, entries, learned = await asyncio.gather(
-            self._scan(INBOX), self._scan(ENTRIES), self._scan(LEARNED)
+            *(scan_until_answered(self._store, prefix) for prefix in (INBOX, ENTRIES, LEARNED))
         )
         # After the inbox: a job that ends in between is in neither, and is not wanted.
-        progress = await self._scan(PROGRESS)
+        progress = await scan_until_answered(self._store, PROGRESS)
         held = decode_learned(next(iter(learned.records), None))
         adopt(held, self.fleet.durations, self._hosts.loads.turns, time.time(), now)
-        self._load_entries(entries, now)
+        self._roster.take(list_as_changes(entries))
         self._load_jobs(inbox, progress, now)
         log("control.loaded", term=self._term.number, jobs=len(self.fleet.jobs),
             active=len(self.fleet.active), workers=len(self.fleet.workers),
             took_s=round(time.monotonic() - now, 3))  # fmt: skip
         return inbox.revision, entries.revision
 
-    async def _scan(self, prefix: str) -> Listing:
-        outage = Outage("store", f"load {prefix}")
-        while True:
-            try:
-                listing = await self._store.scan(prefix)
-                outage.note_success()
-                return listing
-            except StoreError as error:
-                outage.note_failure(error)
-                await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
-
     def _load_jobs(self, inbox: Listing, progress: Listing, now: float) -> None:
         records = {record.key.removeprefix(PROGRESS): record for record in progress.records}
         wall_ms = time.time() * 1000
@@ -182,69 +161,21 @@
             if held is not None:
                 entry.progress_revision = held.revision
                 restore(self.fleet, entry, decode_progress(held.value), wall_ms, now,
-                        self._find_worker)  # fmt: skip
+                        self._roster.find)  # fmt: skip
         for record in inbox.records:
             if record.key.startswith(CANCELS):
                 self._cancel(record.key.removeprefix(CANCELS))
 
-    def _find_worker(self, worker_id: str, host: str) -> Worker:
-        worker = self.fleet.workers.get(worker_id)
-        if worker is None:
-            # Not listed any more, yet what was placed there may run until its lease lapses.
-            info = WorkerInfo(worker_id, "", "", "", True, Shape(), (), host)
-            worker = Worker(info, 0, time.monotonic())
-            worker.gone = True
-            worker.lapse_at = self._started_at + TAKEOVER_S
-            self.fleet.workers[worker_id] = worker
-        return worker
-
     # What comes in.
 
-    async def _follow(
-        self, prefix: str, revision: int, take: Callable[[list[Change]], None]
-    ) -> None:
-        """Follow a prefix; after a gap, read it whole and take in what differs."""
-        outage = Outage("store", f"watch {prefix}")
-        while True:
-            try:
-                changes, revision = await self._store.poll(prefix, revision)
-                outage.note_success()
-            except Compacted:
-                listing = await self._scan(prefix)
-                revision = listing.revision
-                changes = self._compare(prefix, listing)
-                log("control.relisted", prefix=prefix, changes=len(changes))
-            except StaleCall:
-                continue
-            except StoreError as error:
-                outage.note_failure(error)
-                await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
-                continue
-            if changes:
-                take(changes)
-                self.wake()
-
-    def _compare(self, prefix: str, listing: Listing) -> list[Change]:
-        changes = [Change(record.key, record, record.revision) for record in listing.records]
-        if prefix == ENTRIES:
-            there = {record.key for record in listing.records}
-            missing = [
-                ENTRIES + worker_id
-                for worker_id, worker in self.fleet.workers.items()
-                if not worker.gone and ENTRIES + worker_id not in there
-            ]
-            changes += [Change(key, None, listing.revision) for key in missing]
-        return changes
-
     def _is_inbox_quiet(self, now: float) -> bool:
         return now - self._heard_at >= SWEEP_S and not self._ledger.away_since
 
     def _take_inbox_listing(self, listing: Listing) -> None:
         before = len(self.fleet.jobs)
-        self._take_inbox(self._compare(INBOX, listing))
+        self._take_inbox(list_as_changes(listing))
         if len(self.fleet.jobs) > before:
             log("control.swept", prefix=INBOX, changes=len(self.fleet.jobs) - before)
-            self.wake()
 
     def _is_host_overdue(self, now: float) -> bool:
         """Tell whether a host that was moved should have a worker by now and has none."""
@@ -260,15 +191,12 @@
             for plan in self.fleet.plans.values()
         )
 
+    def _take_entries(self, changes: list[Change]) -> None:
+        self._roster.take(changes)
+        self.wake()
+
     def _take_entries_listing(self, listing: Listing) -> None:
-        """Take in workers that are not known; of others the watch may have told newer things."""
-        now = time.monotonic()
-        held = self.fleet.workers.keys() | self._ended_lives
-        fresh = [one for one in listing.records if one.key.removeprefix(ENTRIES) not in held]
-        for record in fresh:
-            self._take_entry(record, now)
-        if fresh:
-            log("control.swept", prefix=ENTRIES, changes=len(fresh))
+        if self._roster.take_missed(listing):
             self.wake()
 
     def _take_inbox(self, changes: list[Change]) -> None:
@@ -285,6 +213,7 @@
         for change in changes:
             if change.record is not None and change.key.startswith(CANCELS):
                 self._cancel(change.key.removeprefix(CANCELS))
+        self.wake()
 
     def _add_job(self, record: Record, now: float) -> JobEntry | None:
         try:
@@ -310,81 +239,19 @@
             self._background.spawn(self._orders.stop(stop))
         self._ledger.wake()
 
-    def _load_entries(self, listing: Listing, now: float) -> None:
-        for record in listing.records:
-            self._take_entry(record, now)
-
-    def _take_entries(self, changes: list[Change]) -> None:
-        now = time.monotonic()
-        for change in changes:
-            if change.record is not None:
-                self._take_entry(change.record, now)
-                continue
-            worker = self.fleet.workers.get(change.key.removeprefix(ENTRIES))
-            if worker is not None and not worker.gone:
-                worker.gone = True
-                log("worker.entry-gone", worker=worker.info.id, pool=worker.info.pool,
-                    runs=len(worker.runs))  # fmt: skip
-
-    def _take_entry(self, record: Record, now: float) -> None:
-        try:
-            info = decode_worker(record.key, record.value)
-        except CallError as error:
-            log("worker.unreadable", key=record.key, reason=error.reason)
-            return
-        if info.id in self._ended_lives:
-            return
-        worker = self.fleet.workers.get(info.id)
-        if worker is None:
-            worker = Worker(info, record.revision, now)
-            worker.lapse_at = self._started_at + TAKEOVER_S
-            self.fleet.workers[info.id] = worker
-            log("worker.seen", worker=info.id, pool=info.pool, host=info.host,
-                address=info.address)  # fmt: skip
-        elif info.draining != worker.info.draining:
-            log("worker.draining" if info.draining else "worker.ready", worker=info.id)
-        worker.info = info
-        worker.revision = record.revision
-        worker.gone = False
-        self._link(worker)
-
     # Workers.
 
-    def _link(self, worker: Worker) -> None:
-        held = self._links.get(worker.info.id)
-        if held is not None and not held.done():
-            return
+    async def _hold(self, worker: Worker) -> None:
         link = WorkerLink(
             self.fleet, worker, self._term, self._calls, self._ledger, self._orders,
-            self.wake, self._lose_worker, self._settings.bounds.pace_s, self._measures,
+            self.wake, self._roster.lose, self._settings.bounds.pace_s, self._measures,
         )  # fmt: skip
-        task = asyncio.create_task(link.run())
-        task.add_done_callback(log_failure)
-        self._links[worker.info.id] = task
-
-    def _lose_worker(self, worker: Worker, why: str) -> None:
-        """Give up what was placed on a worker whose life or lease is certainly over."""
-        freed = release_worker(self.fleet, worker, time.monotonic())
-        worker.known = False
-        log("worker.released", worker=worker.info.id, reason=why, runs=freed)
-        if why != LAPSED:
-            self._ended_lives.add(worker.info.id)
-        if worker.gone or why != LAPSED:
-            worker.gone = True
-            self.fleet.workers.pop(worker.info.id, None)
-            link = self._links.pop(worker.info.id, None)
-            # A link that has found out by itself ends by itself.
-            if link is not None and link is not asyncio.current_task():
-                link.cancel()
+        await link.run()
+
+    def _note_loss(self) -> None:
         self._ledger.wake()
         self.wake()
 
-    def _release_lapsed(self, now: float) -> None:
-        """Give up what was placed on workers that have no link and whose lease has lapsed."""
-        for worker in list(self.fleet.workers.values()):
-            if worker.gone and now > worker.lapse_at and worker.info.id not in self._links:
-                self._lose_worker(worker, LAPSED)
-
     # Deciding.
 
     async def _decide(self) -> None:
@@ -404,9 +271,7 @@
         wall_ms = time.time() * 1000
         for entry in self.fleet.active.values():
             release_steps(entry, wall_ms, now)
-        self._release_lapsed(now)
-        for worker, why in find_dead(self.fleet, now):
-            self._lose_worker(worker, why)
+        self._roster.lose_dead(now)
         if self._ledger.away_since or not self._term.is_valid():
             # What is started must be recorded first, and cannot be now.
             return
--- /dev/null
+++ b/src/foxtrestle/control/roster.py
@@ -0,0 +1,159 @@
+"""The workers that a controller knows, each with the link that holds its lease."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Final
+
+from foxtrestle.control.following import list_as_changes
+from foxtrestle.control.link import LAPSED
+from foxtrestle.control.log import log, log_failure
+from foxtrestle.control.orders import CLOCK_DRIFT, HOLD_S, LAPSE_MARGIN_S
+from foxtrestle.control.ownership import GRACE_WITHOUT_STORE_S, LEASE_S
+from foxtrestle.platform.workers import ENTRIES, CallError, decode_worker
+from foxtrestle.scheduling.hosts import find_dead
+from foxtrestle.scheduling.model import Shape, WorkerInfo
+from foxtrestle.scheduling.runs import release_worker
+from foxtrestle.scheduling.state import Worker
+from foxtrestle.store import Change
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.store import Listing, Record
+
+TAKEOVER_S: Final = LEASE_S + GRACE_WITHOUT_STORE_S + HOLD_S * CLOCK_DRIFT + LAPSE_MARGIN_S
+"""Seconds after a takeover during which a worker out of reach may still run what an earlier
+controller placed: that one may have gone on extending leases until its grace was over."""
+
+
+class Roster:
+    """Takes in workers' entries, and gives up workers whose life or lease is over."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        hold: Callable[[Worker], Coroutine[None, None, None]],
+        note_loss: Callable[[], None],
+    ) -> None:
+        """Create a roster without workers.
+
+        Args:
+            fleet: The state whose workers it keeps.
+            hold: Holds a worker's lease until its life or the term is over.
+            note_loss: Called after a worker was given up.
+        """
+        self.links: dict[str, asyncio.Task[None]] = {}
+        """Tasks that hold leases, by worker."""
+        self._fleet = fleet
+        self._hold = hold
+        self._note_loss = note_loss
+        self._ended_lives: set[str] = set()
+        self._started_at = time.monotonic()
+
+    def find(self, worker_id: str, host: str) -> Worker:
+        """Return a worker that a record names, listed or not."""
+        worker = self._fleet.workers.get(worker_id)
+        if worker is None:
+            # Not listed any more, yet what was placed there may run until its lease lapses.
+            info = WorkerInfo(worker_id, "", "", "", True, Shape(), (), host)
+            worker = Worker(info, 0, time.monotonic())
+            worker.gone = True
+            worker.lapse_at = self._started_at + TAKEOVER_S
+            self._fleet.workers[worker_id] = worker
+        return worker
+
+    def compare(self, listing: Listing) -> list[Change]:
+        """Return a listing after a gap as changes: all its entries, and those that have gone."""
+        there = {record.key for record in listing.records}
+        missing = [
+            ENTRIES + worker_id
+            for worker_id, worker in self._fleet.workers.items()
+            if not worker.gone and ENTRIES + worker_id not in there
+        ]
+        gone = [Change(key, None, listing.revision) for key in missing]
+        return list_as_changes(listing) + gone
+
+    def take(self, changes: list[Change]) -> None:
+        """Take in changes of entries."""
+        now = time.monotonic()
+        for change in changes:
+            if change.record is not None:
+                self._take_entry(change.record, now)
+                continue
+            worker = self._fleet.workers.get(change.key.removeprefix(ENTRIES))
+            if worker is not None and not worker.gone:
+                worker.gone = True
+                log("worker.entry-gone", worker=worker.info.id, pool=worker.info.pool,
+                    runs=len(worker.runs))  # fmt: skip
+
+    def take_missed(self, listing: Listing) -> bool:
+        """Take in workers that are not known; of others the watch may have told newer things.
+
+        Returns:
+            Whether there were any.
+        """
+        held = self._fleet.workers.keys() | self._ended_lives
+        fresh = [one for one in listing.records if one.key.removeprefix(ENTRIES) not in held]
+        now = time.monotonic()
+        for record in fresh:
+            self._take_entry(record, now)
+        if fresh:
+            log("control.swept", prefix=ENTRIES, changes=len(fresh))
+        return bool(fresh)
+
+    def _take_entry(self, record: Record, now: float) -> None:
+        try:
+            info = decode_worker(record.key, record.value)
+        except CallError as error:
+            log("worker.unreadable", key=record.key, reason=error.reason)
+            return
+        if info.id in self._ended_lives:
+            return
+        worker = self._fleet.workers.get(info.id)
+        if worker is None:
+            worker = Worker(info, record.revision, now)
+            worker.lapse_at = self._started_at + TAKEOVER_S
+            self._fleet.workers[info.id] = worker
+            log("worker.seen", worker=info.id, pool=info.pool, host=info.host,
+                address=info.address)  # fmt: skip
+        elif info.draining != worker.info.draining:
+            log("worker.draining" if info.draining else "worker.ready", worker=info.id)
+        worker.info = info
+        worker.revision = record.revision
+        worker.gone = False
+        self._link(worker)
+
+    def _link(self, worker: Worker) -> None:
+        held = self.links.get(worker.info.id)
+        if held is not None and not held.done():
+            return
+        task = asyncio.create_task(self._hold(worker))
+        task.add_done_callback(log_failure)
+        self.links[worker.info.id] = task
+
+    def lose(self, worker: Worker, why: str) -> None:
+        """Give up what was placed on a worker whose life or lease is certainly over."""
+        freed = release_worker(self._fleet, worker, time.monotonic())
+        worker.known = False
+        log("worker.released", worker=worker.info.id, reason=why, runs=freed)
+        if why != LAPSED:
+            self._ended_lives.add(worker.info.id)
+        if worker.gone or why != LAPSED:
+            worker.gone = True
+            self._fleet.workers.pop(worker.info.id, None)
+            link = self.links.pop(worker.info.id, None)
+            # A link that has found out by itself ends by itself.
+            if link is not None and link is not asyncio.current_task():
+                link.cancel()
+        self._note_loss()
+
+    def lose_dead(self, now: float) -> None:
+        """Give up workers without a link whose lease has lapsed, and those whose host is over."""
+        for worker in list(self._fleet.workers.values()):
+            if worker.gone and now > worker.lapse_at and worker.info.id not in self.links:
+                self.lose(worker, LAPSED)
+        for worker, why in find_dead(self._fleet, now):
+            self.lose(worker, why)
