Look for unused pools every 5 s at most

Cause: each time-out looked at the pools of all peers; when thousands of workers fall silent at once, that is the square of them. Test: unused pools are dropped (new); 8 tests of silent connections pass.

--- a/src/foxtrestle/platform/connections.py
+++ b/src/foxtrestle/platform/connections.py
@@ -19,6 +19,9 @@
 
 KEEP_ALIVE_S: Final = 60.0
 """Seconds an idle connection is kept; new connections to workers are priced by the platform."""
+LOOK_S: Final = 5.0
+"""Least seconds between two looks for pools that are not used any more: thousands of workers may
+fall silent at once."""
 CONNECTIONS_PER_PEER: Final = 16
 """Most connections to one address: some wait in watches, the rest carry calls."""
 
@@ -59,6 +62,7 @@
         self._shared = Pool()
         self._fresh: dict[str, Pool] = {}
         self._closing: set[asyncio.Task[None]] = set()
+        self._looked_at = time.monotonic()
 
     async def __aenter__(self) -> Connections:
         """Return itself."""
@@ -106,6 +110,9 @@
 
         By then connections of the shared pool to such a peer have been closed for their age.
         """
+        if now - self._looked_at < LOOK_S:
+            return
+        self._looked_at = now
         for peer, pool in list(self._fresh.items()):
             if not pool.calls and now - pool.used_at > KEEP_ALIVE_S:
                 del self._fresh[peer]
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -161,3 +161,17 @@
             await wait_for(completed)
             assert time.monotonic() - began < 4.0
         assert set(count_starts(site).values()) == {1}
+
+
+async def test_pools_of_peers_that_are_not_called_any_more_are_dropped(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("foxtrestle.platform.connections.KEEP_ALIVE_S", 0.0)
+    monkeypatch.setattr("foxtrestle.platform.connections.LOOK_S", 0.0)
+    async with Connections() as connections:
+        for peer in ("a:1", "b:1", "c:1"):
+            pool = connections.begin(peer)
+            connections.condemn(peer, pool)
+            connections.end(pool)
+            await asyncio.sleep(0.01)
+        assert list(connections._fresh) == ["c:1"]
