--- a/src/foxtrestle/scheduling/needs.py
+++ b/src/foxtrestle/scheduling/needs.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from math import ceil
+from math import ceil, sqrt
+from statistics import fmean
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -12,6 +13,8 @@
 from foxtrestle.scheduling.model import Shape
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from foxtrestle.scheduling.hosts import HostView
     from foxtrestle.scheduling.state import Fleet
     from foxtrestle.scheduling.turns import Turns
@@ -21,6 +24,9 @@
 recent job: what a rise brings in the 2 s until hosts come. Less of it saves 0.03 of a day's worth
 in hosts and loses as much or more in late jobs, on three deployments. None is kept while arrivals
 certainly become fewer: another pool's rise wants those hosts."""
+SCATTER: Final = 1.5
+"""Standard deviations of the load that are kept free at the most, if jobs come independently of
+each other: one second in fifteen asks for more. Relative to its load a large pool scatters less."""
 LEAD_MARGIN_S: Final = 0.4
 """Seconds beyond the platform's own time for a move until a host serves: recording the order and
 its worker's first answer take 0.15 s, the next look at the hosts up to 0.1 s."""
@@ -88,9 +94,9 @@
         # What arrives is placed over the next seconds, and a host needs as long to come.
         growth = load.arrivals.find_growth(now)
         busy = max(load.demand.find(now), coming[name] + max(0.0, growth) * lead_s)
-        margin = MARGIN if growth >= 0 else 0.0
+        margin = compute_margin(busy, load.widths) if growth >= 0 else 0.0
         largest = max(load.widths, default=0.0)
-        room = max(busy * (1 + margin) + largest, ready.get(name, 0.0) + fixed.room)
+        room = max(busy + margin + largest, ready.get(name, 0.0) + fixed.room)
         wanted = max(1, ceil(room), fixed.spread)
         have = _count_hosts(name, views, now)
         if name in stuck and have >= wanted:
@@ -99,6 +105,19 @@
     return needs
 
 
+def compute_margin(busy: float, widths: Sequence[float]) -> float:
+    """Return the room to keep free for what arrives until hosts come, in hosts.
+
+    Args:
+        busy: Load of the pool, hosts.
+        widths: Room that recent jobs take, hosts.
+    """
+    if not widths:
+        return MARGIN * busy
+    scatter = sqrt(busy * fmean(widths))
+    return min(MARGIN * busy, SCATTER * scatter)
+
+
 def measure_host(fleet: Fleet) -> Shape | None:
     """Return the room of the mean host, if that of any is known."""
     rooms = [worker.info.room for worker in fleet.workers.values() if worker.info.room.cpu]
--- a/tests/test_host_decisions.py
+++ b/tests/test_host_decisions.py
@@ -24,7 +24,7 @@
     count_away,
 )
 from foxtrestle.scheduling.model import HostInfo, RunningTask, Shape, Step, TaskKey, Wave
-from foxtrestle.scheduling.needs import PoolNeed, compute_needs
+from foxtrestle.scheduling.needs import MARGIN, PoolNeed, compute_margin, compute_needs
 from foxtrestle.scheduling.placing import choose_placements
 from foxtrestle.scheduling.runs import confirm_run, place_run
 from foxtrestle.scheduling.scaling import (
@@ -484,3 +484,12 @@
     plan.move("accepted", NOW)
     away_s = 2.0 if wave else 1.5
     assert is_worker_overdue(plan, "off", away_s, NOW + after_s) is overdue
+
+
+@pytest.mark.parametrize(("busy", "margin"), [(4.0, 1.4), (20.0, 7.0), (130.0, 19.5)])
+def test_a_large_pool_keeps_relatively_less_room_free(busy: float, margin: float) -> None:
+    """A queue in its turn, with jobs of 1.3 hosts each: 15 of them scatter by a quarter of their
+    load, 100 of them by a tenth.
+    """
+    assert compute_margin(busy, [1.0, 1.6]) == pytest.approx(margin, abs=0.1)
+    assert compute_margin(busy, []) == MARGIN * busy
