Let the growth of arrivals tell a rise, and drop the expectation of the next one

Turns of slow rises are told from crossings of a level that the pools do not share, so the next one was expected at the wrong time (intervals of 7.9 and 12.8 s where turns take 8.3).

Change: scheduling/turns, its record and its tests are gone; durations are handed on as before, and a record of a former release is read for them (test). What pools had, needed and how fast they grew stands in host.move-decided.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -13,7 +13,7 @@
 from foxtrestle.control.following import follow, list_as_changes, scan_until_answered
 from foxtrestle.control.hosts import HostOrders
 from foxtrestle.control.keys import CANCELS, INBOX, JOBS, LEARNED, PROGRESS
-from foxtrestle.control.learned import adopt, decode_learned, follow_learned
+from foxtrestle.control.learned import decode_learned, follow_learned
 from foxtrestle.control.ledger import Ledger
 from foxtrestle.control.link import WorkerLink
 from foxtrestle.control.log import log
@@ -105,7 +105,7 @@
             self._hosts.run(),
             sweep(self._store, INBOX, self._is_inbox_quiet, self._take_inbox_listing),
             sweep(self._store, ENTRIES, self._is_host_overdue, self._take_entries_listing),
-            follow_learned(self._store, self._term, self.fleet.durations, self._hosts.loads.turns),
+            follow_learned(self._store, self._term, self.fleet.durations),
             follow_retention(store=self._store, keep_s=self._settings.bounds.keep_status_s),
         ]
         if self._advice is not None:
@@ -140,7 +140,7 @@
         # After the inbox: a job that ends in between is in neither, and is not wanted.
         progress = await scan_until_answered(self._store, PROGRESS)
         held = decode_learned(next(iter(learned.records), None))
-        adopt(held, self.fleet.durations, self._hosts.loads.turns, time.time(), now)
+        self.fleet.durations.adopt(held.durations)
         self._roster.take(list_as_changes(entries))
         self._load_jobs(inbox, progress, now)
         log("control.loaded", term=self._term.number, jobs=len(self.fleet.jobs),
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -234,10 +234,12 @@
         most_off = self._off.count(len(views), needs.values(), now) if known else 0
         moves = choose_moves(needs, views, reserve, now, barred, most_off)
         self._off.take(sum(1 for move in moves if move.pool == reserve))
+        told = {
+            name: [round(need.demand, 2), need.wanted, need.have, round(need.growth, 1)]
+            for name, need in needs.items()
+        }
         for move in moves:
-            log("host.move-decided", host=move.host, pool=move.pool,
-                needs={name: [round(n.demand, 2), n.wanted, n.have] for name, n in needs.items()},
-            )  # fmt: skip
+            log("host.move-decided", host=move.host, pool=move.pool, needs=told)
             held = self._fleet.plans.get(move.host)
             if held is not None:
                 held.pool = move.pool
--- a/src/foxtrestle/control/pool_loads.py
+++ b/src/foxtrestle/control/pool_loads.py
@@ -5,16 +5,13 @@
 import time
 from typing import TYPE_CHECKING, Final
 
-from foxtrestle.control.log import log
 from foxtrestle.scheduling.load import PoolLoad
 from foxtrestle.scheduling.needs import LEAD_MARGIN_S, compute_needs, measure_host
-from foxtrestle.scheduling.turns import Turns
 
 if TYPE_CHECKING:
     from foxtrestle.scheduling.hosts import HostView
     from foxtrestle.scheduling.needs import PoolNeed
     from foxtrestle.scheduling.state import Fleet, JobEntry
-    from foxtrestle.scheduling.turns import Rise
 
 KNOWN_BEFORE_S: Final = 1.5
 """Seconds before its start of which a controller knows the arrivals: few jobs end sooner, and those
@@ -34,13 +31,10 @@
             fleet: The state.
             move_s: Seconds that the platform needs to move a host.
         """
-        self.turns = Turns()
-        """When load passes from pool to pool."""
         self._fleet = fleet
         self._lead_s = move_s + LEAD_MARGIN_S
         self._started_at = time.monotonic()
         self._loads: dict[str, PoolLoad] = {}
-        self._told_rise: Rise | None = None
 
     def note_job(self, entry: JobEntry) -> None:
         """Take the size of a new job into account."""
@@ -51,20 +45,7 @@
 
     def compute_needs(self, views: dict[str, HostView], now: float) -> dict[str, PoolNeed]:
         """Return what each pool that serves has and needs."""
-        needs = compute_needs(self._fleet, views, self._loads, self.turns, self._lead_s, now)
-        self._tell_rise(now)
-        return needs
-
-    def _tell_rise(self, now: float) -> None:
-        """Tell that load has passed to another pool, and when it is expected to pass on."""
-        rise = self.turns.rises[-1] if self.turns.rises else None
-        if rise is None or rise is self._told_rise:
-            return
-        self._told_rise = rise
-        next_at = self.turns.find_next()
-        log("load.rose", pool=rise.pool, ago_s=round(now - rise.at, 2),
-            levels={pool: round(level, 1) for pool, level in self.turns.levels.items()},
-            next_in_s=round(next_at - now, 2) if next_at is not None else None)  # fmt: skip
+        return compute_needs(self._fleet, views, self._loads, self._lead_s, now)
 
     def is_known(self, now: float) -> bool:
         """Tell whether anything is known about load; before, hosts stay where operators put them.
