Take load that builds up at a steady pace for growth, too

Change: growth is the larger of that of arrivals and that of what is at work or waits, each only beyond its scatter.

Tests: a load that builds up, one that scatters, less than a second of values.

--- a/src/foxtrestle/scheduling/load.py
+++ b/src/foxtrestle/scheduling/load.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 from collections import deque
+from math import sqrt
+from statistics import fmean
 from typing import TYPE_CHECKING, Final
 
-from foxtrestle.scheduling.arrivals import Arrivals
+from foxtrestle.scheduling.arrivals import GROWTH_S, Arrivals
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from foxtrestle.scheduling.durations import Durations
     from foxtrestle.scheduling.model import Shape
     from foxtrestle.scheduling.state import JobEntry
@@ -24,6 +28,16 @@
     return max(shape.cpu / host.cpu, shape.memory_mb / host.memory_mb)
 
 
+def measure_scatter(load: float, widths: Sequence[float]) -> float:
+    """Return the standard deviation of a load of jobs that come independently, hosts.
+
+    Args:
+        load: The load, hosts.
+        widths: Room that recent jobs take, hosts.
+    """
+    return sqrt(load * fmean(widths)) if widths else 0.0
+
+
 class RecentPeak:
     """The largest of the newest values."""
 
@@ -53,10 +67,38 @@
         return next((value for at, value in self._samples if at >= since), 0.0)
 
 
+class RecentValues:
+    """Values of the last second, to tell how they change."""
+
+    __slots__ = ("_samples",)
+
+    def __init__(self) -> None:
+        """Create values without any."""
+        self._samples: deque[tuple[float, float]] = deque()
+
+    def note(self, now: float, value: float) -> None:
+        """Add a value."""
+        samples = self._samples
+        samples.append((now, value))
+        while len(samples) > 1 and samples[1][0] <= now - GROWTH_S:
+            samples.popleft()
+
+    def find_growth(self, scatter: float) -> float:
+        """Return by how much the values grow a second, beyond what their scatter explains.
+
+        Args:
+            scatter: Standard deviation of a value while nothing grows.
+        """
+        (begin, first), (end, last) = self._samples[0], self._samples[-1]
+        if end - begin < GROWTH_S:
+            return 0.0
+        return max(0.0, last - first - scatter) / (end - begin)
+
+
 class PoolLoad:
     """Recent demand of one pool."""
 
-    __slots__ = ("arrivals", "demand", "widths")
+    __slots__ = ("arrivals", "demand", "demands", "widths")
 
     def __init__(self, since: float = 0.0) -> None:
         """Create a load without samples.
@@ -69,7 +111,25 @@
         self.widths: deque[float] = deque(maxlen=RECENT_JOBS)
         """Room that the widest step of each recent job takes, hosts."""
         self.demand = RecentPeak()
-        """Room that placed and waiting tasks take, hosts."""
+        """Most room that placed and waiting tasks took of late, hosts."""
+        self.demands = RecentValues()
+        """Room that they took, by time, hosts."""
+
+    def note_demand(self, now: float, hosts: float) -> None:
+        """Take in what placed and waiting tasks take now."""
+        self.demand.note(now, hosts)
+        self.demands.note(now, hosts)
+
+    def find_growth(self, now: float) -> float:
+        """Return by how much the load changes, hosts a second, as far as that is certain.
+
+        A rise shows in arrivals first; where these come at one pace, what is at work still grows
+        for as long as a job takes.
+        """
+        arriving = self.arrivals.find_growth(now)
+        scatter = measure_scatter(self.demand.find(now), self.widths)
+        at_work = self.demands.find_growth(scatter)
+        return max(arriving, at_work) if at_work else arriving
 
     def note_job(self, entry: JobEntry, durations: Durations, host: Shape) -> None:
         """Take in a job that has arrived.
--- a/src/foxtrestle/scheduling/needs.py
+++ b/src/foxtrestle/scheduling/needs.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from math import ceil, sqrt
-from statistics import fmean
+from math import ceil
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 
 from foxtrestle.scheduling.eligibility import is_usable
-from foxtrestle.scheduling.load import PoolLoad, measure_share
+from foxtrestle.scheduling.load import PoolLoad, measure_scatter, measure_share
 from foxtrestle.scheduling.model import Shape
 
 if TYPE_CHECKING:
@@ -85,12 +84,12 @@
     needs = {}
     for name in serving:
         load = loads.setdefault(name, PoolLoad())
-        load.demand.note(now, demand.get(name, 0.0))
+        load.note_demand(now, demand.get(name, 0.0))
         fixed = lasting.get(name, _Lasting())
         # What arrives is placed over the next seconds, and a host needs as long to come.
-        growth = load.arrivals.find_growth(now)
-        coming = load.arrivals.forecast(now) + max(0.0, growth) * lead_s
-        busy = max(load.demand.find(now), coming)
+        growth = load.find_growth(now)
+        busy = max(load.demand.find(now), load.arrivals.forecast(now))
+        busy += max(0.0, growth) * lead_s
         margin = compute_margin(busy, load.widths) if growth >= 0 else 0.0
         largest = max(load.widths, default=0.0)
         wanted = max(1, ceil(busy + margin + largest), fixed.spread)
@@ -110,8 +109,7 @@
     """
     if not widths:
         return MARGIN * busy
-    scatter = sqrt(busy * fmean(widths))
-    return min(MARGIN * busy, SCATTER * scatter)
+    return min(MARGIN * busy, SCATTER * measure_scatter(busy, widths))
 
 
 def measure_host(fleet: Fleet) -> Shape | None:
--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -15,6 +15,7 @@
     compute_growth,
     compute_pace,
 )
+from foxtrestle.scheduling.load import PoolLoad
 
 START = 100.0
 
@@ -129,3 +130,31 @@
     for number in range(30):
         arrivals.note(START + 0.9 + number / 300, 1.0)
     assert arrivals.find_growth(START + 1.0) == 0.0
+
+
+def test_load_that_builds_up_at_a_steady_pace_is_growth() -> None:
+    """Ninety jobs a second begin at once, each at work for 2 s: their load grows for 2 s, to 180.
+
+    The pace shows no growth after the first second, what is at work does.
+    """
+    load = PoolLoad(START - 10.0)
+    load.widths.extend([1.0, 1.6])
+    for step in range(17):
+        load.note_demand(START + step / 10, 9.0 * step)
+    growth = load.find_growth(START + 1.6)
+    assert 70.0 < growth < 90.0
+
+
+def test_a_load_that_only_scatters_does_not_grow() -> None:
+    load = PoolLoad(START - 10.0)
+    load.widths.extend([1.0, 1.6])
+    for step in range(40):
+        load.note_demand(START + step / 10, 100.0 + (10.0 if step % 20 < 10 else 0.0))
+    assert load.find_growth(START + 4.0) == 0.0
+
+
+def test_values_of_less_than_a_second_tell_no_growth() -> None:
+    load = PoolLoad(START - 10.0)
+    for step in range(9):
+        load.note_demand(START + step / 10, 20.0 * step)
+    assert load.find_growth(START + 0.8) == 0.0
