Drop an order whose job is over before it is sent or answered

Cause, from the log of a trial with twice the traffic and a controller on a small node: 158 times task.failed with a KeyError of a job's id. Starts waited for their record for a second; their job was cancelled meanwhile, stops settled its runs, its end was recorded and the job dropped; then the start looked it up. Nothing was sent or lost by it; the other starts of that moment went on.

Change: an order whose job is gone returns. Test: before it is sent, and while its answer is under way; both fail with the KeyError on the former code.

--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -84,7 +84,10 @@
             run.sending = False
 
     async def _start(self, task: Task, run: Run, worker: Worker) -> None:
-        entry = self._fleet.jobs[task.key.job]
+        entry = self._fleet.jobs.get(task.key.job)
+        if entry is None:
+            # The job was cancelled while this start waited for its record, and is settled.
+            return
         ticket = self._fleet.find_ticket(task.key, worker.info.id, time.monotonic())
         order = StartOrder(
             task.key, run.number, entry.job.spec.text, self._term.number, task.checkpoint, ticket
@@ -167,8 +170,10 @@
 
     def _drop(self, task: Task, run: Run, worker: Worker) -> None:
         drop_run(task, run.number, worker)
-        requeue(self._fleet.jobs[task.key.job], task, time.monotonic())
-        self._fleet.mark(task.key.job)
+        entry = self._fleet.jobs.get(task.key.job)
+        if entry is not None:
+            requeue(entry, task, time.monotonic())
+            self._fleet.mark(task.key.job)
         self._wake()
 
     async def stop(self, order: StopOrder) -> None:
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,62 @@
+"""Orders to workers whose job is over before they are sent or answered.
+
+Under more load than a controller's link carries, a start waits for its record for seconds. Its job
+may be cancelled meanwhile and its runs settled, and then nothing of the job is kept.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from foxtrestle.control.orders import Orders
+from foxtrestle.control.ownership import Term
+from foxtrestle.platform.workers import OrderRefused
+from foxtrestle.scheduling.runs import end_job, place_run, release_worker
+from foxtrestle.store import Record
+from tests.scheduling_fakes import NOW, enter, make_fleet, make_job
+
+if TYPE_CHECKING:
+    from foxtrestle.scheduling.state import Fleet, JobEntry
+
+
+class Calls:
+    """Workers that refuse every start for want of room."""
+
+    def __init__(self) -> None:
+        self.starts = 0
+        self.before_answer: Any = None
+
+    async def start(self, *_: Any) -> int:
+        self.starts += 1
+        if self.before_answer is not None:
+            self.before_answer()
+        raise OrderRefused("room", 0, step="start", peer="w")
+
+
+def forget(fleet: Fleet, entry: JobEntry) -> None:
+    """Settle the run, cancel the job, and drop it as its end is in the store."""
+    release_worker(fleet, fleet.workers["w-main-0"], NOW)
+    end_job(fleet, entry, "cancelled")
+    del fleet.jobs[entry.job.id]
+
+
+@pytest.mark.parametrize("late", [False, True])
+async def test_an_order_for_a_job_that_is_over_is_dropped(late: bool) -> None:
+    fleet = make_fleet(1)
+    entry = enter(fleet, make_job())
+    [task] = entry.tasks.values()
+    worker = fleet.workers["w-main-0"]
+    run = place_run(fleet, task, worker, 1, NOW)
+    calls: Any = Calls()
+    term = Term(1, Record("lock", b"", 1), float("inf"))
+    orders = Orders(fleet, term, calls, lambda: None, lambda worker, why: None)
+    if late:
+        calls.before_answer = lambda: forget(fleet, entry)
+    else:
+        forget(fleet, entry)
+    await orders.start(task, run, worker)
+    assert calls.starts == int(late)
+    assert not worker.runs
+    assert entry.job.id not in fleet.active
