--- a/src/foxtrestle/scheduling/needs.py
+++ b/src/foxtrestle/scheduling/needs.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from foxtrestle.scheduling.eligibility import is_usable
-from foxtrestle.scheduling.load import PoolLoad, measure_scatter, measure_share
+from foxtrestle.scheduling.load import PoolLoad, measure_scatter
 from foxtrestle.scheduling.model import Shape
 
 if TYPE_CHECKING:
@@ -49,15 +49,6 @@
     """By how much the room that arriving work takes changes, hosts a second."""
 
 
-class _Lasting(msgspec.Struct, frozen=True):
-    """What the lasting tasks of a pool take."""
-
-    room: float = 0.0
-    """Hosts that their room adds up to."""
-    spread: int = 0
-    """Hosts over which they must be spread, as some may not share one."""
-
-
 def compute_needs(
     fleet: Fleet,
     views: dict[str, HostView],
@@ -79,20 +70,19 @@
         return {}
     serving = [name for name, pool in fleet.configuration.pools.items() if not pool.reserve]
     demand = _measure_demand(fleet, host)
-    lasting = _measure_lasting(fleet, host)
+    spread = _measure_spread(fleet)
     stuck = _find_stuck(fleet, now)
     needs = {}
     for name in serving:
         load = loads.setdefault(name, PoolLoad())
         load.note_demand(now, demand.get(name, 0.0))
-        fixed = lasting.get(name, _Lasting())
         # What arrives is placed over the next seconds, and a host needs as long to come.
         growth = load.find_growth(now)
         busy = max(load.demand.find(now), load.arrivals.forecast(now))
         busy += max(0.0, growth) * lead_s
         margin = compute_margin(busy, load.widths) if growth >= 0 else 0.0
         largest = max(load.widths, default=0.0)
-        wanted = max(1, ceil(busy + margin + largest), fixed.spread)
+        wanted = max(1, ceil(busy + margin + largest), spread.get(name, 0))
         have = _count_hosts(name, views, now)
         if name in stuck and have >= wanted:
             wanted += 1
@@ -141,20 +131,15 @@
     return {pool: max(cpu[pool] / host.cpu, memory[pool] / host.memory_mb) for pool in cpu}
 
 
-def _measure_lasting(fleet: Fleet, host: Shape) -> dict[str, _Lasting]:
-    """Return what each pool's lasting tasks take."""
-    taken: dict[str, _Lasting] = {}
+def _measure_spread(fleet: Fleet) -> dict[str, int]:
+    """Return over how many hosts each pool's lasting tasks must be spread."""
+    spread: dict[str, int] = {}
     for entry in fleet.active.values():
         for step in entry.job.spec.steps:
-            if not step.lasting:
-                continue
-            held = taken.get(entry.job.pool, _Lasting())
-            share = 0.0 if step.fills else measure_share(step.shape, host)
-            spread = ceil(step.count / step.max_per_worker) if step.max_per_worker else 0
-            taken[entry.job.pool] = _Lasting(
-                held.room + step.count * share, max(held.spread, spread)
-            )
-    return taken
+            if step.lasting and step.max_per_worker:
+                hosts = ceil(step.count / step.max_per_worker)
+                spread[entry.job.pool] = max(spread.get(entry.job.pool, 0), hosts)
+    return spread
 
 
 def _find_stuck(fleet: Fleet, now: float) -> set[str]:
