Keep a worker free for a lasting task that small tasks keep out

The workers with its label were full of small tasks, which came after it and took each bit of room that came free. Change: a lasting task that has waited 0.5 s has the worker reserved that has most room free, of those that hold it beside their lasting tasks. Tests: one that fails without it (10 s without a start), and the reference of a plain search, which reserves as well.

--- a/src/foxtrestle/scheduling/candidates.py
+++ b/src/foxtrestle/scheduling/candidates.py
@@ -36,7 +36,7 @@
 class Candidate:
     """A worker with the room that this round has left free."""
 
-    __slots__ = ("busy", "cpu", "gpu", "memory_mb", "placed", "trial", "worker")
+    __slots__ = ("busy", "cpu", "gpu", "memory_mb", "placed", "reserved", "trial", "worker")
 
     def __init__(self, worker: Worker) -> None:
         """Create a candidate on which this round has placed nothing."""
@@ -52,6 +52,8 @@
         self.busy = len(worker.runs) > worker.lasting
         """Whether it carries or was given anything that ends: by that a suspect worker is tried.
         Lasting tasks never end, so one of them would keep a worker from ever being tried again."""
+        self.reserved = False
+        """Whether its room is kept for a task that waits for more of it."""
         self.trial: tuple[str, int, int] | None = None
         """Gang of which this round has placed members there, by job, repetition and step."""
         self.placed: Counter[tuple[str, int, int]] = Counter()
@@ -59,7 +61,22 @@
 
     def has_room(self, needed: Needed) -> bool:
         """Tell whether a task's room is free."""
-        return self.cpu >= needed[0] and self.memory_mb >= needed[1] and self.gpu >= needed[2]
+        return (
+            not self.reserved
+            and self.cpu >= needed[0]
+            and self.memory_mb >= needed[1]
+            and self.gpu >= needed[2]
+        )
+
+    def comes_to_hold(self, needed: Needed) -> bool:
+        """Tell whether a task's room is free once all that ends by itself has ended."""
+        room, lasting = self.worker.info.room, self.worker.lasting_used
+        return (
+            not self.reserved
+            and room.cpu - lasting.cpu >= needed[0]
+            and room.memory_mb - lasting.memory_mb >= needed[1]
+            and room.gpu - lasting.gpu >= needed[2]
+        )
 
     def may_try(self, task: Task) -> bool:
         """Tell whether a suspect worker may get a task: one at a time, or one gang.
@@ -114,6 +131,21 @@
             self._note_full(needed)
         return None
 
+    def reserve(self, task: Task, accept: Callable[[Candidate], bool]) -> None:
+        """Keep the worker free for the rest of the round on which a task finds room soonest.
+
+        Smaller tasks that come after it would take every bit of room that comes free. The worker
+        with most room free stays that one in the next rounds, as it gets nothing new.
+
+        Args:
+            task: A task that has found no place.
+            accept: Tells whether it may run on a worker.
+        """
+        needed = find_needed(task.step)
+        fitting = [one for one in self.all if one.comes_to_hold(needed) and accept(one)]
+        if fitting:
+            min(fitting, key=_rank_reserve).reserved = True
+
     def claim(self, one: Candidate, task: Task) -> None:
         """Count a task in that this round has placed."""
         one.placed[task.key[:3]] += 1
@@ -180,3 +212,7 @@
 
 def _rank(one: Candidate) -> tuple[int, str]:
     return one.cpu, one.worker.info.id
+
+
+def _rank_reserve(one: Candidate) -> tuple[bool, int, str]:
+    return is_suspect(one.worker), -one.cpu, one.worker.info.id
--- a/src/foxtrestle/scheduling/placing.py
+++ b/src/foxtrestle/scheduling/placing.py
@@ -26,6 +26,10 @@
 """Seconds after which a task that has found no other place goes back to a worker where it failed:
 about as long as a host takes to come. Kept away for good, six tasks that only one worker could run
 waited 25 s for it, one of them until its job was given up."""
+RESERVE_S: Final = 0.5
+"""Seconds that a lasting task waits before a worker is kept free for it. Each second that it is
+away counts, and beside a queue of small tasks the room for it never came free by itself: one waited
+22 s on workers that were full all the while. Other tasks are not worth an idle worker."""
 
 
 class Placement(msgspec.Struct, frozen=True):
@@ -106,11 +110,14 @@
             continue
         if key.step in refused:
             continue
-        found = None
-        if quotas.allow(owner, task.step.shape):
-            found = _find_place(task, candidates, candidates.all, allow)
+        if not quotas.allow(owner, task.step.shape):
+            refused.add(key.step)
+            continue
+        found = _find_place(task, candidates, candidates.all, allow)
         if found is None:
             refused.add(key.step)
+            if task.step.lasting and candidates.now - task.waiting_since > RESERVE_S:
+                candidates.reserve(task, _build_check(task, candidates, candidates.all, allow))
             continue
         candidates.claim(found, task)
         quotas.take(owner, task.step.shape)
@@ -166,6 +173,13 @@
     task: Task, candidates: Candidates, group: list[Candidate], allow: Allow
 ) -> Candidate | None:
     """Find the worker for one task within a group of the candidates."""
+    return candidates.find(task, _build_check(task, candidates, group, allow))
+
+
+def _build_check(
+    task: Task, candidates: Candidates, group: list[Candidate], allow: Allow
+) -> Callable[[Candidate], bool]:
+    """Build the check whether a task may run on a worker of a group, apart from its room."""
     step = task.step
     avoided = _find_avoided(task, group, candidates.now)
     members = None if group is candidates.all else {one.worker.info.id for one in group}
@@ -183,7 +197,7 @@
             return False
         return allow(task, one.worker)
 
-    return candidates.find(task, accept)
+    return accept
 
 
 def _find_avoided(task: Task, group: list[Candidate], now: float) -> set[str]:
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -195,6 +195,7 @@
         "known_at",
         "lapse_at",
         "lasting",
+        "lasting_used",
         "revision",
         "runs",
         "seen_end",
@@ -218,6 +219,8 @@
         known."""
         self.lasting = 0
         """Lasting tasks that may be there."""
+        self.lasting_used = Shape()
+        """Room that they take, which does not come free by itself."""
         self.known = False
         """Whether it has answered this controller, so that all that runs there is known."""
         self.known_at = -1e9
@@ -265,14 +268,20 @@
         self._count(step, -1)
 
     def _count(self, step: Step, sign: int) -> None:
-        self.lasting += sign if step.lasting else 0
-        used, shape = self.used, step.shape
-        cpu = 0 if step.fills else shape.cpu
-        self.used = Shape(
-            used.cpu + sign * cpu,
-            used.memory_mb + sign * shape.memory_mb,
-            used.gpu + sign * shape.gpu,
-        )
+        self.used = _change(self.used, step, sign)
+        if step.lasting:
+            self.lasting += sign
+            self.lasting_used = _change(self.lasting_used, step, sign)
+
+
+def _change(used: Shape, step: Step, sign: int) -> Shape:
+    """Return the room that is taken after a task has come or gone."""
+    shape = step.shape
+    return Shape(
+        used.cpu + (0 if step.fills else sign * shape.cpu),
+        used.memory_mb + sign * shape.memory_mb,
+        used.gpu + sign * shape.gpu,
+    )
 
 
 class WaveEntry:
--- a/tests/plain_placing.py
+++ b/tests/plain_placing.py
@@ -8,7 +8,7 @@
 
 from foxtrestle.scheduling.eligibility import is_suspect, is_usable
 from foxtrestle.scheduling.model import Shape
-from foxtrestle.scheduling.placing import RETURN_S, Placement, order_jobs
+from foxtrestle.scheduling.placing import RESERVE_S, RETURN_S, Placement, order_jobs
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,6 +24,7 @@
 
     def __init__(self, now: float) -> None:
         self.now = now
+        self.reserved: set[str] = set()
         self.used: dict[str, Shape] = {}
         self.takers: dict[str, set[tuple[str, int, int]]] = {}
         self.spread: Counter[tuple[str, int, int, str]] = Counter()
@@ -89,6 +90,8 @@
         worker = choose_worker(task, workers, claims, allow)
         if worker is None:
             refused.add(key.step)
+            if task.step.lasting and claims.now - task.waiting_since > RESERVE_S:
+                _reserve(task, workers, claims, allow)
             continue
         claims.add(task, worker)
         placements.append(Placement(entry.job.id, task.starts + 1, ((task, worker),)))
@@ -125,6 +128,7 @@
     tried = _Claims(claims.now)
     tried.used = dict(claims.used)
     tried.spread = claims.spread.copy()
+    tried.reserved = claims.reserved
     tried.takers = {name: set(takers) for name, takers in claims.takers.items()}
     chosen: list[tuple[Task, Worker]] = []
     for member in members:
@@ -148,12 +152,7 @@
     """
     best: Worker | None = None
     best_rank: tuple[bool, bool, int, str] | None = None
-    elsewhere = [worker for worker in workers if worker.info.id not in task.failed_on]
-    if claims.now - task.waiting_since > RETURN_S:
-        elsewhere = []
-    if not any(_holds_when_empty(task.step, worker) for worker in elsewhere):
-        elsewhere = []
-    for worker in elsewhere or workers:
+    for worker in _list_not_avoided(task, workers, claims):
         if not _may_run(task, worker, claims) or not allow(task, worker):
             continue
         rank = _rank(task.step, worker, claims)
@@ -162,11 +161,44 @@
     return best
 
 
+def _list_not_avoided(task: Task, workers: list[Worker], claims: _Claims) -> list[Worker]:
+    elsewhere = [worker for worker in workers if worker.info.id not in task.failed_on]
+    if claims.now - task.waiting_since > RETURN_S:
+        return workers
+    if not any(_holds_when_empty(task.step, worker) for worker in elsewhere):
+        return workers
+    return elsewhere
+
+
+def _find_left(worker: Worker, claims: _Claims) -> int:
+    claimed = claims.used.get(worker.info.id, Shape())
+    return worker.info.room.cpu - worker.used.cpu - claimed.cpu
+
+
 def _rank(step: Step, worker: Worker, claims: _Claims) -> tuple[bool, bool, int, str]:
     far = bool(step.data_rack) and step.data_rack not in worker.info.labels
-    claimed = claims.used.get(worker.info.id, Shape())
-    left = worker.info.room.cpu - worker.used.cpu - claimed.cpu
-    return is_suspect(worker), far, left, worker.info.id
+    return is_suspect(worker), far, _find_left(worker, claims), worker.info.id
+
+
+def _reserve(task: Task, workers: list[Worker], claims: _Claims, allow: Allow) -> None:
+    """Keep the worker free with most free cpu, of those that hold the task beside lasting ones."""
+    fitting = []
+    for worker in _list_not_avoided(task, workers, claims):
+        room, shape = worker.info.room, task.step.shape
+        memory_mb = room.memory_mb - worker.lasting_used.memory_mb
+        cpu = room.cpu - worker.lasting_used.cpu
+        gpu = room.gpu - worker.lasting_used.gpu
+        fits = shape.memory_mb <= memory_mb and shape.gpu <= gpu
+        fits = fits and (task.step.fills or shape.cpu <= cpu)
+        if not fits or worker.info.id in claims.reserved:
+            continue
+        if _may_be_there(task, worker, claims) and allow(task, worker):
+            fitting.append(worker)
+    if fitting:
+        best = min(
+            fitting, key=lambda one: (is_suspect(one), -_find_left(one, claims), one.info.id)
+        )
+        claims.reserved.add(best.info.id)
 
 
 def _holds_when_empty(step: Step, worker: Worker) -> bool:
@@ -179,7 +211,7 @@
 
 def _may_run(task: Task, worker: Worker, claims: _Claims) -> bool:
     step = task.step
-    if step.label and step.label not in worker.info.labels:
+    if worker.info.id in claims.reserved or not _may_be_there(task, worker, claims):
         return False
     claimed = claims.used.get(worker.info.id, Shape())
     if is_suspect(worker):
@@ -191,9 +223,14 @@
         claimed.memory_mb + step.shape.memory_mb,
         claimed.gpu + step.shape.gpu,
     )
-    if not worker.fits(wanted, fills=step.fills):
+    return worker.fits(wanted, fills=step.fills)
+
+
+def _may_be_there(task: Task, worker: Worker, claims: _Claims) -> bool:
+    """Tell whether a task may run on a worker, apart from its room."""
+    step, key = task.step, task.key
+    if step.label and step.label not in worker.info.labels:
         return False
-    key = task.key
     if step.max_per_worker:
         there = claims.spread[key.job, key.repetition, key.step, worker.info.id]
         there += sum(
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -16,7 +16,7 @@
 from foxtrestle.scheduling.hosts import HostPlan, view_hosts
 from foxtrestle.scheduling.model import HostInfo, Shape, Step
 from foxtrestle.scheduling.needs import STUCK_MORE_S, STUCK_S, PoolNeed, compute_needs
-from foxtrestle.scheduling.placing import RETURN_S, choose_placements
+from foxtrestle.scheduling.placing import RESERVE_S, RETURN_S, choose_placements
 from foxtrestle.scheduling.runs import place_run, record_end
 from foxtrestle.scheduling.scaling import HostMove, choose_drops, choose_moves
 from foxtrestle.scheduling.state import Fleet, JobEntry
@@ -190,6 +190,34 @@
     assert compute_needs(fleet, views, {}, LEAD_S, later)["main"].wanted >= 6
 
 
+def test_a_lasting_task_finds_room_beside_a_queue_of_small_tasks() -> None:
+    """A full worker frees small pieces of room, and small tasks wait for each of them."""
+    fleet = make_fleet(1)
+    worker = fleet.workers["w-main-0"]
+    lasting = Step(shape=Shape(8000, 100), lasting=True)
+    placed: dict[bool, float] = {}
+    enter(fleet, make_job(Step(count=400, shape=Shape(2000, 100)), id="a" * 16, target_ms=0))
+    running: list[tuple[float, object]] = []
+    now, number = NOW, 0
+    while now < NOW + 10.0 and True not in placed:
+        if now > NOW + 1.0 and "b" * 16 not in fleet.jobs:
+            entry = enter(fleet, make_job(lasting, id="b" * 16), created_at=now)
+            next(iter(entry.tasks.values())).waiting_since = now
+        for due, task in [one for one in running if one[0] <= now]:
+            running.remove((due, task))
+            number += 1
+            record_end(fleet, worker, end(task.key, task.starts, "done", number), now)
+        worker.contact_at = now
+        for placement in choose_placements(fleet, now):
+            [(task, _)] = placement.members
+            place_run(fleet, task, worker, placement.run, now).move("confirm")
+            placed[task.step.lasting] = now
+            # The ends are spread, so that the room never comes free at one time.
+            running.append((now + 1.0 + (number + len(running)) % 7 * 0.1, task))
+        now = round(now + 0.1, 3)
+    assert placed[True] <= NOW + 1.0 + RESERVE_S + 2.0
+
+
 def test_tasks_that_every_host_can_run_need_no_particular_one() -> None:
     fleet = make_fleet(3)
     enter(fleet, make_job(Step(count=20, shape=Shape(8000, 100))))
