Stop no lasting task for maintenance before another worker has room for it

Its task was stopped for a wave; the host with its label stood cordoned and half empty for 25 s, because no other task of the step may be stopped while one is away, and the pool's other hosts with the label were full of tasks that last. Change: a lasting task is stopped for a wave only if another worker of its pool has room for it; one with a label, on a host that is emptied, counts as waiting for a host that fits; after 2 s one is taken from where it is needed, though the pool has others. Tests: three of the budget's get a worker that has room, and assert what they did; new ones for a task without a place, the host that is fetched and that only one is.

--- a/src/foxtrestle/scheduling/fitting.py
+++ b/src/foxtrestle/scheduling/fitting.py
@@ -20,11 +20,14 @@
     from collections.abc import Iterable
 
     from foxtrestle.scheduling.hosts import HostView
-    from foxtrestle.scheduling.state import Fleet, JobEntry
+    from foxtrestle.scheduling.state import Fleet, JobEntry, Task
 
 GROW_S: Final = 2.0
 """Seconds of waiting after which tasks that only some hosts can run get one such host more: as long
 as one takes to come. Their load tells how many they need, and free room may lie in pieces."""
+FORCE_S: Final = 2.0
+"""Seconds of waiting after which such a host is taken from where it is needed, one at a time,
+though the pool has others: these may be full of tasks that last."""
 LARGE_STEPS: Final = 8
 """Large steps of a pool that are looked at, the oldest first: each is set against every host, and
 the next ones follow when these have found a place."""
@@ -39,8 +42,8 @@
     """A step that the hosts must be able to run."""
     hosts: int
     """How many of them the pool should have."""
-    waiting: bool
-    """Whether a task waits for one now."""
+    waited_s: float
+    """Seconds that a task has waited for one; negative if none waits."""
 
     def is_met_by(self, view: HostView) -> bool:
         """Tell whether a host is one of them."""
@@ -73,11 +76,13 @@
             held = large.setdefault(pool, [])
             if len(held) == LARGE_STEPS or can_hold(step, (step.label,), smallest):
                 continue
-            if any(key.step == number for key in entry.ready):
-                held.append(FittingNeed(pool, step, 1, waiting=True))
+            waits = [now - task.waiting_since for key, task in entry.ready.items()
+                     if key.step == number]  # fmt: skip
+            if waits:
+                held.append(FittingNeed(pool, step, 1, max(waits)))
     needs = [need for held in large.values() for need in held]
     for (pool, label), entries in labelled.items():
-        need = _sum_labelled(pool, label, entries, host, now)
+        need = _sum_labelled(fleet, pool, label, entries, host, now)
         if need is not None:
             needs.append(need)
     return needs
@@ -96,7 +101,7 @@
 
 
 def _sum_labelled(
-    pool: str, label: str, entries: list[JobEntry], host: Shape, now: float
+    fleet: Fleet, pool: str, label: str, entries: list[JobEntry], host: Shape, now: float
 ) -> FittingNeed | None:
     """Return how many hosts with a label the tasks that need it take, waiting or placed."""
     tasks = 0
@@ -110,13 +115,37 @@
                 continue
             tasks += 1
             load += measure_share(task.step.shape, host)
-            if task.key in entry.ready:
-                waited_s = max(waited_s, now - task.waiting_since)
+            waited_s = max(waited_s, _measure_wait(fleet, entry, task, now))
     if not tasks:
         return None
     more = int(waited_s / GROW_S) if waited_s > 0 else 0
     hosts = max(spread, ceil(load)) + more
-    return FittingNeed(pool, Step(label=label), hosts, waiting=waited_s >= 0)
+    return FittingNeed(pool, Step(label=label), hosts, waited_s)
+
+
+def _measure_wait(fleet: Fleet, entry: JobEntry, task: Task, now: float) -> float:
+    """Return the seconds that a task has waited for a worker; negative if it does not.
+
+    One that lasts, on a host that is being emptied, waits for another place to go to.
+    """
+    if task.key in entry.ready:
+        return now - task.waiting_since
+    for run in task.runs.values() if task.step.lasting else ():
+        plan = fleet.plans.get(run.host)
+        if plan is not None and plan.state == "emptying":
+            return now - plan.changed_at
+    return -1.0
+
+
+def is_coming(need: FittingNeed, views: Iterable[HostView]) -> bool:
+    """Tell whether a host that meets a need is on its way to the pool."""
+    return any(
+        view.plan is not None
+        and not view.plan.wave
+        and view.plan.pool == need.pool
+        and need.is_met_by(view)
+        for view in views
+    )
 
 
 def _find_spread(step: Step, label: str) -> int:
--- a/src/foxtrestle/scheduling/maintaining.py
+++ b/src/foxtrestle/scheduling/maintaining.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
-from foxtrestle.scheduling.eligibility import SILENCE_S
+from foxtrestle.scheduling.eligibility import SILENCE_S, can_hold, is_suspect, is_usable
 from foxtrestle.scheduling.model import TaskKey
 from foxtrestle.scheduling.runs import StopOrder
 
@@ -97,8 +97,8 @@
 ) -> list[StopOrder]:
     """Choose what to stop on a worker whose host is being emptied.
 
-    Lasting tasks are stopped as their step's budget allows; tasks that save their progress at
-    once; others when they have had their time.
+    Lasting tasks are stopped as their step's budget allows, if another worker has room for them;
+    tasks that save their progress at once; others when they have had their time.
 
     Args:
         fleet: The state.
@@ -118,7 +118,7 @@
         where = (key.job, key.repetition, key.step)
         if task.step.lasting:
             absent = count_absent(fleet, key, stop_s, now) + taken.get(where, 0)
-            if absent >= max(1, task.step.max_absent):
+            if absent >= max(1, task.step.max_absent) or not _has_place(fleet, worker, task, now):
                 continue
             taken[where] = taken.get(where, 0) + 1
         elif not _may_stop(task, run, emptying_s, save_s, now):
@@ -127,6 +127,28 @@
     return stops
 
 
+def _has_place(fleet: Fleet, worker: Worker, task: Task, now: float) -> bool:
+    """Tell whether another worker of the pool could take a lasting task over now.
+
+    Stopped without one, it waits while its host stands empty, and as it is away, no other task of
+    its step may be stopped: the host was held up for 25 s, the task away for 22 s.
+    """
+    step = task.step
+    for other in fleet.workers.values():
+        if other is worker or other.info.pool != worker.info.pool:
+            continue
+        if not is_usable(other, now) or is_suspect(other):
+            continue
+        if not can_hold(step, other.info.labels, other.info.room):
+            continue
+        if not other.fits(step.shape, fills=step.fills):
+            continue
+        there = sum(1 for key, _ in other.runs if key[:3] == task.key[:3])
+        if not step.max_per_worker or there < step.max_per_worker:
+            return True
+    return False
+
+
 def _may_stop(task: Task, run: Run, emptying_s: float, save_s: float, now: float) -> bool:
     if task.step.checkpoints:
         return now - run.confirmed_at > save_s
--- a/src/foxtrestle/scheduling/scaling.py
+++ b/src/foxtrestle/scheduling/scaling.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from foxtrestle.scheduling.fitting import count_fitting, list_kept
+from foxtrestle.scheduling.fitting import FORCE_S, count_fitting, is_coming, list_kept
 from foxtrestle.scheduling.movable import MovableHosts
 
 if TYPE_CHECKING:
@@ -134,19 +134,21 @@
 ) -> list[HostMove]:
     """Choose hosts for particular tasks that wait.
 
-    The first such host of a pool is taken from wherever it is, further ones from where they are
-    not needed.
+    The first such host of a pool is taken from wherever it is, and so is one more for tasks that
+    have waited for long; further ones come from where they are not needed.
     """
     moves: list[HostMove] = []
     for need in fitting:
-        if not need.waiting or need.pool not in have:
+        if need.waited_s < 0 or need.pool not in have:
             continue
         coming = [move for move in moves if move.pool == need.pool]
         held = count_fitting(need, views.values(), now)
         held += sum(need.is_met_by(views[move.host]) for move in coming)
-        while held < need.hosts:
+        urgent = need.waited_s > FORCE_S and not coming and not is_coming(need, views.values())
+        while held < need.hosts or urgent:
             rich = {name for name in have if have[name] > targets[name]}
-            view = movable.take_fitting(need, rich, forced=held == 0)
+            view = movable.take_fitting(need, rich, forced=held == 0 or urgent)
+            urgent = False
             if view is None:
                 break
             held += 1
--- a/tests/test_host_decisions.py
+++ b/tests/test_host_decisions.py
@@ -393,6 +393,7 @@
     entry = enter(fleet, make_job(Step(count=5, lasting=True, max_absent=2)))
     start_all(fleet)
     worker = next(iter(fleet.workers.values()))
+    add_worker(fleet, "beside")
     stops = choose_stops(fleet, worker, 0.0, 2.0, STOP_S, NOW)
     assert len(stops) == 2
     for stop in stops:
@@ -421,6 +422,7 @@
     silent, other = fleet.workers.values()
     later = NOW + 2.0
     other.contact_at = later
+    add_worker(fleet, "beside").contact_at = later
     assert len(silent.runs) == 2
     assert choose_stops(fleet, other, 0.0, 2.0, STOP_S, later) == []
     silent.contact_at = later
@@ -432,11 +434,40 @@
     enter(fleet, make_job(Step(count=4, lasting=True, max_absent=2, max_per_worker=2)))
     start_all(fleet)
     fresh, other = fleet.workers.values()
+    add_worker(fleet, "beside")
     fresh.known_at = NOW - STOP_S / 2
     assert choose_stops(fleet, other, 0.0, 2.0, STOP_S, NOW) == []
     assert len(choose_stops(fleet, other, 0.0, 2.0, STOP_S, NOW + STOP_S)) == 2
 
 
+def test_a_lasting_task_is_not_stopped_before_another_worker_has_room_for_it() -> None:
+    fleet = make_fleet(1)
+    step = Step(count=2, lasting=True, shape=Shape(8000, 100), label="a", max_per_worker=2)
+    enter(fleet, make_job(step))
+    start_all(fleet)
+    worker = fleet.workers["w-main-0"]
+
+    def stops() -> int:
+        return len(choose_stops(fleet, worker, 0.0, 2.0, STOP_S, NOW))
+
+    assert stops() == 0
+    beside = add_worker(fleet, "other-kind", labels=("b", "r1"))
+    elsewhere = add_worker(fleet, "elsewhere", "side")
+    full = add_worker(fleet, "full")
+    full.used = Shape(30_000, 0, 0)
+    assert stops() == 0
+    full.used = Shape(20_000, 0, 0)
+    for unfit in ("draining", "cordoned", "suspect"):
+        full.cordoned = unfit == "cordoned"
+        full.info = msgspec.structs.replace(full.info, draining=unfit == "draining")
+        full.failed_jobs = {"x", "y"} if unfit == "suspect" else set()
+        assert stops() == 0, unfit
+    full.failed_jobs = set()
+    assert stops() == 1
+    assert not beside.runs
+    assert not elsewhere.runs
+
+
 def test_tasks_that_save_progress_are_stopped_at_once_others_later() -> None:
     fleet = make_fleet(1)
     enter(fleet, make_job(Step(checkpoints=True), Step()))
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -12,7 +12,7 @@
 from hypothesis import given, settings
 
 from foxtrestle.scheduling.eligibility import SUSPECT_S, can_hold, is_suspect
-from foxtrestle.scheduling.fitting import GROW_S, find_fitting_needs, list_kept
+from foxtrestle.scheduling.fitting import FORCE_S, GROW_S, find_fitting_needs, list_kept
 from foxtrestle.scheduling.hosts import HostPlan, view_hosts
 from foxtrestle.scheduling.model import HostInfo, Shape, Step
 from foxtrestle.scheduling.needs import STUCK_MORE_S, STUCK_S, PoolNeed, compute_needs
@@ -173,6 +173,37 @@
     assert not any(move.pool == "main" for move in choose(fleet, NOW, needs))
 
 
+def test_a_task_that_has_waited_for_long_gets_a_host_though_the_pool_has_full_ones() -> None:
+    """The pool's hosts with the label are full of lasting tasks, the other pool's are busy."""
+    fleet = make_fleet(1, ("main", "side"))
+    for number in range(2):
+        full = add_worker(fleet, f"full-{number}", labels=("b", "r2"))
+        full.used = ROOM
+    busy = add_worker(fleet, "busy", "side", labels=("b", "r2"))
+    enter(fleet, make_job(Step(label="b")))
+    needs = {"main": PoolNeed(3.0, 3, 3), "side": PoolNeed(2.0, 2, 2)}
+
+    def coming(now: float) -> list[HostMove]:
+        return [move for move in choose(fleet, now, needs) if move.pool == "main"]
+
+    assert coming(NOW + 1.0) == []
+    assert coming(NOW + FORCE_S + 0.1) == [HostMove("h-busy", "main")]
+    fleet.plans["h-busy"] = HostPlan("h-busy", "main", 0, busy.info.id, NOW)
+    assert coming(NOW + FORCE_S + 0.3) == [], "one at a time"
+
+
+def test_a_lasting_task_with_a_label_on_a_host_that_is_emptied_waits_for_another() -> None:
+    fleet = make_fleet(1)
+    worker = add_worker(fleet, "special", labels=("b", "r2"))
+    add_off(fleet, "spare", ("b", "r2"))
+    entry = enter(fleet, make_job(Step(label="b", lasting=True)))
+    place_run(fleet, next(iter(entry.tasks.values())), worker, 1, NOW)
+    assert not [move for move in choose(fleet) if move.pool == "main"]
+    fleet.plans["h-special"] = HostPlan("h-special", "main", 1, "special", NOW)
+    worker.cordoned = True
+    assert [move for move in choose(fleet) if move.pool == "main"] == [HostMove("spare", "main")]
+
+
 def test_a_gang_that_needs_several_hosts_whole_gets_more_the_longer_it_waits() -> None:
     fleet = make_fleet(2)
     for number in range(8):
