Divide control of large fleets into partitions, give the lock up after an outage

And a controller that was stopped while the store was away lost its term at once: the lock was free 1.4 s after the store's return, nothing started until then. A stopping controller orders nothing, holds leases and tries to give the lock up for 2.5 s. One commit for two causes, as both change ownership.py.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -12,7 +12,6 @@
 from foxtrestle.control.advisor import Advisor
 from foxtrestle.control.following import follow, list_as_changes, scan_until_answered
 from foxtrestle.control.hosts import HostOrders
-from foxtrestle.control.keys import CANCELS, INBOX, JOBS, LEARNED, PROGRESS
 from foxtrestle.control.learned import decode_learned, follow_learned
 from foxtrestle.control.ledger import Ledger
 from foxtrestle.control.link import WorkerLink
@@ -27,6 +26,7 @@
 from foxtrestle.scheduling.checks import check_start
 from foxtrestle.scheduling.hosts import is_worker_overdue
 from foxtrestle.scheduling.model import Job
+from foxtrestle.scheduling.partitions import share_configuration
 from foxtrestle.scheduling.placing import choose_placements
 from foxtrestle.scheduling.progress import decode_progress, restore
 from foxtrestle.scheduling.rounds import ROUND_S, compute_pause
@@ -48,6 +48,7 @@
     from foxtrestle.platform.hosts import HostCalls
     from foxtrestle.platform.store import PlatformStore
     from foxtrestle.platform.workers import WorkerCalls
+    from foxtrestle.scheduling.model import FleetConfiguration
     from foxtrestle.scheduling.placing import Placement
     from foxtrestle.store import Change, Listing, Record
 
@@ -72,13 +73,14 @@
         self.fleet = Fleet(term.number)
         """What it knows."""
         self._term = term
+        self._keys = term.keys
         self._settings = settings
         self._store = store
         self._calls = workers
         self._operators = operators
         self._started_at = time.monotonic()
         self._ledger = Ledger(store, self.fleet, term, self._measures)
-        self._roster = Roster(self.fleet, self._hold, self._note_loss)
+        self._roster = Roster(self.fleet, term.partition, self._hold, self._note_loss)
         self._orders = Orders(self.fleet, term, workers, self.wake, self._roster.lose)
         self._hosts = HostOrders(
             self.fleet,
@@ -92,6 +94,8 @@
             self._roster.lose,
         )
         self._shares = Shares()
+        self._whole: FleetConfiguration | None = None
+        self._shared: FleetConfiguration | None = None
         self._changed = asyncio.Event()
         self._heard_at = self._started_at
         self._background = Spawner()
@@ -102,14 +106,17 @@
         loops = [
             self._ledger.run(),
             self._decide(),
-            follow(self._store, INBOX, inbox, list_as_changes, self._take_inbox),
+            follow(self._store, self._keys.inbox, inbox, list_as_changes, self._take_inbox),
             follow(self._store, ENTRIES, entries, self._roster.compare, self._take_entries),
             self._hosts.run(),
-            sweep(self._store, INBOX, self._is_inbox_quiet, self._take_inbox_listing),
+            sweep(self._store, self._keys.inbox, self._is_inbox_quiet, self._take_inbox_listing),
             sweep(self._store, ENTRIES, self._is_host_overdue, self._take_entries_listing),
             follow_learned(self._store, self._term, self.fleet.durations),
-            follow_retention(store=self._store, keep_s=self._settings.bounds.keep_status_s),
         ]
+        if self._term.partition.number == 0:
+            loops.append(
+                follow_retention(store=self._store, keep_s=self._settings.bounds.keep_status_s)
+            )
         if self._advice is not None:
             loops.append(Advisor(self.fleet, self._advice, self.wake).run())
         async with AsyncExitStack() as stack:
@@ -136,25 +143,31 @@
             Revisions from which to follow the inbox and the workers' entries.
         """
         now = time.monotonic()
+        keys = self._keys
         inbox, entries, learned = await asyncio.gather(
-            *(scan_until_answered(self._store, prefix) for prefix in (INBOX, ENTRIES, LEARNED))
+            *(
+                scan_until_answered(self._store, prefix)
+                for prefix in (keys.inbox, ENTRIES, keys.learned)
+            )
         )
         # After the inbox: a job that ends in between is in neither, and is not wanted.
-        progress = await scan_until_answered(self._store, PROGRESS)
+        progress = await scan_until_answered(self._store, keys.progress)
         held = decode_learned(next(iter(learned.records), None))
         self.fleet.durations.adopt(held.durations)
         self._roster.take(list_as_changes(entries))
         self._load_jobs(inbox, progress, now)
-        log("control.loaded", term=self._term.number, jobs=len(self.fleet.jobs),
-            active=len(self.fleet.active), workers=len(self.fleet.workers),
+        log("control.loaded", term=self._term.number, partition=self._term.partition.number,
+            jobs=len(self.fleet.jobs), active=len(self.fleet.active),
+            workers=len(self.fleet.workers),
             took_s=round(time.monotonic() - now, 3))  # fmt: skip
         return inbox.revision, entries.revision
 
     def _load_jobs(self, inbox: Listing, progress: Listing, now: float) -> None:
-        records = {record.key.removeprefix(PROGRESS): record for record in progress.records}
+        keys = self._keys
+        records = {record.key.removeprefix(keys.progress): record for record in progress.records}
         wall_ms = time.time() * 1000
         for record in inbox.records:
-            if not record.key.startswith(JOBS):
+            if not record.key.startswith(keys.jobs):
                 continue
             entry = self._add_job(record, now)
             if entry is None:
@@ -165,8 +178,8 @@
                 restore(self.fleet, entry, decode_progress(held.value), wall_ms, now,
                         self._roster.find)  # fmt: skip
         for record in inbox.records:
-            if record.key.startswith(CANCELS):
-                self._cancel(record.key.removeprefix(CANCELS))
+            if record.key.startswith(keys.cancels):
+                self._cancel(record.key.removeprefix(keys.cancels))
 
     # What comes in.
 
@@ -177,7 +190,7 @@
         before = len(self.fleet.jobs)
         self._take_inbox(list_as_changes(listing))
         if len(self.fleet.jobs) > before:
-            log("control.swept", prefix=INBOX, changes=len(self.fleet.jobs) - before)
+            log("control.swept", prefix=self._keys.inbox, changes=len(self.fleet.jobs) - before)
 
     def _is_host_overdue(self, now: float) -> bool:
         """Tell whether a host that was moved should have a worker by now and has none."""
@@ -205,16 +218,17 @@
         now = time.monotonic()
         self._heard_at = now
         for change in changes:
-            job = change.key.removeprefix(JOBS)
+            job = change.key.removeprefix(self._keys.jobs)
             if change.record is None or job == change.key or job in self.fleet.jobs:
                 continue
             # A listing that was under way while the job ended may still show it.
             if job not in self.fleet.ended_ids:
                 self._add_job(change.record, now)
         # Last, as a listing after a gap has cancellations before the jobs that they are for.
+        cancels = self._keys.cancels
         for change in changes:
-            if change.record is not None and change.key.startswith(CANCELS):
-                self._cancel(change.key.removeprefix(CANCELS))
+            if change.record is not None and change.key.startswith(cancels):
+                self._cancel(change.key.removeprefix(cancels))
         self.wake()
 
     def _add_job(self, record: Record, now: float) -> JobEntry | None:
@@ -225,7 +239,7 @@
             return None
         entry = JobEntry(job, record.revision, now - compute_age(job, time.time() * 1000))
         entry.excess = self._shares.note_job(
-            self._operators.configuration, job.owner, entry.created_at
+            self._share_configuration(), job.owner, entry.created_at
         )
         add_job(self.fleet, entry)
         self._hosts.loads.note_job(entry)
@@ -273,7 +287,7 @@
 
     def _decide_once(self) -> None:
         now = time.monotonic()
-        self.fleet.configuration = self._operators.configuration
+        self.fleet.configuration = self._share_configuration()
         wall_ms = time.time() * 1000
         for entry in self.fleet.active.values():
             release_steps(entry, wall_ms, now)
@@ -290,6 +304,14 @@
             log(f"organisation.{event}", org=name, current=current)
         self._hosts.decide(now)
 
+    def _share_configuration(self) -> FleetConfiguration | None:
+        """Return the configuration with this partition's part of what holds for the whole."""
+        whole = self._operators.configuration
+        if whole is not self._whole:
+            self._whole = whole
+            self._shared = share_configuration(self._term.partition, whole) if whole else None
+        return self._shared
+
     def _carry_out(self, placement: Placement, now: float) -> None:
         starts = []
         for task, worker in placement.members:
--- a/src/foxtrestle/control/host_list.py
+++ b/src/foxtrestle/control/host_list.py
@@ -15,6 +15,7 @@
 
     from foxtrestle.platform.hosts import HostCalls
     from foxtrestle.scheduling.model import HostInfo
+    from foxtrestle.scheduling.partitions import Partition
     from foxtrestle.scheduling.state import Fleet
 
 LIST_S: Final = 1.0
@@ -31,15 +32,19 @@
 class HostList:
     """Keeps the hosts of the state up to date."""
 
-    def __init__(self, fleet: Fleet, calls: HostCalls, wake: Callable[[], None]) -> None:
+    def __init__(
+        self, fleet: Fleet, partition: Partition, calls: HostCalls, wake: Callable[[], None]
+    ) -> None:
         """Create a list that has not been read.
 
         Args:
             fleet: The state whose hosts it keeps.
+            partition: Hosts that are kept.
             calls: Client of the platform's host interface.
             wake: Has the controller decide again.
         """
         self._fleet = fleet
+        self._partition = partition
         self._calls = calls
         self._wake = wake
         self._seen_at: dict[str, float] = {}
@@ -54,11 +59,12 @@
         outage = Outage("hosts", "list")
         while True:
             try:
-                hosts = await self._calls.list_hosts()
+                listed = await self._calls.list_hosts()
             except CallError as error:
                 outage.note_failure(error)
             else:
                 outage.note_success()
+                hosts = [host for host in listed if self._partition.owns(host.name)]
                 now = time.monotonic()
                 self._seen_at.update(dict.fromkeys((host.name for host in hosts), now))
                 self._note_states(hosts)
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -6,9 +6,10 @@
 import time
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 from foxtrestle.control.host_list import HostList
 from foxtrestle.control.host_ordering import HostOrdering
-from foxtrestle.control.keys import HOST_ORDERS
 from foxtrestle.control.log import log
 from foxtrestle.control.order_records import OrderRecords
 from foxtrestle.control.pool_loads import PoolLoads
@@ -24,6 +25,7 @@
     list_open,
 )
 from foxtrestle.scheduling.needs import measure_host
+from foxtrestle.scheduling.partitions import share_wave
 from foxtrestle.scheduling.scaling import choose_drops, choose_moves
 from foxtrestle.scheduling.state import WaveEntry
 from foxtrestle.scheduling.turning_off import OffBudget
@@ -40,11 +42,15 @@
     from foxtrestle.platform.store import PlatformStore
     from foxtrestle.scheduling.fitting import FittingNeed
     from foxtrestle.scheduling.hosts import HostView
+    from foxtrestle.scheduling.model import Wave
     from foxtrestle.scheduling.needs import PoolNeed
     from foxtrestle.scheduling.state import Fleet, Worker
 
 RETRY_S: Final = 0.3
 """Mean pause after a failed read, seconds."""
+TURN_S: Final = 0.5
+"""Seconds between two looks whether the partition before is through with a wave; one host's
+maintenance takes four times as long."""
 STEP_S: Final = 0.1
 """Least seconds between two looks at the hosts."""
 
@@ -78,7 +84,7 @@
         self._background = Spawner()
         self._records = OrderRecords(store, term, settings.bounds.turn_s)
         self._waves = WaveRecords(store, term)
-        self._list = HostList(fleet, calls, wake)
+        self._list = HostList(fleet, term.partition, calls, wake)
         self._ordering = HostOrdering(fleet, term, calls, self._records, self._waves, lose_worker)
         self._loaded = False
 
@@ -95,7 +101,7 @@
                 await self._records.load(self._started_at)
                 break
             except StoreError as error:
-                log("control.load-failed", prefix=HOST_ORDERS, reason=error.reason)
+                log("control.load-failed", prefix=self._term.keys.host_orders, reason=error.reason)
                 await asyncio.sleep(RETRY_S)
         self._loaded = True
 
@@ -117,7 +123,7 @@
         for number, (wave, seen_at) in self._operators.waves.items():
             if number in self._fleet.waves:
                 continue
-            entry = WaveEntry(wave)
+            entry = self._share_wave(wave)
             held = self._waves.find(number)
             if held is not None:
                 entry.done = set(held.done)
@@ -128,6 +134,30 @@
             self._fleet.waves[number] = entry
             self._background.spawn(self._waves.tell(entry))
 
+    def _share_wave(self, wave: Wave) -> WaveEntry:
+        """Create an entry of a wave with what of it is this partition's."""
+        partition = self._term.partition
+        hosts = tuple(name for name in wave.hosts if partition.owns(name))
+        most = share_wave(partition, wave.max_parallel, has_turn=False)
+        shared = msgspec.structs.replace(wave, hosts=hosts, max_parallel=most)
+        entry = WaveEntry(shared)
+        if not most:
+            self._background.spawn(self._wait_for_turn(entry, wave.max_parallel))
+        return entry
+
+    async def _wait_for_turn(self, entry: WaveEntry, max_parallel: int) -> None:
+        """Let a wave begin when the partitions before this one are through with it."""
+        while not self._term.lost.is_set():
+            try:
+                if await self._waves.has_turn(entry):
+                    break
+            except StoreError as error:
+                log("wave.turn-unknown", wave=entry.wave.number, reason=error.reason)
+            await asyncio.sleep(TURN_S)
+        most = share_wave(self._term.partition, max_parallel, has_turn=True)
+        entry.wave = msgspec.structs.replace(entry.wave, max_parallel=most)
+        log("wave.turn", wave=entry.wave.number, partition=self._term.partition.number)
+
     def _advance(self, views: dict[str, HostView], now: float) -> None:
         """Move plans on."""
         bounds = self._settings.bounds
--- a/src/foxtrestle/control/keys.py
+++ b/src/foxtrestle/control/keys.py
@@ -2,30 +2,58 @@
 
 from __future__ import annotations
 
+from functools import cache
 from typing import Final
 
+import msgspec
+
 ROOT: Final = "foxtrestle/"
 """Prefix of everything."""
-LOCK: Final = ROOT + "control/lock"
-"""The controller, under its lease."""
-TERM: Final = ROOT + "control/term"
-"""Number of the newest term, which stays when the lock goes."""
-PENDING: Final = ROOT + "control/pending"
-"""Jobs of each queue that have not begun."""
-HOST_ORDERS: Final = ROOT + "control/hosts"
-"""Hosts that the controller has ordered in the last seconds."""
-LEARNED: Final = ROOT + "control/learned"
-"""What the controller has learned about load."""
-WAVE_RECORDS: Final = ROOT + "control/wave/"
-"""Prefix of the progress of maintenance waves."""
-INBOX: Final = ROOT + "inbox/"
-"""Prefix of what nodes tell the controller."""
-JOBS: Final = INBOX + "job/"
-"""Prefix of accepted jobs."""
-CANCELS: Final = INBOX + "cancel/"
-"""Prefix of cancellations."""
-PROGRESS: Final = ROOT + "progress/"
-"""Prefix of the progress of jobs that have not ended; with the inbox, all that a new controller
-has to read."""
+LAYOUT: Final = ROOT + "control/layout"
+"""Into how many partitions control is divided."""
 ENDED: Final = ROOT + "ended/"
-"""Prefix of the final states of ended jobs, kept for clients that ask."""
+"""Prefix of the final states of ended jobs of all partitions, kept for clients that ask."""
+
+
+class Keys(msgspec.Struct, frozen=True):
+    """Keys of one partition."""
+
+    lock: str
+    """The controller, under its lease."""
+    term: str
+    """Number of the newest term, which stays when the lock goes."""
+    pending: str
+    """Jobs of each queue that have not begun."""
+    host_orders: str
+    """Hosts that the controller has ordered in the last seconds."""
+    learned: str
+    """What the controller has learned about load."""
+    wave_records: str
+    """Prefix of the progress of maintenance waves."""
+    inbox: str
+    """Prefix of what nodes tell the controller."""
+    jobs: str
+    """Prefix of accepted jobs."""
+    cancels: str
+    """Prefix of cancellations."""
+    progress: str
+    """Prefix of the progress of jobs that have not ended; with the inbox, all that a new controller
+    has to read."""
+
+
+@cache
+def build_keys(partition: int) -> Keys:
+    """Return the keys of a partition; the first one's have no number, as if it were alone."""
+    root = f"{ROOT}partition/{partition}/" if partition else ROOT
+    return Keys(
+        lock=root + "control/lock",
+        term=root + "control/term",
+        pending=root + "control/pending",
+        host_orders=root + "control/hosts",
+        learned=root + "control/learned",
+        wave_records=root + "control/wave/",
+        inbox=root + "inbox/",
+        jobs=root + "inbox/job/",
+        cancels=root + "inbox/cancel/",
+        progress=root + "progress/",
+    )
--- a/src/foxtrestle/control/learned.py
+++ b/src/foxtrestle/control/learned.py
@@ -7,7 +7,6 @@
 
 import msgspec
 
-from foxtrestle.control.keys import LEARNED, LOCK
 from foxtrestle.control.log import Outage, log
 from foxtrestle.scheduling.durations import Typical  # noqa: TC001 - msgspec reads annotations
 from foxtrestle.store import StoreError, Transaction
@@ -49,9 +48,9 @@
         record = LearnedRecord(durations.describe())
         if record == held:
             continue
-        puts = {LEARNED: msgspec.json.encode(record)}
+        puts = {term.keys.learned: msgspec.json.encode(record)}
         try:
-            await store.commit(Transaction({LOCK: term.lock.revision}, puts))
+            await store.commit(Transaction({term.keys.lock: term.lock.revision}, puts))
         except StoreError as error:
             outage.note_failure(error)
         else:
--- a/src/foxtrestle/control/ledger.py
+++ b/src/foxtrestle/control/ledger.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from foxtrestle.control.keys import CANCELS, ENDED, JOBS, LOCK, PENDING, PROGRESS
+from foxtrestle.control.keys import ENDED
 from foxtrestle.control.log import Outage, log
 from foxtrestle.scheduling.progress import encode_progress
 from foxtrestle.store import Conflict, StoreError, Transaction
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from foxtrestle.control.keys import Keys
     from foxtrestle.control.measures import Measures
     from foxtrestle.control.ownership import Term
     from foxtrestle.platform.store import PlatformStore
@@ -52,9 +53,10 @@
 class _Batch:
     """One transaction on its way."""
 
-    __slots__ = ("conditions", "ended", "pending", "puts", "removals", "waiting")
+    __slots__ = ("_keys", "conditions", "ended", "pending", "puts", "removals", "waiting")
 
-    def __init__(self) -> None:
+    def __init__(self, keys: Keys) -> None:
+        self._keys = keys
         self.waiting: dict[str, list[asyncio.Future[None]]] = {}
         """Jobs that are written, each with who waits for it."""
         self.ended: list[JobEntry] = []
@@ -68,14 +70,15 @@
     def add(self, entry: JobEntry) -> None:
         """Add the present state of a job."""
         job = entry.job.id
-        self.conditions[PROGRESS + job] = entry.progress_revision
+        keys = self._keys
+        self.conditions[keys.progress + job] = entry.progress_revision
         if not entry.ended:
-            self.puts[PROGRESS + job] = encode_progress(entry)
+            self.puts[keys.progress + job] = encode_progress(entry)
             return
         entry.ended_ms = entry.ended_ms or int(time.time() * 1000)
         self.ended.append(entry)
         self.puts[ENDED + job] = encode_progress(entry)
-        self.removals += [PROGRESS + job, JOBS + job, CANCELS + job]
+        self.removals += [keys.progress + job, keys.jobs + job, keys.cancels + job]
 
     @property
     def transaction(self) -> Transaction:
@@ -93,6 +96,7 @@
         self._store = store
         self._fleet = fleet
         self._term = term
+        self._keys = term.keys
         self._measures = measures
         self._outage = Outage("store", "ledger")
         self._changed = asyncio.Event()
@@ -190,7 +194,7 @@
 
         A job that ends later takes more entries, and who waits for its record waits for this one.
         """
-        batch = _Batch()
+        batch = _Batch(self._keys)
         entries = 0
         for job in [job for job in self._fleet.dirty if job not in self._jobs_under_way]:
             entry = self._fleet.jobs.get(job)
@@ -211,7 +215,7 @@
             if entry is not None and not entry.has_runs():
                 self._fleet.jobs.pop(job)
         self._add_pending(batch)
-        batch.conditions[LOCK] = self._term.lock.revision
+        batch.conditions[self._keys.lock] = self._term.lock.revision
         self._jobs_under_way.update(batch.waiting)
         return batch
 
@@ -220,7 +224,7 @@
         pending = self._count_pending()
         # Of two under way at once, the older might take effect last.
         if pending != self._pending and not self._telling_pending:
-            batch.pending = batch.puts[PENDING] = pending
+            batch.pending = batch.puts[self._keys.pending] = pending
             self._telling_pending = True
 
     def _put_back(self, batch: _Batch) -> None:
@@ -243,13 +247,13 @@
 
     def _adopt(self, batch: _Batch, conflict: Conflict) -> None:
         """Take over revisions that a write of ours with a lost answer has left."""
-        lock = conflict.records.get(LOCK)
+        lock = conflict.records.get(self._keys.lock)
         if lock is None or lock.revision != self._term.lock.revision:
             self._term.lose("lock is another's")
             return
         for job in batch.waiting:
             entry = self._fleet.jobs[job]
-            record = conflict.records.get(PROGRESS + job)
+            record = conflict.records.get(self._keys.progress + job)
             if record is None and entry.ended and entry.progress_revision:
                 # The removal was ours: nobody else writes under this lock.
                 self._archive(entry)
--- a/src/foxtrestle/control/order_records.py
+++ b/src/foxtrestle/control/order_records.py
@@ -8,7 +8,6 @@
 
 import msgspec
 
-from foxtrestle.control.keys import HOST_ORDERS, LOCK
 from foxtrestle.control.log import log
 from foxtrestle.scheduling.hosts import LIST_LAG_S
 from foxtrestle.store import Conflict, StoreError, Transaction
@@ -59,7 +58,7 @@
         Raises:
             StoreError: The store did not answer.
         """
-        record = await self._store.get(HOST_ORDERS)
+        record = await self._store.get(self._term.keys.host_orders)
         if record is None:
             return
         self._revision = record.revision
@@ -92,13 +91,14 @@
     async def _write(self) -> bool:
         value = msgspec.json.encode(self._describe(time.monotonic()))
         included = frozenset(name for name, at in self._settled_at.items() if at == UNSETTLED)
-        conditions = {LOCK: self._term.lock.revision, HOST_ORDERS: self._revision}
+        keys = self._term.keys
+        conditions = {keys.lock: self._term.lock.revision, keys.host_orders: self._revision}
         try:
-            transaction = Transaction(conditions, {HOST_ORDERS: value})
+            transaction = Transaction(conditions, {keys.host_orders: value})
             self._revision = await self._store.commit(transaction)
         except Conflict as conflict:
             # A write of ours whose answer was lost: go on from what is there.
-            held = conflict.records.get(HOST_ORDERS)
+            held = conflict.records.get(keys.host_orders)
             self._revision = held.revision if held is not None else 0
             log("host.record-conflict", revision=self._revision)
             return False
--- a/src/foxtrestle/control/ownership.py
+++ b/src/foxtrestle/control/ownership.py
@@ -10,8 +10,9 @@
 
 import msgspec
 
-from foxtrestle.control.keys import LOCK, TERM
+from foxtrestle.control.keys import build_keys
 from foxtrestle.control.log import Outage, log
+from foxtrestle.scheduling.partitions import Partition
 from foxtrestle.store import (
     ABSENT,
     Compacted,
@@ -28,6 +29,8 @@
 
     from foxtrestle.platform.store import PlatformStore
 
+WHOLE: Final = Partition()
+"""The only partition of a fleet that is not divided."""
 LEASE_S: Final = 1.4
 """Seconds after which a silent controller loses its lock, for which nothing new starts. The store
 grants 1 s at the least and answers in up to 0.3 s when it is slow; a renewal every fourth of the
@@ -48,8 +51,17 @@
 """Bandwidth from which a node counts as fit: a thinner link takes seconds to load the state."""
 UNFIT_DELAY_S: Final = 0.5
 """Seconds by which a node lets others go first for each thing it lacks."""
+ABANDONED_S: Final = 2.0
+"""Mean seconds between the looks of a node that is not at home in a partition: those that are take
+a free lock within a second, whose lease has run out in 1.4 s."""
 RETRY_S: Final = 0.3
 """Mean pause after a failed call, seconds."""
+RELEASE_S: Final = 2.5
+"""Seconds for which a stopping controller tries to give the lock up: as long as its node serves on.
+Given up only once while the store was away, the lock was free 1.4 s after its return; nothing
+started until then."""
+RELEASE_RETRY_S: Final = 0.15
+"""Mean pause between these tries, seconds."""
 GRACE_WITHOUT_STORE_S: Final = 5.0
 """Seconds after the end of its lease for which a controller that cannot reach the store goes on
 extending the workers' leases: nothing new starts, but a short outage kills nothing."""
@@ -73,8 +85,14 @@
 class Term:
     """One ownership, from its acquisition to its end."""
 
-    def __init__(self, number: int, lock: Record, valid_until: float) -> None:
+    def __init__(
+        self, number: int, lock: Record, valid_until: float, partition: Partition = WHOLE
+    ) -> None:
         """Create a term that has just been acquired."""
+        self.partition = partition
+        """What is owned."""
+        self.keys = build_keys(partition.number)
+        """Where what must last of it is kept."""
         self.number = number
         """Number of the term; fences all orders."""
         self.lock = lock
@@ -82,12 +100,16 @@
         self.valid_until = valid_until
         """Monotonic time up to which no other controller can exist, unless the lock was taken
         away from outside."""
+        self.closing = False
+        """Whether a planned stop is under way: no orders are given any more, leases are held on."""
         self.lost = asyncio.Event()
         """Set once another controller may exist or has been heard of."""
 
     def is_valid(self) -> bool:
         """Tell whether orders may be given now."""
-        return not self.lost.is_set() and time.monotonic() < self.valid_until
+        if self.closing or self.lost.is_set():
+            return False
+        return time.monotonic() < self.valid_until
 
     def may_hold(self) -> bool:
         """Tell whether workers' leases may be extended now."""
@@ -110,6 +132,9 @@
         node: str,
         race_delay_s: float,
         work: Callable[[Term], Awaitable[None]],
+        partition: Partition = WHOLE,
+        *,
+        at_home: bool = True,
     ) -> None:
         """Create an ownership that holds nothing.
 
@@ -118,12 +143,18 @@
             node: Name of this node.
             race_delay_s: Seconds by which this node lets others go first.
             work: Called with each term acquired; ends soon after the term is lost.
+            partition: What is owned.
+            at_home: Whether this node is one of those that take it at once when it is free; the
+                others do only when none of these has done so.
         """
         self.term: Term | None = None
         """The term held by this node."""
         self._store = store
         self._node = node
         self._race_delay_s = race_delay_s
+        self._partition = partition
+        self._keys = build_keys(partition.number)
+        self._at_home = at_home
         self._work = work
         self._closing = False
         self._outage = Outage("store", "lock")
@@ -132,10 +163,13 @@
         """Acquire the lock whenever it is free, until cancelled."""
         while not self._closing:
             try:
-                await self._wait_until_free()
+                if self._at_home:
+                    await self._wait_until_free()
+                else:
+                    await self._wait_until_abandoned()
                 self._outage.note_success()
                 await asyncio.sleep(self._race_delay_s + random.uniform(0, RACE_PAUSE_S))
-                if await self._store.get(LOCK) is not None:
+                if await self._store.get(self._keys.lock) is not None:
                     continue
                 if self._closing:
                     return
@@ -147,70 +181,101 @@
                 await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
 
     async def close(self) -> None:
-        """Give the lock up, so that another node takes over at once."""
+        """Give the lock up, so that another node takes over at once.
+
+        While the store is away nobody can take it over, so the workers' leases are held until it is
+        given up, or this process must go.
+        """
         self._closing = True
         term = self.term
         if term is None:
             return
+        term.closing = True
+        give_up_at = time.monotonic() + RELEASE_S
+        outage = Outage("store", "release of the lock")
+        while term.may_hold() and not await self._release(term, outage):
+            if time.monotonic() > give_up_at:
+                break
+            await asyncio.sleep(random.uniform(RELEASE_RETRY_S / 2, RELEASE_RETRY_S * 1.5))
         term.lose("planned stop")
-        conditions = {LOCK: term.lock.revision}
+
+    async def _release(self, term: Term, outage: Outage) -> bool:
+        """Remove the lock; False if the store did not do so as far as is known."""
+        lock = self._keys.lock
+        transaction = Transaction({lock: term.lock.revision}, removals=(lock,))
         try:
-            await self._store.commit(Transaction(conditions, removals=(LOCK,)))
+            await self._store.commit(transaction)
+        except Conflict:
+            # It is gone: an earlier try without an answer, or the lease is over.
+            return True
         except StoreError as error:
-            log("control.release-failed", term=term.number, reason=str(error))
+            outage.note_failure(error)
+            return False
+        outage.note_success()
+        return True
 
     async def _wait_until_free(self) -> None:
         record, revision = await self._read_lock()
         while record is not None:
             try:
-                changes, revision = await self._store.poll(LOCK, revision)
+                changes, revision = await self._store.poll(self._keys.lock, revision)
             except Compacted:
                 record, revision = await self._read_lock()
                 continue
             except StaleCall:
                 continue
             for change in changes:
-                if change.key == LOCK:
+                if change.key == self._keys.lock:
                     record = change.record
 
+    async def _wait_until_abandoned(self) -> None:
+        """Wait until the lock has been free for two looks; these are cheap and may be old."""
+        free = 0
+        while free < 2:
+            await asyncio.sleep(random.uniform(ABANDONED_S / 2, ABANDONED_S * 1.5))
+            held = await self._store.get(self._keys.lock, stale=True)
+            free = free + 1 if held is None else 0
+
     async def _read_lock(self) -> tuple[Record | None, int]:
         """Return the lock and the revision from which a watch misses nothing.
 
         That is the store's revision: the lock's own may be older than the history kept.
         """
-        listing = await self._store.scan(LOCK)
-        held = [record for record in listing.records if record.key == LOCK]
+        listing = await self._store.scan(self._keys.lock)
+        held = [record for record in listing.records if record.key == self._keys.lock]
         return (held[0] if held else None), listing.revision
 
     async def _acquire(self) -> Term | None:
-        held = await self._store.get(TERM)
+        held = await self._store.get(self._keys.term)
+        keys = self._keys
         number = int(held.value) + 1 if held else 1
         sent_at = time.monotonic()
         lease = await self._store.grant(LEASE_S)
         value = msgspec.json.encode(LockRecord(self._node, uuid.uuid4().hex[:12]))
         transaction = Transaction(
-            conditions={LOCK: ABSENT, TERM: held.revision if held else ABSENT},
-            puts={LOCK: value, TERM: str(number).encode()},
+            conditions={keys.lock: ABSENT, keys.term: held.revision if held else ABSENT},
+            puts={keys.lock: value, keys.term: str(number).encode()},
             lease=lease,
-            leased=frozenset({LOCK}),
+            leased=frozenset({keys.lock}),
         )
         try:
             revision = await self._store.commit(transaction)
         except Conflict as conflict:
-            log("control.race-lost", term=number, lock=LOCK in conflict.records)
+            log("control.race-lost", term=number, lock=keys.lock in conflict.records)
             return None
         except OutcomeUnknown:
-            found = await self._store.get(LOCK)
+            found = await self._store.get(self._keys.lock)
             if found is None or found.value != value:
                 return None
             revision = found.revision
         self._lease = lease
         valid_until = sent_at + LEASE_S - LEASE_MARGIN_S
-        return Term(number, Record(LOCK, value, revision), valid_until)
+        return Term(number, Record(keys.lock, value, revision), valid_until, self._partition)
 
     async def _serve(self, term: Term) -> None:
         self.term = term
-        log("control.acquired", term=term.number, revision=term.lock.revision)
+        log("control.acquired", term=term.number, revision=term.lock.revision,
+            partition=self._partition.number)  # fmt: skip
         work = asyncio.ensure_future(self._work(term))
         duties = [
             asyncio.create_task(self._renew(term)),
@@ -261,7 +326,7 @@
         outage = Outage("store", "own lock")
         while True:
             try:
-                changes, revision = await self._store.poll(LOCK, revision)
+                changes, revision = await self._store.poll(self._keys.lock, revision)
                 outage.note_success()
             except Compacted:
                 found, revision = await self._read_lock()
@@ -275,6 +340,6 @@
                 outage.note_failure(error)
                 await asyncio.sleep(RETRY_S)
                 continue
-            if any(change.key == LOCK for change in changes):
+            if any(change.key == self._keys.lock for change in changes):
                 term.lose("lock gone or replaced")
                 return
--- a/src/foxtrestle/control/roster.py
+++ b/src/foxtrestle/control/roster.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
+    from foxtrestle.scheduling.partitions import Partition
     from foxtrestle.scheduling.state import Fleet
     from foxtrestle.store import Listing, Record
 
@@ -35,6 +36,7 @@
     def __init__(
         self,
         fleet: Fleet,
+        partition: Partition,
         hold: Callable[[Worker], Coroutine[None, None, None]],
         note_loss: Callable[[], None],
     ) -> None:
@@ -42,12 +44,14 @@
 
         Args:
             fleet: The state whose workers it keeps.
+            partition: Hosts whose workers these are.
             hold: Holds a worker's lease until its life or the term is over.
             note_loss: Called after a worker was given up.
         """
         self.links: dict[str, asyncio.Task[None]] = {}
         """Tasks that hold leases, by worker."""
         self._fleet = fleet
+        self._partition = partition
         self._hold = hold
         self._note_loss = note_loss
         self._ended_lives: set[str] = set()
@@ -110,7 +114,7 @@
         except CallError as error:
             log("worker.unreadable", key=record.key, reason=error.reason)
             return
-        if info.id in self._ended_lives:
+        if info.id in self._ended_lives or not self._partition.owns(info.host or info.id):
             return
         worker = self._fleet.workers.get(info.id)
         if worker is None:
--- a/src/foxtrestle/control/wave_records.py
+++ b/src/foxtrestle/control/wave_records.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from foxtrestle.control.keys import LOCK, WAVE_RECORDS
+from foxtrestle.control.keys import build_keys
 from foxtrestle.control.log import log
 from foxtrestle.platform.operators import WAVE_STATUS, encode_wave_status
 from foxtrestle.store import StoreError, Transaction
@@ -29,6 +29,8 @@
     """Hosts whose maintenance is ordered and confirmed."""
     begun_ms: int = 0
     """Wall time at which a controller first saw the wave, milliseconds."""
+    completed: bool = False
+    """Whether all hosts of the partition are through."""
 
 
 class WaveRecords:
@@ -42,11 +44,10 @@
 
     async def load(self) -> None:
         """Read what earlier controllers have left."""
-        listing = await self._store.scan(WAVE_RECORDS)
+        prefix = self._term.keys.wave_records
+        listing = await self._store.scan(prefix)
         self._held = {
-            int(record.key.removeprefix(WAVE_RECORDS)): msgspec.json.decode(
-                record.value, type=WaveRecord
-            )
+            int(record.key.removeprefix(prefix)): msgspec.json.decode(record.value, type=WaveRecord)
             for record in listing.records
         }
 
@@ -56,25 +57,64 @@
 
     async def record(self, entry: WaveEntry) -> None:
         """Keep a wave's progress; losing it costs repeated orders only."""
-        key = f"{WAVE_RECORDS}{entry.wave.number}"
-        value = msgspec.json.encode(WaveRecord(sorted(entry.done), entry.begun_ms))
-        conditions = {LOCK: self._term.lock.revision}
+        keys = self._term.keys
+        key = f"{keys.wave_records}{entry.wave.number}"
+        record = WaveRecord(sorted(entry.done), entry.begun_ms, entry.completed)
+        value = msgspec.json.encode(record)
+        conditions = {keys.lock: self._term.lock.revision}
         try:
             await self._store.commit(Transaction(conditions, {key: value}))
         except StoreError as error:
             log("wave.record-failed", wave=entry.wave.number, reason=str(error))
 
     async def tell(self, entry: WaveEntry) -> None:
-        """Tell operators how far a wave is, until the store has it."""
+        """Tell operators how far a wave is, until the store has it.
+
+        It is completed once every partition is through with it; the last one tells, or several.
+        """
+        keys = self._term.keys
         key = f"{WAVE_STATUS}{entry.wave.number}"
         while not self._term.lost.is_set():
-            # Read each time: a wave may be completed while an earlier message waits.
-            value = encode_wave_status(completed=entry.completed)
-            transaction = Transaction({LOCK: self._term.lock.revision}, {key: value})
             try:
+                # Looked at each time: it may be completed while an earlier message waits.
+                completed = entry.completed and await self._are_others_through(entry)
+                if entry.completed and not completed:
+                    await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
+                    continue
+                value = encode_wave_status(completed=completed)
+                transaction = Transaction({keys.lock: self._term.lock.revision}, {key: value})
                 await self._store.commit(transaction)
             except StoreError as error:
                 log("wave.tell-failed", wave=entry.wave.number, reason=str(error))
                 await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
             else:
                 return
+
+    async def _are_others_through(self, entry: WaveEntry) -> bool:
+        """Tell whether every other partition is through with a wave.
+
+        Raises:
+            StoreError: The store did not answer.
+        """
+        partition = self._term.partition
+        if partition.count == 1:
+            return True
+        await self.record(entry)
+        for number in range(partition.count):
+            if number != partition.number and not await self._is_through(number, entry):
+                return False
+        return True
+
+    async def has_turn(self, entry: WaveEntry) -> bool:
+        """Tell whether the partition before this one is through with a wave.
+
+        Raises:
+            StoreError: The store did not answer.
+        """
+        number = self._term.partition.number
+        return number == 0 or await self._is_through(number - 1, entry)
+
+    async def _is_through(self, number: int, entry: WaveEntry) -> bool:
+        key = f"{build_keys(number).wave_records}{entry.wave.number}"
+        record = await self._store.get(key)
+        return record is not None and msgspec.json.decode(record.value, type=WaveRecord).completed
--- a/src/foxtrestle/node/intake.py
+++ b/src/foxtrestle/node/intake.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from foxtrestle.control.keys import CANCELS, ENDED, JOBS, PENDING, PROGRESS
+from foxtrestle.control.keys import ENDED, build_keys
 from foxtrestle.control.log import log
 from foxtrestle.platform.operators import CONFIGURATION
 from foxtrestle.scheduling.access import Access, Denial, admit
@@ -21,6 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from foxtrestle.control.keys import Keys
+    from foxtrestle.control.layout import Layout
     from foxtrestle.node.operators import OperatorMirror
     from foxtrestle.platform.store import PlatformStore
     from foxtrestle.scheduling.access import Address
@@ -40,10 +42,11 @@
 class Intake:
     """Carries out clients' requests against the store."""
 
-    def __init__(self, store: PlatformStore, operators: OperatorMirror) -> None:
+    def __init__(self, store: PlatformStore, operators: OperatorMirror, layout: Layout) -> None:
         """Create the intake of a node."""
         self._store = store
         self._operators = operators
+        self._layout = layout
 
     async def submit(self, address: Address, job_id: str, spec: JobSpec) -> Acceptance:
         """Keep a job, on the condition that the configuration that allows it is still the newest.
@@ -54,6 +57,7 @@
             spec: What the client described.
         """
         sent = False
+        keys = self._layout.find_keys(job_id)
         accepted_ms = int(time.time() * 1000)
         for _ in range(ATTEMPTS):
             configuration = self._operators.configuration
@@ -63,11 +67,11 @@
                 return "unknown" if sent else _settle_denial(access)
             if _is_too_large(configuration, access, spec):
                 return "unknown" if sent else "too-large"
-            transaction = _build_submission(configuration, access, job_id, spec, accepted_ms)
+            transaction = _build_submission(configuration, keys, access, job_id, spec, accepted_ms)
             try:
                 await self._store.commit(transaction)
             except Conflict as conflict:
-                found = _find_held(conflict.records, job_id)
+                found = _find_held(conflict.records, keys, job_id)
                 if found is not None:
                     return "accepted" if access.may_touch(*found) else "taken"
                 await self._refresh()
@@ -95,13 +99,14 @@
 
     async def read_state(self, access: Access, job_id: str) -> JobState | None:
         """Return a job's state as recorded; None if there is none that the caller may know of."""
+        keys = self._layout.find_keys(job_id)
         # An end is final, so a cheap read that may be old tells the truth if it finds one.
         record = await self._store.get(ENDED + job_id, stale=True)
         if record is None:
-            record = await self._store.get(PROGRESS + job_id)
+            record = await self._store.get(keys.progress + job_id)
         if record is not None:
             return _read_progress(access, record)
-        job = await self._store.get(JOBS + job_id)
+        job = await self._store.get(keys.jobs + job_id)
         if job is not None:
             return "queued" if access.may_touch(*_read_owner(job)) else None
         # It may have ended between the reads.
@@ -110,21 +115,23 @@
 
     async def cancel(self, access: Access, job_id: str) -> bool:
         """Cancel a job; False if there is none that the caller may know of."""
-        job = await self._store.get(JOBS + job_id)
+        keys = self._layout.find_keys(job_id)
+        cancel = keys.cancels + job_id
+        job = await self._store.get(keys.jobs + job_id)
         if job is None:
             return await self._has_ended(access, job_id)
         if not access.may_touch(*_read_owner(job)):
             return False
         for _ in range(ATTEMPTS):
             transaction = Transaction(
-                conditions={JOBS + job_id: job.revision, CANCELS + job_id: ABSENT},
-                puts={CANCELS + job_id: str(int(time.time() * 1000)).encode()},
+                conditions={keys.jobs + job_id: job.revision, cancel: ABSENT},
+                puts={cancel: str(int(time.time() * 1000)).encode()},
             )
             try:
                 await self._store.commit(transaction)
             except Conflict as conflict:
                 # It was cancelled before, or has ended since.
-                if CANCELS + job_id in conflict.records:
+                if cancel in conflict.records:
                     return True
                 return await self._has_ended(access, job_id)
             except OutcomeUnknown as error:
@@ -141,11 +148,11 @@
 
     async def count_pending(self, queue: Queue) -> int:
         """Return how many jobs of a queue have not begun."""
-        record = await self._store.get(PENDING)
-        if record is None:
-            return 0
-        counts = msgspec.json.decode(record.value, type=dict[str, int])
-        return counts.get(queue.name, 0)
+        pending = [
+            self._store.get(build_keys(partition.number).pending)
+            for partition in self._layout.list_partitions()
+        ]
+        return sum(_read_pending(record, queue) for record in await asyncio.gather(*pending))
 
 
 def _settle_denial(access: Access | Denial) -> Acceptance:
@@ -157,10 +164,16 @@
     return held is not None and find_unstartable(spec, held.limit) is not None
 
 
-def _find_held(records: Mapping[str, Record], job_id: str) -> tuple[str, str] | None:
+def _read_pending(record: Record | None, queue: Queue) -> int:
+    if record is None:
+        return 0
+    return msgspec.json.decode(record.value, type=dict[str, int]).get(queue.name, 0)
+
+
+def _find_held(records: Mapping[str, Record], keys: Keys, job_id: str) -> tuple[str, str] | None:
     """Return the owner and queue of a job that is there already, of the records of a conflict."""
-    if JOBS + job_id in records:
-        return _read_owner(records[JOBS + job_id])
+    if keys.jobs + job_id in records:
+        return _read_owner(records[keys.jobs + job_id])
     if ENDED + job_id in records:
         ended = decode_progress(records[ENDED + job_id].value)
         return ended.owner, ended.queue
@@ -179,6 +192,7 @@
 
 def _build_submission(
     configuration: FleetConfiguration,
+    keys: Keys,
     access: Access,
     job_id: str,
     spec: JobSpec,
@@ -201,8 +215,8 @@
     return Transaction(
         conditions={
             CONFIGURATION: configuration.revision,
-            JOBS + job_id: ABSENT,
+            keys.jobs + job_id: ABSENT,
             ENDED + job_id: ABSENT,
         },
-        puts={JOBS + job_id: msgspec.msgpack.encode(job)},
+        puts={keys.jobs + job_id: msgspec.msgpack.encode(job)},
     )
--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -13,6 +13,7 @@
 from returns.result import Failure
 
 from foxtrestle.control.controller import Controller
+from foxtrestle.control.layout import Layout
 from foxtrestle.control.log import log, start_logging
 from foxtrestle.control.measures import Measures
 from foxtrestle.control.ownership import Ownership, compute_race_delay
@@ -28,9 +29,10 @@
 from foxtrestle.platform.settings import find_settings, read_settings
 from foxtrestle.platform.store import PlatformStore
 from foxtrestle.platform.workers import WorkerCalls
+from foxtrestle.scheduling.partitions import find_number
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
+    from collections.abc import Awaitable, Callable
     from socket import socket
 
     from foxtrestle.control.ownership import Term
@@ -59,13 +61,21 @@
         """Its settings."""
         self.stopping = False
         """Whether a planned stop is under way."""
-        self.controller: Controller | None = None
-        """The controller, while this node has the lock."""
+        self.layout = Layout()
+        """The division of control."""
+        self.controllers: dict[int, Controller] = {}
+        """Controllers of the partitions whose locks this node has, by number."""
+
+    @property
+    def controller(self) -> Controller | None:
+        """The controller of this node, the first of several; None while it has no lock."""
+        return next(iter(self.controllers.values()), None)
 
     def is_ready(self) -> bool:
         """Tell whether clients should come here."""
         return (
             not self.stopping
+            and self.layout.count > 0
             and self.operators.configuration is not None
             and self.operators.is_current()
             and not self.health.away
@@ -84,25 +94,31 @@
                 advice = AdviceCalls(settings.advice_address, connections)
             hosts = HostCalls(settings.hosts_address, settings.name, connections, STORE_TIMEOUT_S)
             measures = Measures()
-            self.operators = OperatorMirror(store, self._wake_controller, settings.bounds.apply_s)
+            self.operators = OperatorMirror(store, self._wake_controllers, settings.bounds.apply_s)
             self.health = StoreHealth(store)
 
             async def control(term: Term) -> None:
-                self.controller = Controller(
+                controller = Controller(
                     term, settings, store, workers, hosts, self.operators, advice, measures
                 )  # fmt: skip
+                self.controllers[term.partition.number] = controller
                 try:
-                    await self.controller.run()
+                    await controller.run()
                 except Exception as error:
                     log("control.failed", term=term.number, reason=repr(error))
                     term.lose("controller failed")
                     raise
                 finally:
-                    self.controller = None
+                    del self.controllers[term.partition.number]
+
+            ownerships: list[Ownership] = []
+
+            async def own() -> None:
+                await self.layout.load(store, hosts)
+                ownerships.extend(self._build_ownerships(store, control))
+                await asyncio.gather(*(ownership.run() for ownership in ownerships))
 
-            delay_s = compute_race_delay(settings.processor_share, settings.link_mbps)
-            ownership = Ownership(store, settings.name, delay_s, control)
-            intake = Intake(store, self.operators)
+            intake = Intake(store, self.operators, self.layout)
             measures.add_source("store_calls", "Calls to the store.", lambda: store.calls)
             measures.add_source("state", "State of this node.", self._read_state)
             ready = build_ready(self.is_ready, measures)
@@ -114,7 +130,7 @@
             for loop in (
                 self.operators.follow(),
                 self.health.follow(),
-                ownership.run(),
+                own(),
                 calls,
                 lag,
             ):
@@ -126,10 +142,24 @@
             await stop.wait()
             log("node.stopping")
             self.stopping = True
-            await ownership.close()
-            await asyncio.sleep(LOOK_AWAY_S)
+            closing = [ownership.close() for ownership in ownerships]
+            await asyncio.gather(*closing, asyncio.sleep(LOOK_AWAY_S))
         log("node.stopped")
 
+    def _build_ownerships(
+        self, store: PlatformStore, control: Callable[[Term], Awaitable[None]]
+    ) -> list[Ownership]:
+        """Build the ownership of every partition; a node is at home in one of them."""
+        settings = self.settings
+        delay_s = compute_race_delay(settings.processor_share, settings.link_mbps)
+        home = find_number(settings.name, self.layout.count)
+        return [
+            Ownership(
+                store, settings.name, delay_s, control, partition, at_home=partition.number == home
+            )
+            for partition in self.layout.list_partitions()
+        ]  # fmt: skip
+
     def _read_state(self) -> dict[str, float]:
         """Read what the metrics show of this node's state."""
         configuration = self.operators.configuration
@@ -138,19 +168,20 @@
             "store_away": float(self.health.away),
             "configuration_version": configuration.version if configuration else 0.0,
             "configuration_age_s": time.monotonic() - self.operators.complete_at,
-            "controls": float(self.controller is not None),
+            "controls": float(len(self.controllers)),
         }
-        if self.controller is not None:
-            fleet = self.controller.fleet
-            state["term"] = fleet.term
-            state["jobs_active"] = len(fleet.active)
-            state["workers"] = len(fleet.workers)
-            state["host_plans"] = len(fleet.plans)
+        fleets = [controller.fleet for controller in self.controllers.values()]
+        if fleets:
+            state["term"] = max(fleet.term for fleet in fleets)
+            state["jobs_active"] = sum(len(fleet.active) for fleet in fleets)
+            state["workers"] = sum(len(fleet.workers) for fleet in fleets)
+            state["host_plans"] = sum(len(fleet.plans) for fleet in fleets)
+            state["organisations_at_limit"] = sum(len(fleet.at_limit) for fleet in fleets)
         return state
 
-    def _wake_controller(self) -> None:
-        if self.controller is not None:
-            self.controller.wake()
+    def _wake_controllers(self) -> None:
+        for controller in self.controllers.values():
+            controller.wake()
 
 
 async def _tell_calls(store: PlatformStore, hosts: HostCalls) -> None:
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,95 @@
+"""A controller that stops by plan gives its lock up, also if the store is away at first.
+
+The load is that of a store that goes away for some seconds while the controller's node is told to
+stop: what waits can start only when another node has the lock.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+import pytest
+
+from foxtrestle.control.ownership import Ownership, Term
+from foxtrestle.store import Conflict, OutcomeUnknown, Record, StoreError
+
+if TYPE_CHECKING:
+    from foxtrestle.store import Transaction
+
+LOCK = Record("foxtrestle/control/lock", b"me", 7)
+
+
+class AwayStore:
+    """A store whose first answers to transactions are errors."""
+
+    def __init__(self, *errors: Exception | None) -> None:
+        self.errors = list(errors)
+        self.released = False
+        self.during: list[tuple[bool, bool]] = []
+
+    async def commit(self, transaction: Transaction) -> int:
+        self.during.append((self.term.is_valid(), self.term.may_hold()))
+        error = self.errors.pop(0) if self.errors else None
+        if error is not None:
+            raise error
+        assert transaction.conditions == {LOCK.key: 7}
+        assert transaction.removals == (LOCK.key,)
+        self.released = True
+        return 8
+
+
+async def no_work(term: Term) -> None:
+    """Do nothing."""
+
+
+def build(store: AwayStore) -> tuple[Ownership, Term]:
+    ownership = Ownership(store, "n", 0.0, no_work)  # type: ignore[arg-type]
+    store.term = ownership.term = Term(3, LOCK, time.monotonic() + 60.0)
+    return ownership, ownership.term
+
+
+@pytest.fixture(autouse=True)
+def short_pauses(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("foxtrestle.control.ownership.RELEASE_RETRY_S", 0.001)
+
+
+def refused() -> StoreError:
+    return StoreError("status 503", step="store.commit", peer="store")
+
+
+async def test_the_lock_is_given_up_when_the_store_is_back() -> None:
+    store = AwayStore(refused(), refused(), OutcomeUnknown("silent", step="s", peer="p"), None)
+    ownership, term = build(store)
+    await ownership.close()
+    assert store.released
+    assert term.lost.is_set()
+
+
+async def test_no_order_is_given_meanwhile_and_leases_are_held() -> None:
+    store = AwayStore(refused(), refused(), None)
+    ownership, _ = build(store)
+    await ownership.close()
+    assert store.during == [(False, True)] * 3
+
+
+async def test_a_lock_that_is_gone_is_given_up() -> None:
+    store = AwayStore(
+        OutcomeUnknown("silent", step="s", peer="p"), Conflict({}, step="s", peer="p")
+    )
+    ownership, term = build(store)
+    await ownership.close()
+    assert term.lost.is_set()
+    assert len(store.during) == 2
+
+
+async def test_the_stop_does_not_wait_for_a_store_that_stays_away(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("foxtrestle.control.ownership.RELEASE_S", 0.02)
+    store = AwayStore(*(refused() for _ in range(100_000)))
+    ownership, term = build(store)
+    await asyncio.wait_for(ownership.close(), 5.0)
+    assert term.lost.is_set()
+    assert not store.released
