Let a host serve on that cannot be emptied, and share hosts of a kind that are few

Jobs with one label waited 12 to 60 s beside idle hosts of the other kind. The pool's only host with it was due for maintenance and stood cordoned, its lasting tasks having no other place; all the others were kept by the pool that had most use for them. And a test of whole nodes failed: the only host of a fleet was not maintained at all. Change: a host that after 5 s holds only lasting tasks without a place serves on and is tried again 5 s later; the last lasting task of a host may be stopped without a place if no other host could take it, or after 8 s; a pool without any host of a kind gets one of several that another pool keeps. Also: a test of the organisations' machine kept state between examples; the mutant is a machine of its own now, the assertion as it was. Tests: a host that serves on, the last task, few hosts shared; the node's test passes.

--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -19,6 +19,8 @@
 from foxtrestle.scheduling.fitting import find_fitting_needs
 from foxtrestle.scheduling.hosts import LIST_LAG_S, HostPlan, is_back, view_hosts
 from foxtrestle.scheduling.maintaining import (
+    POSTPONE_S,
+    cannot_be_emptied,
     choose_for_wave,
     choose_stops,
     count_away,
@@ -80,6 +82,7 @@
         self._orders = orders
         self._started_at = time.monotonic()
         self._looked_at = 0.0
+        self._postponed: dict[str, float] = {}
         self._off = OffBudget()
         self._background = Spawner()
         self._records = OrderRecords(store, term, settings.bounds.turn_s)
@@ -183,7 +186,10 @@
         worker = view.worker
         if worker is not None and not worker.gone and (worker.runs or worker.unknown_runs):
             worker.cordoned = True
-            if plan.wave:
+            if plan.wave and cannot_be_emptied(self._fleet, worker, now - plan.changed_at, now):
+                self._postponed[plan.host] = now + POSTPONE_S
+                self._ordering.drop(plan, "cannot be emptied now", now)
+            elif plan.wave:
                 self._stop_rest(plan, view, now)
             return
         if not self._may_order(plan, now):
@@ -242,7 +248,8 @@
                     entry.done.add(name)
             # A node that started late saw the wave late; the record knows when it began.
             elapsed_s = max(now - seen_at, time.time() - entry.begun_ms / 1000)
-            for view in choose_for_wave(entry, views, spare, elapsed_s):
+            postponed = [name for name, until in self._postponed.items() if now < until]
+            for view in choose_for_wave(entry, views, spare, elapsed_s, postponed):
                 self._plan(view, view.pool, entry.wave.number, now)
             if entry.done.issuperset(entry.wave.hosts):
                 entry.completed = True
--- a/src/foxtrestle/scheduling/maintaining.py
+++ b/src/foxtrestle/scheduling/maintaining.py
@@ -9,7 +9,7 @@
 from foxtrestle.scheduling.runs import StopOrder
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from foxtrestle.scheduling.hosts import HostView
     from foxtrestle.scheduling.model import FleetConfiguration
@@ -20,6 +20,13 @@
 AWAY_S: Final = 5.0
 """Seconds that one host's maintenance takes from its choice to its return, about: emptying, two
 seconds away, and the time until its worker is known."""
+PLACE_WAIT_S: Final = 8.0
+"""Seconds for which a host that is emptied waits for another worker with room for its last lasting
+task: one is fetched after 2 s of waiting, emptied within 3 and moved in 2."""
+POSTPONE_S: Final = 5.0
+"""Seconds after which a host that cannot be emptied serves on, and as many until it is tried again.
+Left cordoned, the only host of its kind in a pool stood half empty for 30 s, while jobs that could
+run nowhere else waited for their whole day."""
 LATE_MARGIN_S: Final = 3.0
 """Seconds before the end of a wave's time at which all its hosts should be through."""
 
@@ -29,6 +36,7 @@
     views: dict[str, HostView],
     spare: dict[str, float],
     elapsed_s: float,
+    postponed: Collection[str] = (),
 ) -> list[HostView]:
     """Choose hosts of a wave to empty now.
 
@@ -40,12 +48,16 @@
         views: All hosts.
         spare: For each pool, the hosts' worth of room it can do without.
         elapsed_s: Seconds since operators asked for the wave.
+        postponed: Hosts that could not be emptied a moment ago.
     """
     wave = entry.wave
     waiting = [
         views[name]
         for name in wave.hosts
-        if name in views and name not in entry.done and views[name].plan is None
+        if name in views
+        and name not in entry.done
+        and name not in postponed
+        and views[name].plan is None
     ]
     busy = sum(1 for name in wave.hosts if _is_under_way(views.get(name), wave.number))
     room = max(0, wave.max_parallel - busy)
@@ -118,7 +130,11 @@
         where = (key.job, key.repetition, key.step)
         if task.step.lasting:
             absent = count_absent(fleet, key, stop_s, now) + taken.get(where, 0)
-            if absent >= max(1, task.step.max_absent) or not _has_place(fleet, worker, task, now):
+            if absent >= max(1, task.step.max_absent):
+                continue
+            if not _has_place(fleet, worker, task, now) and not _may_pause(
+                fleet, worker, task, emptying_s
+            ):
                 continue
             taken[where] = taken.get(where, 0) + 1
         elif not _may_stop(task, run, emptying_s, save_s, now):
@@ -127,6 +143,20 @@
     return stops
 
 
+def cannot_be_emptied(fleet: Fleet, worker: Worker, emptying_s: float, now: float) -> bool:
+    """Tell whether a host due for maintenance should serve on for now.
+
+    That is when after a while only lasting tasks are left, and one of them has no place to go to.
+    """
+    if emptying_s < POSTPONE_S or not worker.runs or len(worker.runs) > worker.lasting:
+        return False
+    tasks = [found[0] for key, run in worker.runs if (found := fleet.find_run(key, run))]
+    return not all(
+        _has_place(fleet, worker, task, now) or _may_pause(fleet, worker, task, emptying_s)
+        for task in tasks
+    )
+
+
 def _has_place(fleet: Fleet, worker: Worker, task: Task, now: float) -> bool:
     """Tell whether another worker of the pool could take a lasting task over now.
 
@@ -149,6 +179,22 @@
     return False
 
 
+def _may_pause(fleet: Fleet, worker: Worker, task: Task, emptying_s: float) -> bool:
+    """Tell whether a lasting task may be stopped although no other worker has room for it.
+
+    Only as the last one of its host, which is then maintained at once and back in seconds; and only
+    if no other host could take the task, or none has come.
+    """
+    if len(worker.runs) > 1:
+        return False
+    if emptying_s > PLACE_WAIT_S:
+        return True
+    return not any(
+        host.name != worker.info.host and can_hold(task.step, host.labels, host.room)
+        for host in fleet.hosts.values()
+    )
+
+
 def _may_stop(task: Task, run: Run, emptying_s: float, save_s: float, now: float) -> bool:
     if task.step.checkpoints:
         return now - run.confirmed_at > save_s
--- a/src/foxtrestle/scheduling/movable.py
+++ b/src/foxtrestle/scheduling/movable.py
@@ -19,7 +19,12 @@
     """Hosts that a round of decisions may still move; each is handed out once."""
 
     def __init__(
-        self, views: dict[str, HostView], reserve: str, barred: frozenset[str], now: float
+        self,
+        views: dict[str, HostView],
+        reserve: str,
+        barred: frozenset[str],
+        now: float,
+        kept: frozenset[str] = frozenset(),
     ) -> None:
         """Sort the hosts.
 
@@ -28,7 +33,9 @@
             reserve: Name of the pool whose hosts are off; empty if there is none.
             barred: Hosts that must not be moved.
             now: Monotonic time, seconds.
+            kept: Hosts that particular tasks of their pool need.
         """
+        self._kept: dict[str, list[HostView]] = {}
         self._off: deque[HostView] = deque()
         self._leaving: list[HostView] = []
         self._serving: dict[str, list[HostView]] = {}
@@ -36,12 +43,16 @@
             if name in barred:
                 continue
             if view.plan is not None:
-                if _is_leaving(view, reserve):
+                if _is_leaving(view, reserve) and name not in kept:
                     self._leaving.append(view)
             elif reserve and view.pool == reserve:
                 if view.info.state == "up":
                     self._off.append(view)
-            elif _is_free(view, now):
+            elif not _is_free(view, now):
+                continue
+            elif name in kept:
+                self._kept.setdefault(view.pool, []).append(view)
+            else:
                 self._serving.setdefault(view.pool, []).append(view)
         for pool in self._serving.values():
             # The last is handed out first: idle, else the least busy.
@@ -71,6 +82,9 @@
     ) -> HostView | None:
         """Take a host that meets a need: one that is off or leaving, else one that serves.
 
+        If that must be, one of several that another pool keeps for tasks of its own: where hosts of
+        a kind are few, the pool with most use for them would have them all.
+
         Args:
             need: What is needed.
             rich: Pools that have more hosts than they should.
@@ -88,10 +102,15 @@
             for view in chain.from_iterable(self._serving[name] for name in pools)
             if need.is_met_by(view) and (forced or view.is_idle())
         ]
+        held = self._serving
+        if not fitting and forced:
+            held = self._kept
+            several = [name for name in held if name != need.pool and len(held[name]) > 1]
+            fitting = [view for name in several for view in held[name] if need.is_met_by(view)]
         if not fitting:
             return None
         found = min(fitting, key=lambda view: (view.pool not in rich, *_measure_load(view)))
-        self._serving[found.pool].remove(found)
+        held[found.pool].remove(found)
         return found
 
 
--- a/src/foxtrestle/scheduling/scaling.py
+++ b/src/foxtrestle/scheduling/scaling.py
@@ -93,7 +93,7 @@
     """
     targets = share_hosts(needs, count_available(views))
     have = {name: need.have for name, need in needs.items()}
-    movable = MovableHosts(views, reserve, barred | list_kept(fitting, views, now), now)
+    movable = MovableHosts(views, reserve, barred, now, list_kept(fitting, views, now))
     moves = _choose_fitting(fitting, targets, have, movable, views, now)
     lacking = sorted(
         (name for name in needs if have[name] < targets[name]),
--- a/tests/test_host_decisions.py
+++ b/tests/test_host_decisions.py
@@ -18,6 +18,9 @@
 )
 from foxtrestle.scheduling.load import WINDOW_S, PoolLoad, RecentPeak
 from foxtrestle.scheduling.maintaining import (
+    PLACE_WAIT_S,
+    POSTPONE_S,
+    cannot_be_emptied,
     choose_for_wave,
     choose_stops,
     count_absent,
@@ -26,7 +29,7 @@
 from foxtrestle.scheduling.model import HostInfo, RunningTask, Shape, Step, TaskKey, Wave
 from foxtrestle.scheduling.needs import MARGIN, PoolNeed, compute_margin, compute_needs
 from foxtrestle.scheduling.placing import choose_placements
-from foxtrestle.scheduling.runs import confirm_run, place_run
+from foxtrestle.scheduling.runs import confirm_run, drop_run, place_run
 from foxtrestle.scheduling.scaling import (
     choose_drops,
     choose_moves,
@@ -447,10 +450,11 @@
     start_all(fleet)
     worker = fleet.workers["w-main-0"]
 
-    def stops() -> int:
-        return len(choose_stops(fleet, worker, 0.0, 2.0, STOP_S, NOW))
+    def stops(emptying_s: float = 0.0) -> int:
+        return len(choose_stops(fleet, worker, emptying_s, 2.0, STOP_S, NOW))
 
     assert stops() == 0
+    assert stops(PLACE_WAIT_S + 0.1) == 0, "another task of the step would hold the host up"
     beside = add_worker(fleet, "other-kind", labels=("b", "r1"))
     elsewhere = add_worker(fleet, "elsewhere", "side")
     full = add_worker(fleet, "full")
@@ -468,6 +472,38 @@
     assert not elsewhere.runs
 
 
+def test_the_last_lasting_task_of_a_host_is_stopped_if_no_other_can_ever_take_it() -> None:
+    fleet = make_fleet(1)
+    enter(fleet, make_job(Step(lasting=True, label="a")))
+    start_all(fleet)
+    worker = fleet.workers["w-main-0"]
+    assert len(choose_stops(fleet, worker, 0.0, 2.0, STOP_S, NOW)) == 1
+    add_worker(fleet, "elsewhere", "side")
+    assert choose_stops(fleet, worker, 0.0, 2.0, STOP_S, NOW) == [], "that host can be fetched"
+    assert len(choose_stops(fleet, worker, PLACE_WAIT_S + 0.1, 2.0, STOP_S, NOW)) == 1
+
+
+def test_a_host_whose_lasting_tasks_have_no_place_serves_on_for_a_while() -> None:
+    fleet = make_fleet(1)
+    entry = enter(fleet, make_job(Step(count=2, lasting=True, label="a"), id="a" * 16))
+    start_all(fleet)
+    worker = fleet.workers["w-main-0"]
+    assert not cannot_be_emptied(fleet, worker, POSTPONE_S - 0.1, NOW)
+    assert cannot_be_emptied(fleet, worker, POSTPONE_S, NOW)
+    batch = enter(fleet, make_job(Step(), id="b" * 16))
+    place_run(fleet, next(iter(batch.tasks.values())), worker, 1, NOW)
+    assert not cannot_be_emptied(fleet, worker, POSTPONE_S, NOW), "that one ends by itself"
+    drop_run(next(iter(batch.tasks.values())), 1, worker)
+    add_worker(fleet, "beside")
+    assert not cannot_be_emptied(fleet, worker, POSTPONE_S, NOW)
+    assert entry.state == "running"
+    views = view_hosts(fleet)
+    hosts = wave(list(fleet.hosts), 2)
+    spare = {"main": 9.0}
+    chosen = choose_for_wave(hosts, views, spare, 0.0, ["h-w-main-0"])
+    assert [view.info.name for view in chosen] == ["h-beside"]
+
+
 def test_tasks_that_save_progress_are_stopped_at_once_others_later() -> None:
     fleet = make_fleet(1)
     enter(fleet, make_job(Step(checkpoints=True), Step()))
--- a/tests/test_organisation_machine.py
+++ b/tests/test_organisation_machine.py
@@ -82,7 +82,7 @@
         gang=st.booleans(),
     )
     def hand_in(self, key: str, count: int, cpu: int, gang: bool) -> None:
-        found = admit(self.fleet.configuration, Address("h", "/q/x", digest_key(key)))
+        found = self.admit(Address("h", "/q/x", digest_key(key)))
         if key not in self.keys:
             assert found is Denial.UNKNOWN_KEY, "a key that no organisation holds is obeyed"
             return
@@ -93,6 +93,9 @@
         job = make_job(step, id=f"{self.number:016x}", owner=found.organisation, max_attempts=99)
         self.enter(self.fleet, JobEntry(job, 1, NOW))
 
+    def admit(self, address: Address) -> Access | Denial:
+        return admit(self.fleet.configuration, address)
+
     def enter(self, fleet: Fleet, entry: JobEntry) -> None:
         from foxtrestle.scheduling.runs import release_steps
 
@@ -174,19 +177,18 @@
         run_state_machine_as_test(Organisations, settings=SETTINGS)
 
 
-def test_it_finds_a_key_that_is_obeyed_after_it_was_taken_away(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    real = admit
-    known: dict[bytes, str] = {}
+class ForgettingNothing(Organisations):
+    """Obeys every key that any configuration has held."""
+
+    def admit(self, address: Address) -> Access | Denial:
+        configuration = self.fleet.configuration
+        self.known = getattr(self, "known", {}) | configuration.owners
+        return admit(msgspec.structs.replace(configuration, owners=self.known), address)
 
-    def forget_nothing(configuration, address):  # type: ignore[no-untyped-def]
-        known.update(configuration.owners)
-        return real(msgspec.structs.replace(configuration, owners=dict(known)), address)
 
-    monkeypatch.setitem(globals(), "admit", forget_nothing)
+def test_it_finds_a_key_that_is_obeyed_after_it_was_taken_away() -> None:
     with pytest.raises(AssertionError, match="is obeyed"):
-        run_state_machine_as_test(Organisations, settings=SETTINGS)
+        run_state_machine_as_test(ForgettingNothing, settings=SETTINGS)
 
 
 def test_it_finds_runs_that_a_takeover_forgets(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -192,6 +192,27 @@
     assert coming(NOW + FORCE_S + 0.3) == [], "one at a time"
 
 
+def test_few_hosts_of_a_kind_are_shared_by_the_pools_that_need_them() -> None:
+    """One pool has use for all hosts with the label; the other has jobs that no host of its own
+    can run, though they stand idle."""
+    fleet = make_fleet(2, ("main", "side"))
+    for number in range(3):
+        kept = add_worker(fleet, f"kept-{number}", "side", labels=("b", "r2"))
+        kept.used = Shape(10_000, 100)
+    count = 3 * ROOM.cpu // 8000
+    step = Step(count=count, label="b", shape=Shape(8000, 100))
+    enter(fleet, make_job(step, id="a" * 16, pool="side"))
+    enter(fleet, make_job(Step(count=2, gang=True, label="b"), id="b" * 16))
+    needs = {"main": PoolNeed(2.0, 2, 2), "side": PoolNeed(5.0, 5, 5)}
+    first = choose(fleet, NOW, needs)[0]
+    assert first.pool == "main"
+    assert first.host.startswith("h-kept")
+    for number in range(1, 3):
+        fleet.workers.pop(f"kept-{number}")
+        fleet.hosts.pop(f"h-kept-{number}")
+    assert not [move for move in choose(fleet, NOW, needs) if move.pool == "main"], "its only one"
+
+
 def test_a_lasting_task_with_a_label_on_a_host_that_is_emptied_waits_for_another() -> None:
     fleet = make_fleet(1)
     worker = add_worker(fleet, "special", labels=("b", "r2"))
