Give a host that was never listed the time of one that is not listed any more

A wave named a host that had come 0.3 s before; its worker was known, the list lags by 0.8 s, and the controller was 14 s old, so the host counted as removed at once and the wave was said to be completed without it. Test: fails without the change.

--- a/src/foxtrestle/control/host_list.py
+++ b/src/foxtrestle/control/host_list.py
@@ -51,8 +51,12 @@
         self._since = time.monotonic()
 
     def is_missing(self, host: str, now: float) -> bool:
-        """Tell whether a host has not been listed for long."""
-        return now - max(self._seen_at.get(host, 0.0), self._since) > MISSING_S
+        """Tell whether a host has not been listed for long.
+
+        One that never was may be new, and the list lags: its time begins with the first question.
+        """
+        seen_at = self._seen_at.setdefault(host, now)
+        return now - max(seen_at, self._since) > MISSING_S
 
     async def run(self) -> None:
         """Follow the list until cancelled."""
