--- a/src/foxtrestle/control/ownership.py
+++ b/src/foxtrestle/control/ownership.py
@@ -298,6 +298,10 @@
         outage = Outage("store", "renewal")
         failures = 0
         while term.may_hold():
+            if term.closing:
+                # What is not given up in time runs out by itself.
+                await asyncio.sleep(RENEW_S)
+                continue
             sent_at = time.monotonic()
             try:
                 kept = await self._store.keep_alive(
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -93,3 +93,33 @@
     await asyncio.wait_for(ownership.close(), 5.0)
     assert term.lost.is_set()
     assert not store.released
+
+
+async def test_a_lock_that_is_being_given_up_is_not_renewed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A store that refuses this node's writes and takes its renewals must not keep others out."""
+    monkeypatch.setattr("foxtrestle.control.ownership.RENEW_S", 0.001)
+    renewed = asyncio.Event()
+
+    class Renewing(AwayStore):
+        renewals = 0
+
+        async def keep_alive(self, lease: int, **options: object) -> bool:
+            self.renewals += 1
+            renewed.set()
+            return True
+
+    store = Renewing()
+    ownership, term = build(store)
+    ownership._lease = 1
+    renewing = asyncio.create_task(ownership._renew(term))
+    await renewed.wait()
+    term.closing = True
+    # A renewal that is under way may still be counted.
+    await asyncio.sleep(0.05)
+    before = store.renewals
+    await asyncio.sleep(0.05)
+    assert store.renewals == before
+    assert not renewing.done()
+    renewing.cancel()
