--- a/src/foxtrestle/scheduling/partitions.py
+++ b/src/foxtrestle/scheduling/partitions.py
@@ -20,9 +20,12 @@
 if TYPE_CHECKING:
     from foxtrestle.scheduling.model import FleetConfiguration, Organisation
 
+UNDIVIDED_HOSTS: Final = 600
+"""Hosts up to which a fleet is not divided: one controller carries 542 with a third of a fit node's
+processor, and falls behind at 999. Divided in two, such a fleet has its free room in two places."""
 HOSTS_PER_PARTITION: Final = 400
-"""Hosts that one controller carries: at 349 it takes less than a fifth of a fit node's processor
-and serves all that the fleet has room for."""
+"""Hosts of a partition of a larger fleet, about: well below what one controller carries, as they
+are spread by checksum and the fleet may grow."""
 
 
 class Partition(msgspec.Struct, frozen=True):
@@ -49,7 +52,7 @@
 
 def count_partitions(hosts: int) -> int:
     """Return into how many partitions a fleet is divided."""
-    return max(1, ceil(hosts / HOSTS_PER_PARTITION))
+    return 1 if hosts <= UNDIVIDED_HOSTS else ceil(hosts / HOSTS_PER_PARTITION)
 
 
 def share_configuration(
