Draw property tests from fixed seeds; list gangs that wait for good as red

Change: the test command draws all property tests and state machines from fixed seeds, with as many examples as before (60, 40, 60, 120, 150, and 100 where none is told). `make explore` plays the same 22 tests with fresh seeds and 20 times the examples.

--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,10 @@
 EXAMPLE ?= receita-continua
 
 SEED ?= 1
+EXAMPLES ?= 20
 SECONDS ?= 60
 
-.PHONY: try test lint bench soak clean
+.PHONY: try test explore lint bench soak clean
 
 $(VENV)/ready: requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -21,6 +22,9 @@
 test: $(VENV)/ready
 	$(BIN)/python -m pytest
 
+explore: $(VENV)/ready
+	FOXTRESTLE_EXAMPLES=$(EXAMPLES) $(BIN)/python -m pytest -m hypothesis --hypothesis-profile=fresh
+
 lint: $(VENV)/ready
 	$(BIN)/ruff format --check src tests benches soak
 	$(BIN)/ruff check src tests benches soak
--- a/tests/test_assignment.py
+++ b/tests/test_assignment.py
@@ -21,6 +21,7 @@
 from foxtrestle.records import FleetRecord
 from foxtrestle.waves import advance_waves
 from tests.fakes import LARGE, make_declaration, make_fleet, make_pool
+from tests.properties import scale
 
 
 def fill(fleet):
@@ -221,6 +222,4 @@
 
 
 TestFleetMachine = FleetMachine.TestCase
-TestFleetMachine.settings = settings(
-    max_examples=40, stateful_step_count=25, deadline=None, derandomize=True
-)
+TestFleetMachine.settings = settings(max_examples=scale(40), stateful_step_count=25, deadline=None)
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -26,6 +26,7 @@
 )
 from foxtrestle.scheduling.state import Fleet, JobEntry
 from foxtrestle.standins.worker import Refused, SimulatedWorker
+from tests.properties import scale
 from tests.scheduling_fakes import make_configuration, make_job
 
 WORKERS = ("w0", "w1", "w2")
@@ -308,4 +309,4 @@
 
 
 TestControl = ControlMachine.TestCase
-TestControl.settings = settings(max_examples=120, stateful_step_count=40, deadline=None)
+TestControl.settings = settings(max_examples=scale(120), stateful_step_count=40, deadline=None)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -31,6 +31,7 @@
 from foxtrestle.standins.keyvalue import DirectStore, Engine
 from foxtrestle.store import Record, StoreError, Swap
 from foxtrestle.upstream import Request
+from tests.properties import scale
 
 KEYS = 5
 
@@ -467,5 +468,5 @@
 
 TestOperationMachine = OperationMachine.TestCase
 TestOperationMachine.settings = settings(
-    max_examples=60, stateful_step_count=25, deadline=None, derandomize=True
+    max_examples=scale(60), stateful_step_count=25, deadline=None
 )
--- a/tests/test_organisation_machine.py
+++ b/tests/test_organisation_machine.py
@@ -21,6 +21,7 @@
 from foxtrestle.scheduling.quotas import Quotas
 from foxtrestle.scheduling.runs import add_job, place_run, record_end
 from foxtrestle.scheduling.state import Fleet, JobEntry
+from tests.properties import scale
 from tests.scheduling_fakes import NOW, add_worker, end, make_configuration, make_job
 
 if TYPE_CHECKING:
@@ -153,8 +154,9 @@
         assert all(entry.job.owner in ORGANISATIONS for entry in self.fleet.jobs.values())
 
 
+pytestmark = pytest.mark.hypothesis
 SETTINGS = settings(
-    max_examples=150,
+    max_examples=scale(150),
     stateful_step_count=20,
     deadline=None,
     suppress_health_check=list(HealthCheck),
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from foxtrestle.events import Clock, Timeline, Timestamp
@@ -17,7 +17,6 @@
 SHARDS = [f"s{number}" for number in range(10)]
 
 
-@settings(derandomize=True)
 @given(st.lists(st.sampled_from("abcdef"), min_size=1, unique=True), st.data())
 def test_every_free_shard_has_exactly_one_taker(members: list[str], data: st.DataObject) -> None:
     holders = {
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import hypothesis.strategies as st
+import pytest
 from hypothesis import given, settings
 
 from foxtrestle.scheduling.eligibility import SUSPECT_S, can_hold, is_suspect
@@ -20,6 +21,7 @@
 from foxtrestle.scheduling.runs import place_run, record_end
 from foxtrestle.scheduling.scaling import HostMove, choose_drops, choose_moves
 from foxtrestle.scheduling.state import Fleet, JobEntry
+from tests.properties import scale
 from tests.scheduling_fakes import (
     NOW,
     ROOM,
@@ -32,6 +34,9 @@
 )
 
 SMALL = Shape(1000, 100)
+MIDDLE = Shape(20_000, 100)
+BIG = Shape(48_000, 100)
+LARGE_ROOM = Shape(64_000, 262_144)
 LEAD_S = 1.9
 
 
@@ -306,7 +311,7 @@
     st.tuples(
         st.sampled_from(("main", "main", "side", "off")),
         st.sampled_from(("a", "a", "b")),
-        st.sampled_from((ROOM, ROOM, Shape(64_000, 262_144))),
+        st.sampled_from((ROOM, ROOM, LARGE_ROOM)),
         st.booleans(),
     ),
     min_size=2,
@@ -315,7 +320,7 @@
 steps_strategy = st.builds(
     Step,
     count=st.integers(1, 5),
-    shape=st.sampled_from((SMALL, Shape(20_000, 100), Shape(48_000, 100))),
+    shape=st.sampled_from((SMALL, MIDDLE, BIG)),
     label=st.sampled_from(("", "", "a", "b")),
     gang=st.sampled_from((False, False, True)),
     max_per_worker=st.sampled_from((0, 0, 1)),
@@ -404,13 +409,73 @@
     return sum(places[:-1]) >= step.count
 
 
-@settings(max_examples=60, deadline=None)
-@given(hosts_strategy, st.lists(steps_strategy, min_size=1, max_size=3))
-def test_every_task_that_some_host_could_run_is_started_in_time(
-    hosts: list, steps: list[Step]
-) -> None:
+def check_waits(hosts: list, steps: list[Step]) -> None:
+    """Play a fleet with a step a pool in turn, and compare the worst wait with the bound."""
     fleet = build(hosts, [])
     steps = [step for step in steps if could_run(fleet, step)]
     fleet = build(hosts, steps)
     one_by_one_s = 2.0 * sum(step.count for step in steps)
     assert play(fleet, 60.0) <= BOUND_S + one_by_one_s
+
+
+def in_main(*rooms: Shape) -> list:
+    return [("main", "a", room, False) for room in rooms]
+
+
+TABLE_HOSTS = in_main(*[LARGE_ROOM] * 4, ROOM)
+APART = {"count": 2, "label": "a", "gang": True, "max_per_worker": 1}
+
+
+@pytest.mark.parametrize(
+    ("hosts", "steps"),
+    [
+        (TABLE_HOSTS, [Step(count=2, shape=BIG), Step(count=3, shape=BIG, gang=True)]),
+        (TABLE_HOSTS, [Step(count=3, shape=BIG, gang=True), Step(count=2, shape=BIG)]),
+        (
+            in_main(*[ROOM] * 4),
+            [Step(shape=SMALL, **APART), Step(shape=SMALL, **{**APART, "count": 3})],
+        ),
+        (
+            [
+                *in_main(LARGE_ROOM),
+                *[("side", "a", LARGE_ROOM, False)] * 2,
+                *in_main(ROOM, ROOM),
+            ],
+            [Step(count=2, shape=BIG, gang=True)],
+        ),
+        (
+            in_main(*[ROOM] * 5),
+            [Step(count=3, shape=MIDDLE, gang=True), Step(count=4, shape=MIDDLE, gang=True)],
+        ),
+        (
+            in_main(*[LARGE_ROOM] * 3, *[ROOM] * 3, LARGE_ROOM),
+            [Step(shape=SMALL), Step(count=3, shape=BIG, gang=True), Step(count=2, shape=MIDDLE)],
+        ),
+        (
+            in_main(*[ROOM] * 4),
+            [Step(count=3, shape=MIDDLE, gang=True), Step(count=3, shape=MIDDLE, gang=True)],
+        ),
+        (
+            in_main(*[ROOM] * 5),
+            [
+                Step(count=4, shape=MIDDLE, label="a", gang=True),
+                Step(count=2, shape=MIDDLE, label="a", gang=True),
+            ],
+        ),
+    ],
+)
+def test_gangs_of_two_pools_do_not_keep_each_other_waiting(hosts: list, steps: list[Step]) -> None:
+    """Seen: a gang and tasks of another pool that each need most of the hosts never start.
+
+    Each pool keeps or gets part of what it needs and gives nothing up; either alone starts within
+    2 s. Cause, not proved yet: hold and wait between pools.
+    """
+    check_waits(hosts, steps)
+
+
+@settings(max_examples=scale(60), deadline=None)
+@given(hosts_strategy, st.lists(steps_strategy, min_size=1, max_size=3))
+def test_every_task_that_some_host_could_run_is_started_in_time(
+    hosts: list, steps: list[Step]
+) -> None:
+    check_waits(hosts, steps)
