Tell which runs are lost with a worker, how long they had run and whether it crashed

Now run.lost for each run, with its age when the worker fell silent and how many went together; whether the worker had said that it leaves before it fell silent; a counter of losses by reason.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -80,7 +80,9 @@
         self._operators = operators
         self._started_at = time.monotonic()
         self._ledger = Ledger(store, self.fleet, term, self._measures)
-        self._roster = Roster(self.fleet, term.partition, self._hold, self._note_loss)
+        self._roster = Roster(
+            self.fleet, term.partition, self._hold, self._note_loss, self._measures
+        )
         self._orders = Orders(self.fleet, term, workers, self.wake, self._roster.lose)
         self._hosts = HostOrders(
             self.fleet,
--- a/src/foxtrestle/control/host_ordering.py
+++ b/src/foxtrestle/control/host_ordering.py
@@ -11,6 +11,7 @@
 from foxtrestle.control.spawn import Spawner
 from foxtrestle.platform.hosts import HostRefused
 from foxtrestle.platform.http import CallError
+from foxtrestle.scheduling.losses import LossReason
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,7 +39,7 @@
         calls: HostCalls,
         records: OrderRecords,
         waves: WaveRecords,
-        lose_worker: Callable[[Worker, str], None],
+        lose_worker: Callable[[Worker, LossReason], None],
     ) -> None:
         """Create an ordering for one term.
 
@@ -96,7 +97,7 @@
         plan.move("accepted", now)
         worker = self._fleet.workers.get(plan.old_worker)
         if worker is not None:
-            self._lose_worker(worker, "its host was ordered away")
+            self._lose_worker(worker, LossReason.ORDERED_AWAY)
         if plan.wave:
             entry = self._fleet.waves[plan.wave]
             entry.done.add(plan.host)
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -44,6 +44,7 @@
     from foxtrestle.platform.store import PlatformStore
     from foxtrestle.scheduling.fitting import FittingNeed
     from foxtrestle.scheduling.hosts import HostView
+    from foxtrestle.scheduling.losses import LossReason
     from foxtrestle.scheduling.model import Wave
     from foxtrestle.scheduling.needs import PoolNeed
     from foxtrestle.scheduling.state import Fleet, Worker
@@ -70,7 +71,7 @@
         operators: OperatorMirror,
         orders: Orders,
         wake: Callable[[], None],
-        lose_worker: Callable[[Worker, str], None],
+        lose_worker: Callable[[Worker, LossReason], None],
     ) -> None:
         """Create the part of a controller that orders hosts."""
         self.loads = PoolLoads(fleet, settings.bounds.move_s)
--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -12,6 +12,7 @@
 from foxtrestle.platform.http import CallError
 from foxtrestle.platform.workers import OrderRefused, OtherLife
 from foxtrestle.scheduling.eligibility import HOLD_WAIT_S, is_suspect
+from foxtrestle.scheduling.losses import LossReason
 from foxtrestle.scheduling.pacing import choose_paces
 from foxtrestle.scheduling.runs import confirm_listing, drop_run, record_end, requeue
 
@@ -35,8 +36,6 @@
 its time-out, so that a single lost answer changes nothing."""
 RECORD_WAIT_S: Final = 1.0
 """Seconds to wait for ends to be recorded before the lease is extended again."""
-LAPSED: Final = "lease lapsed"
-"""Reason for giving up a worker that may come back, unlike one whose life is over."""
 MAX_ENDS: Final = 500
 """Ends that a worker lists at once; set by the platform."""
 RESTOP_S: Final = 1.0
@@ -74,7 +73,7 @@
         ledger: Ledger,
         orders: Orders,
         wake: Callable[[], None],
-        lose_worker: Callable[[Worker, str], None],
+        lose_worker: Callable[[Worker, LossReason], None],
         pace_s: float,
         measures: Measures,
     ) -> None:
@@ -90,7 +89,6 @@
         self._pace_s = pace_s
         self._measures = measures
         self._unrecorded = False
-        self._silent = False
         self._stopped_at: dict[tuple[TaskKey, int], float] = {}
         self._background = Spawner()
 
@@ -102,7 +100,7 @@
             try:
                 report = await self._hold(sent_at)
             except OtherLife:
-                self._lose_worker(worker, "another life at its address")
+                self._lose_worker(worker, LossReason.OTHER_LIFE)
                 return
             except OrderRefused as refusal:
                 if refusal.refusal == "fence":
@@ -141,21 +139,21 @@
         """
         worker = self._worker
         now = time.monotonic()
-        if not self._silent:
-            self._silent = True
-            log("worker.silent", worker=worker.info.id, reason=error.reason)
+        if not worker.silent_at:
+            worker.note_silence(now)
+            log("worker.silent", worker=worker.info.id, leaving=worker.leaving,
+                runs=len(worker.runs), reason=error.reason)  # fmt: skip
         if worker.lapse_at and now > worker.lapse_at:
-            self._lose_worker(worker, LAPSED)
+            self._lose_worker(worker, LossReason.LAPSED)
             return worker.gone
         return False
 
     async def _take(self, report: WorkerReport, sent_at: float) -> None:
         worker = self._worker
         now = time.monotonic()
-        if self._silent:
-            self._silent = False
+        if worker.silent_at:
             log("worker.answers", worker=worker.info.id)
-        worker.contact_at = now
+        worker.note_answer(now)
         worker.clock_offset_ms = report.clock_ms - now * 1000
         jobs: set[str] = set()
         stops: list[StopOrder] = []
--- a/src/foxtrestle/control/measures.py
+++ b/src/foxtrestle/control/measures.py
@@ -27,6 +27,9 @@
         self._rounds = self._histogram("round_seconds", "Rounds of a controller's decisions.")
         self._lags = self._histogram("loop_lag_seconds", "Lags of the event loop.")
         self._ends = Counter("foxtrestle_run_ends", "Ends of runs.", registry=self._registry)
+        self._losses = Counter(
+            "foxtrestle_run_losses", "Runs that went with their worker.", registry=self._registry
+        )
         self._refusals = Counter(
             "foxtrestle_violations", "Acts stopped by a check.", registry=self._registry
         )
@@ -59,6 +62,10 @@
         """Count a run's end."""
         self._ends.inc({"how": kind})
 
+    def note_loss(self, reason: str, *, crashed: bool) -> None:
+        """Count a run that went with its worker."""
+        self._losses.inc({"reason": reason, "crashed": str(crashed).lower()})
+
     def note_violation(self, promise: str) -> None:
         """Count an act that a check stopped."""
         self._refusals.inc({"promise": promise})
--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -9,6 +9,7 @@
 from foxtrestle.control.spawn import Spawner
 from foxtrestle.platform.http import CallError, MalformedAnswer, NoAnswer
 from foxtrestle.platform.workers import OrderRefused, OtherLife
+from foxtrestle.scheduling.losses import LossReason
 from foxtrestle.scheduling.model import StartOrder
 from foxtrestle.scheduling.runs import drop_run, requeue
 
@@ -58,7 +59,7 @@
         term: Term,
         calls: WorkerCalls,
         wake: Callable[[], None],
-        lose_worker: Callable[[Worker, str], None],
+        lose_worker: Callable[[Worker, LossReason], None],
     ) -> None:
         """Create a sender for one term.
 
@@ -108,7 +109,7 @@
                 if self._take_refusal(task, run, worker, refusal, sent=sent):
                     return
             except OtherLife:
-                self._lose_worker(worker, "another life at its address")
+                self._lose_worker(worker, LossReason.OTHER_LIFE)
                 return
             except (NoAnswer, MalformedAnswer) as error:
                 sent = True
@@ -229,7 +230,7 @@
                     return False
                 return refusal.refusal == "old"
             except OtherLife:
-                self._lose_worker(worker, "another life at its address")
+                self._lose_worker(worker, LossReason.OTHER_LIFE)
                 return False
             except CallError as error:
                 log("stop.unanswered", worker=worker.info.id, run=number, reason=error.reason)
--- a/src/foxtrestle/control/roster.py
+++ b/src/foxtrestle/control/roster.py
@@ -7,12 +7,12 @@
 from typing import TYPE_CHECKING, Final
 
 from foxtrestle.control.following import list_as_changes
-from foxtrestle.control.link import LAPSED
 from foxtrestle.control.log import log, log_failure
 from foxtrestle.control.orders import CLOCK_DRIFT, HOLD_S, LAPSE_MARGIN_S
 from foxtrestle.control.ownership import GRACE_WITHOUT_STORE_S, LEASE_S
 from foxtrestle.platform.workers import ENTRIES, CallError, decode_worker
 from foxtrestle.scheduling.hosts import find_dead
+from foxtrestle.scheduling.losses import LossReason, is_crash
 from foxtrestle.scheduling.model import Shape, WorkerInfo
 from foxtrestle.scheduling.runs import release_worker
 from foxtrestle.scheduling.state import Worker
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
+    from foxtrestle.control.measures import Measures
     from foxtrestle.scheduling.partitions import Partition
     from foxtrestle.scheduling.state import Fleet
     from foxtrestle.store import Listing, Record
@@ -39,6 +40,7 @@
         partition: Partition,
         hold: Callable[[Worker], Coroutine[None, None, None]],
         note_loss: Callable[[], None],
+        measures: Measures,
     ) -> None:
         """Create a roster without workers.
 
@@ -47,6 +49,7 @@
             partition: Hosts whose workers these are.
             hold: Holds a worker's lease until its life or the term is over.
             note_loss: Called after a worker was given up.
+            measures: Where lost runs are counted.
         """
         self.links: dict[str, asyncio.Task[None]] = {}
         """Tasks that hold leases, by worker."""
@@ -54,6 +57,7 @@
         self._partition = partition
         self._hold = hold
         self._note_loss = note_loss
+        self._measures = measures
         self._ended_lives: set[str] = set()
         self._started_at = time.monotonic()
 
@@ -138,14 +142,19 @@
         task.add_done_callback(log_failure)
         self.links[worker.info.id] = task
 
-    def lose(self, worker: Worker, why: str) -> None:
+    def lose(self, worker: Worker, reason: LossReason) -> None:
         """Give up what was placed on a worker whose life or lease is certainly over."""
-        freed = release_worker(self._fleet, worker, time.monotonic())
+        now = time.monotonic()
+        worker.note_silence(now)
+        crashed = is_crash(self._fleet, worker, reason)
+        self._tell_lost_runs(worker, reason, crashed=crashed)
+        freed = release_worker(self._fleet, worker, now)
         worker.known = False
-        log("worker.released", worker=worker.info.id, reason=why, runs=freed)
-        if why != LAPSED:
+        log("worker.released", worker=worker.info.id, host=worker.info.host, reason=reason,
+            crashed=crashed, leaving=worker.leaving, runs=freed)  # fmt: skip
+        if reason != LossReason.LAPSED:
             self._ended_lives.add(worker.info.id)
-        if worker.gone or why != LAPSED:
+        if worker.gone or reason != LossReason.LAPSED:
             worker.gone = True
             self._fleet.workers.pop(worker.info.id, None)
             link = self.links.pop(worker.info.id, None)
@@ -158,6 +167,16 @@
         """Give up workers without a link whose lease has lapsed, and those whose host is over."""
         for worker in list(self._fleet.workers.values()):
             if worker.gone and now > worker.lapse_at and worker.info.id not in self.links:
-                self.lose(worker, LAPSED)
-        for worker, why in find_dead(self._fleet, now):
-            self.lose(worker, why)
+                self.lose(worker, LossReason.LAPSED)
+        for worker, reason in find_dead(self._fleet, now):
+            self.lose(worker, reason)
+
+    def _tell_lost_runs(self, worker: Worker, reason: LossReason, *, crashed: bool) -> None:
+        """Tell which runs go with a worker, and how long each had run when it fell silent."""
+        runs = list(self._fleet.list_runs(worker.info.id))
+        for key, run in runs:
+            lived_s = worker.silent_at - run.confirmed_at if run.confirmed_at else 0.0
+            log("run.lost", job=key.job, rep=key.repetition, step=key.step, index=key.number,
+                run=run.number, worker=worker.info.id, reason=reason, crashed=crashed,
+                state=run.state, lived_s=round(lived_s, 3), together=len(runs))  # fmt: skip
+            self._measures.note_loss(reason, crashed=crashed)
--- a/src/foxtrestle/explain.py
+++ b/src/foxtrestle/explain.py
@@ -39,6 +39,8 @@
     "run.placed": "step {step} task {index}: run {run} placed on {worker} after {waited_s} s",
     "run.ended": "step {step} task {index}: run {run} ended {how} on {worker}",
     "run.absent": "step {step} task {index}: run {run} is not on {worker} any more",
+    "run.lost": "step {step} task {index}: run {run} went with {worker} after {lived_s} s"
+    " ({reason}, crashed: {crashed}, {together} runs together)",
     "run.evacuated": "step {step} task {index}: run {run} stopped for wave {wave}",
     "start.refused": "step {step} task {index}: {worker} refused run {run}: {reason}",
     "start.unanswered": "a start on {worker} had no answer ({reason})",
--- a/src/foxtrestle/scheduling/hosts.py
+++ b/src/foxtrestle/scheduling/hosts.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from foxtrestle.chart import load_chart
+from foxtrestle.scheduling.losses import LossReason
 
 if TYPE_CHECKING:
     from foxtrestle.scheduling.model import HostInfo
@@ -82,7 +83,7 @@
     )
 
 
-def find_dead(fleet: Fleet, now: float) -> list[tuple[Worker, str]]:
+def find_dead(fleet: Fleet, now: float) -> list[tuple[Worker, LossReason]]:
     """Find workers that are certainly over because of what became of their hosts.
 
     The list lags, so it says nothing of a worker that answers, or that was first seen lately.
@@ -103,18 +104,18 @@
     return dead
 
 
-def _find_end(fleet: Fleet, worker: Worker) -> str:
-    """Return why a silent worker is over; empty if it may not be."""
+def _find_end(fleet: Fleet, worker: Worker) -> LossReason | None:
+    """Return why a silent worker is over; None if it may not be."""
     name = worker.info.host
     host = fleet.hosts.get(name)
     if host is None:
         # Missing once may be a page that was read while the list changed.
-        return "" if name in (fleet.hosts_before or ()) else "its host is gone"
+        return None if name in (fleet.hosts_before or ()) else LossReason.HOST_GONE
     if host.state != "up":
-        return f"its host is {host.state}"
+        return LossReason(f"its host is {host.state}")
     if host.worker and host.worker != worker.info.id:
-        return "its host has a new worker"
-    return ""
+        return LossReason.NEW_WORKER
+    return None
 
 
 def view_hosts(fleet: Fleet) -> dict[str, HostView]:
--- /dev/null
+++ b/src/foxtrestle/scheduling/losses.py
@@ -0,0 +1,39 @@
+"""Workers that are over: how that is known, and whether they crashed."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from foxtrestle.scheduling.state import Fleet, Worker
+
+
+class LossReason(StrEnum):
+    """How it is known that nothing of what was placed on a worker runs any more."""
+
+    LAPSED = "lease lapsed"
+    """It may come back, unlike the others."""
+    ORDERED_AWAY = "its host was ordered away"
+    OTHER_LIFE = "another life at its address"
+    NEW_WORKER = "its host has a new worker"
+    HOST_DOWN = "its host is down"
+    HOST_MOVING = "its host is moving"
+    HOST_MAINTAINED = "its host is upkeep"
+    HOST_GONE = "its host is gone"
+
+
+CRASHES: Final = frozenset({LossReason.OTHER_LIFE, LossReason.NEW_WORKER, LossReason.HOST_DOWN})
+"""What shows a crash, unless the worker was about to leave. A lapsed lease does not: the worker may
+be cut off and live. A host that is gone was taken away."""
+
+
+def is_crash(fleet: Fleet, worker: Worker, reason: LossReason) -> bool:
+    """Tell whether a worker has certainly crashed, rather than left or gone by an order.
+
+    One that leaves says so, or its entry goes first; after a crash the entry stays for some
+    seconds. Of a worker that this controller has only read of in records, nothing is known.
+    """
+    plan = fleet.plans.get(worker.info.host)
+    ordered = plan is not None and plan.state == "changing"
+    return reason in CRASHES and not worker.leaving and not ordered
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -196,9 +196,11 @@
         "lapse_at",
         "lasting",
         "lasting_used",
+        "leaving",
         "revision",
         "runs",
         "seen_end",
+        "silent_at",
         "successes",
         "unknown_runs",
         "used",
@@ -231,6 +233,10 @@
         """Whether its host is being emptied."""
         self.contact_at = -1e9
         """Monotonic time of its last answer, seconds."""
+        self.silent_at = 0.0
+        """Monotonic time of the first call without an answer since then, seconds; 0 for none."""
+        self.leaving = False
+        """Whether it had said that it leaves, or its entry had gone, before it fell silent."""
         self.first_seen = now
         """Monotonic time at which it was first seen, seconds."""
         self.lapse_at = 0.0
@@ -250,6 +256,17 @@
         self.seen_end = 0
         """Newest end taken in, recorded or not."""
 
+    def note_answer(self, now: float) -> None:
+        """Note that it answers."""
+        self.contact_at = now
+        self.silent_at = 0.0
+
+    def note_silence(self, now: float) -> None:
+        """Note that a call had no answer; what is known at the first tells a crash from leaving."""
+        if not self.silent_at:
+            self.silent_at = now
+            self.leaving = self.gone or self.info.draining
+
     def fits(self, shape: Shape, *, fills: bool) -> bool:
         """Tell whether there is room for a task."""
         room, used = self.info.room, self.used
