Give up tasks that crash their workers, and keep apart those that may

Cause: only ends that a worker lists counted against a task. A crash lists none: release_worker put all runs back at once, in the same order and together, so that the next worker got the same seven tasks. Class: a run that ends without a listed end counted against nothing.

Change: a crash is told from leaving, orders and cuts (scheduling/losses.py) and counted for each task that ran there (scheduling/crashes.py); the counts are recorded with the job's progress before its next start. Those that may have caused it are on probation: apart from other jobs, on a worker that gets nothing else, until a run has lived twice as long as at the crash. Given up after the second crash if that can have no other cause, after the third accusation or the fourth crash at the latest; check_start knows it too. A worker whose connection broke gets nothing until it answers, and is asked at once.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -50,6 +50,7 @@
     from foxtrestle.platform.workers import WorkerCalls
     from foxtrestle.scheduling.model import FleetConfiguration
     from foxtrestle.scheduling.placing import Placement
+    from foxtrestle.scheduling.runs import StopOrder
     from foxtrestle.store import Change, Listing, Record
 
 
@@ -270,7 +271,9 @@
         )  # fmt: skip
         await link.run()
 
-    def _note_loss(self) -> None:
+    def _note_loss(self, stops: list[StopOrder]) -> None:
+        for stop in stops:
+            self._background.spawn(self._orders.stop(stop))
         self._ledger.wake()
         self.wake()
 
--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -9,8 +9,9 @@
 from foxtrestle.control.log import log
 from foxtrestle.control.orders import compute_expiry_ms, compute_lapse
 from foxtrestle.control.spawn import Spawner
-from foxtrestle.platform.http import CallError
+from foxtrestle.platform.http import CallError, is_cut_off
 from foxtrestle.platform.workers import OrderRefused, OtherLife
+from foxtrestle.scheduling.crashes import PROBATION_S
 from foxtrestle.scheduling.eligibility import HOLD_WAIT_S, is_suspect
 from foxtrestle.scheduling.losses import LossReason
 from foxtrestle.scheduling.pacing import choose_paces
@@ -118,7 +119,9 @@
     async def _hold(self, sent_at: float) -> WorkerReport:
         worker = self._worker
         fresh = sent_at - worker.contact_at < HOLD_WAIT_S * 2
-        wait_ms = int(HOLD_WAIT_S * 1000) if worker.known and fresh and not self._unrecorded else 0
+        wait_s = PROBATION_S if worker.trials else HOLD_WAIT_S
+        settled = worker.known and worker.silence is None and not self._unrecorded
+        wait_ms = int(wait_s * 1000) if settled and fresh else 0
         expires_ms = None
         if worker.known and sent_at - worker.contact_at < EXTEND_SILENCE_S:
             expires_ms = compute_expiry_ms(worker, sent_at)
@@ -139,10 +142,9 @@
         """
         worker = self._worker
         now = time.monotonic()
-        if not worker.silent_at:
-            worker.note_silence(now)
-            log("worker.silent", worker=worker.info.id, leaving=worker.leaving,
-                runs=len(worker.runs), reason=error.reason)  # fmt: skip
+        if worker.silence is None:
+            worker.note_silence(now, cut_off=is_cut_off(error))
+            log("worker.silent", worker=worker.info.id, runs=len(worker.runs), reason=error.reason)
         if worker.lapse_at and now > worker.lapse_at:
             self._lose_worker(worker, LossReason.LAPSED)
             return worker.gone
@@ -151,7 +153,7 @@
     async def _take(self, report: WorkerReport, sent_at: float) -> None:
         worker = self._worker
         now = time.monotonic()
-        if worker.silent_at:
+        if worker.silence is not None:
             log("worker.answers", worker=worker.info.id)
         worker.note_answer(now)
         worker.clock_offset_ms = report.clock_ms - now * 1000
--- a/src/foxtrestle/control/measures.py
+++ b/src/foxtrestle/control/measures.py
@@ -30,6 +30,9 @@
         self._losses = Counter(
             "foxtrestle_run_losses", "Runs that went with their worker.", registry=self._registry
         )
+        self._given_up = Counter(
+            "foxtrestle_tasks_given_up", "Tasks that crash workers.", registry=self._registry
+        )
         self._refusals = Counter(
             "foxtrestle_violations", "Acts stopped by a check.", registry=self._registry
         )
@@ -66,6 +69,10 @@
         """Count a run that went with its worker."""
         self._losses.inc({"reason": reason, "crashed": str(crashed).lower()})
 
+    def note_given_up(self, pool: str) -> None:
+        """Count a task that is not started again because it crashes its workers."""
+        self._given_up.inc({"pool": pool})
+
     def note_violation(self, promise: str) -> None:
         """Count an act that a check stopped."""
         self._refusals.inc({"promise": promise})
--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -101,6 +101,7 @@
                 return
             now = time.monotonic()
             worker.lapse_at = max(worker.lapse_at, compute_lapse(now))
+            run.sent_at = run.sent_at or now
             try:
                 await self._calls.start(
                     worker.info, order, compute_expiry_ms(worker, now), CALL_TIMEOUT_S
@@ -119,6 +120,7 @@
                 log("start.failed", job=task.key.job, worker=worker.info.id, reason=error.reason)
             else:
                 self._confirm(run)
+                worker.alive_at = run.confirmed_at
                 return
         await self._give_up(task, run, worker, sent=sent)
 
--- a/src/foxtrestle/control/roster.py
+++ b/src/foxtrestle/control/roster.py
@@ -23,6 +23,7 @@
 
     from foxtrestle.control.measures import Measures
     from foxtrestle.scheduling.partitions import Partition
+    from foxtrestle.scheduling.runs import Release, StopOrder
     from foxtrestle.scheduling.state import Fleet
     from foxtrestle.store import Listing, Record
 
@@ -39,7 +40,7 @@
         fleet: Fleet,
         partition: Partition,
         hold: Callable[[Worker], Coroutine[None, None, None]],
-        note_loss: Callable[[], None],
+        note_loss: Callable[[list[StopOrder]], None],
         measures: Measures,
     ) -> None:
         """Create a roster without workers.
@@ -48,7 +49,7 @@
             fleet: The state whose workers it keeps.
             partition: Hosts whose workers these are.
             hold: Holds a worker's lease until its life or the term is over.
-            note_loss: Called after a worker was given up.
+            note_loss: Called after a worker was given up, with what is to be stopped for it.
             measures: Where lost runs are counted.
         """
         self.links: dict[str, asyncio.Task[None]] = {}
@@ -147,11 +148,11 @@
         now = time.monotonic()
         worker.note_silence(now)
         crashed = is_crash(self._fleet, worker, reason)
-        self._tell_lost_runs(worker, reason, crashed=crashed)
-        freed = release_worker(self._fleet, worker, now)
+        release = release_worker(self._fleet, worker, now, crashed=crashed)
+        self._tell_lost(release, worker, reason, crashed=crashed)
         worker.known = False
         log("worker.released", worker=worker.info.id, host=worker.info.host, reason=reason,
-            crashed=crashed, leaving=worker.leaving, runs=freed)  # fmt: skip
+            crashed=crashed, runs=len(release.lost))  # fmt: skip
         if reason != LossReason.LAPSED:
             self._ended_lives.add(worker.info.id)
         if worker.gone or reason != LossReason.LAPSED:
@@ -161,7 +162,7 @@
             # A link that has found out by itself ends by itself.
             if link is not None and link is not asyncio.current_task():
                 link.cancel()
-        self._note_loss()
+        self._note_loss(release.stops)
 
     def lose_dead(self, now: float) -> None:
         """Give up workers without a link whose lease has lapsed, and those whose host is over."""
@@ -171,12 +172,19 @@
         for worker, reason in find_dead(self._fleet, now):
             self.lose(worker, reason)
 
-    def _tell_lost_runs(self, worker: Worker, reason: LossReason, *, crashed: bool) -> None:
-        """Tell which runs go with a worker, and how long each had run when it fell silent."""
-        runs = list(self._fleet.list_runs(worker.info.id))
-        for key, run in runs:
-            lived_s = worker.silent_at - run.confirmed_at if run.confirmed_at else 0.0
+    def _tell_lost(
+        self, release: Release, worker: Worker, reason: LossReason, *, crashed: bool
+    ) -> None:
+        """Tell which runs went with a worker, and which tasks are given up for its crash."""
+        for one in release.lost:
+            key = one.task.key
             log("run.lost", job=key.job, rep=key.repetition, step=key.step, index=key.number,
-                run=run.number, worker=worker.info.id, reason=reason, crashed=crashed,
-                state=run.state, lived_s=round(lived_s, 3), together=len(runs))  # fmt: skip
+                run=one.run.number, worker=worker.info.id, reason=reason, crashed=crashed,
+                lived_s=round(one.lived_s, 3), together=len(release.lost),
+                crashes=one.task.crashes, probation=one.task.probation)  # fmt: skip
             self._measures.note_loss(reason, crashed=crashed)
+        for task in release.given_up:
+            key = task.key
+            log("task.given-up", job=key.job, rep=key.repetition, step=key.step, index=key.number,
+                crashes=task.crashes, worker=worker.info.id)  # fmt: skip
+            self._measures.note_given_up(worker.info.pool)
--- a/src/foxtrestle/explain.py
+++ b/src/foxtrestle/explain.py
@@ -41,6 +41,7 @@
     "run.absent": "step {step} task {index}: run {run} is not on {worker} any more",
     "run.lost": "step {step} task {index}: run {run} went with {worker} after {lived_s} s"
     " ({reason}, crashed: {crashed}, {together} runs together)",
+    "task.given-up": "step {step} task {index} is given up: {crashes} workers crashed under it",
     "run.evacuated": "step {step} task {index}: run {run} stopped for wave {wave}",
     "start.refused": "step {step} task {index}: {worker} refused run {run}: {reason}",
     "start.unanswered": "a start on {worker} had no answer ({reason})",
@@ -140,6 +141,7 @@
     ("job.refused", "refused at the door: {reason}"),
     ("job.malformed", "malformed: {reason}"),
     ("job.cancelled", "cancelled by its client"),
+    ("task.given-up", "{crashes} workers crashed under its task {index} of step {step}"),
     ("worker.released", "worker {worker} was lost: {reason}"),
     ("control.lost", "the controller {node} stopped: {reason}"),
     ("dependency.lost", "{node} lost {dependency}: {reason}"),
--- a/src/foxtrestle/platform/http.py
+++ b/src/foxtrestle/platform/http.py
@@ -29,6 +29,15 @@
     """A call that was sent and got no answer; it may be carried out, also later."""
 
 
+class TimedOut(NoAnswer):
+    """A call that got no answer in time; whether its peer lives is not known."""
+
+
+def is_cut_off(error: CallError) -> bool:
+    """Tell whether a connection broke under a call, up to when its peer therefore lived."""
+    return isinstance(error, NoAnswer) and not isinstance(error, TimedOut)
+
+
 class MalformedAnswer(CallError):
     """An answer that does not have the form the platform documents."""
 
@@ -69,7 +78,7 @@
 
     Raises:
         CallError: The call was not carried out.
-        NoAnswer: The call may have been carried out.
+        NoAnswer: The call may have been carried out; `TimedOut` if nothing broke it off.
     """
     timeout = aiohttp.ClientTimeout(
         total=timeout_s, sock_connect=CONNECT_TIMEOUT_S, sock_read=silence_s
@@ -86,7 +95,7 @@
         raise CallError(_describe(error), step=step, peer=url) from error
     except TimeoutError as error:
         connections.condemn(peer, pool)
-        raise NoAnswer(_describe(error), step=step, peer=url) from error
+        raise TimedOut(_describe(error), step=step, peer=url) from error
     except (aiohttp.ClientError, OSError) as error:
         raise NoAnswer(_describe(error), step=step, peer=url) from error
     finally:
--- a/src/foxtrestle/scheduling/candidates.py
+++ b/src/foxtrestle/scheduling/candidates.py
@@ -11,6 +11,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Final, TypeAlias
 
+from foxtrestle.scheduling.crashes import FRESH_S
 from foxtrestle.scheduling.eligibility import is_suspect
 
 if TYPE_CHECKING:
@@ -36,7 +37,17 @@
 class Candidate:
     """A worker with the room that this round has left free."""
 
-    __slots__ = ("busy", "cpu", "gpu", "memory_mb", "placed", "reserved", "trial", "worker")
+    __slots__ = (
+        "busy",
+        "cpu",
+        "gpu",
+        "memory_mb",
+        "placed",
+        "probation",
+        "reserved",
+        "trial",
+        "worker",
+    )
 
     def __init__(self, worker: Worker) -> None:
         """Create a candidate on which this round has placed nothing."""
@@ -54,6 +65,8 @@
         Lasting tasks never end, so one of them would keep a worker from ever being tried again."""
         self.reserved = False
         """Whether its room is kept for a task that waits for more of it."""
+        self.probation = ""
+        """Job of which this round has placed tasks on probation there; nothing else joins them."""
         self.trial: tuple[str, int, int] | None = None
         """Gang of which this round has placed members there, by job, repetition and step."""
         self.placed: Counter[tuple[str, int, int]] = Counter()
@@ -86,6 +99,18 @@
         """
         return not self.busy or (task.step.gang and self.trial == task.key[:3])
 
+    def may_join(self, task: Task, now: float) -> bool:
+        """Tell whether a task may join what has just been placed there.
+
+        Nothing joins tasks on probation but those of their job. They themselves join no run that is
+        so young that it might cause a crash which would be laid to them.
+        """
+        if self.probation:
+            return task.probation and task.key.job == self.probation
+        if not task.probation:
+            return True
+        return not any(self.placed.values()) and not self.worker.has_fresh(now, FRESH_S)
+
     def count_of(self, task: Task) -> int:
         """Count the tasks of a task's step that it carries or was given."""
         where = task.key[:3]
@@ -149,6 +174,8 @@
     def claim(self, one: Candidate, task: Task) -> None:
         """Count a task in that this round has placed."""
         one.placed[task.key[:3]] += 1
+        if task.probation:
+            one.probation = task.key.job
         self._change(one, task.step, -1)
         if not one.busy and task.step.gang:
             one.trial = task.key[:3]
@@ -161,6 +188,7 @@
             self._change(one, task.step, 1)
             one.busy = len(one.worker.runs) > one.worker.lasting or any(one.placed.values())
             one.trial = one.trial if one.busy else None
+            one.probation = one.probation if any(one.placed.values()) else ""
         self._full.clear()
 
     def _list_roomy(self, task: Task, needed: Needed) -> Iterator[Candidate]:
@@ -169,8 +197,9 @@
         if rack:
             near = [one for one in self._list_rack(rack) if one.has_room(needed)]
             yield from sorted(near, key=_rank)
-        start = bisect_left(self._trusted, (needed[0],))
-        for _, _, one in self._trusted[start:]:
+        trusted = self._trusted[bisect_left(self._trusted, (needed[0],)) :]
+        # One on probation takes the emptiest worker: should it crash that, least goes with it.
+        for _, _, one in reversed(trusted) if task.probation else trusted:
             if one.has_room(needed):
                 yield one
         # A worker that may be at fault gets one task at a time.
--- a/src/foxtrestle/scheduling/checks.py
+++ b/src/foxtrestle/scheduling/checks.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from foxtrestle.scheduling.crashes import MAX_CRASHES
+
 if TYPE_CHECKING:
     from foxtrestle.scheduling.hosts import HostView
     from foxtrestle.scheduling.state import Fleet, Task, WaveEntry, Worker
@@ -19,6 +21,7 @@
         "unasked": entry.ended,
         "twice": task.done or (bool(task.runs) and not step.speculative),
         "attempts": not step.lasting and task.failures >= entry.job.max_attempts,
+        "crashes": task.crashes >= MAX_CRASHES,
         "order": not all(_is_done(fleet, task, other) for other in step.depends_on),
         "room": not worker.fits(step.shape, fills=step.fills),
         "pool": worker.info.pool != entry.job.pool,
--- a/src/foxtrestle/scheduling/losses.py
+++ b/src/foxtrestle/scheduling/losses.py
@@ -35,5 +35,6 @@
     seconds. Of a worker that this controller has only read of in records, nothing is known.
     """
     plan = fleet.plans.get(worker.info.host)
-    ordered = plan is not None and plan.state == "changing"
-    return reason in CRASHES and not worker.leaving and not ordered
+    ordered = plan is not None and plan.state != "emptying"
+    leaving = worker.silence.leaving if worker.silence is not None else worker.gone
+    return reason in CRASHES and not leaving and not ordered
--- a/src/foxtrestle/scheduling/placing.py
+++ b/src/foxtrestle/scheduling/placing.py
@@ -29,7 +29,8 @@
 RESERVE_S: Final = 0.5
 """Seconds that a lasting task waits before a worker is kept free for it. Each second that it is
 away counts, and beside a queue of small tasks the room for it never came free by itself: one waited
-22 s on workers that were full all the while. Other tasks are not worth an idle worker."""
+22 s on workers that were full all the while. So with a task on probation, which joins no run that
+has just begun. Other tasks are not worth an idle worker."""
 
 
 class Placement(msgspec.Struct, frozen=True):
@@ -88,11 +89,20 @@
     wanted = {entry.job.pool for entry in fleet.active.values() if entry.ready}
     usable: dict[str, list[Worker]] = {}
     for worker in fleet.workers.values():
-        if worker.info.pool in wanted and is_usable(worker, now):
+        if worker.info.pool in wanted and is_usable(worker, now) and not _is_barred(worker):
             usable.setdefault(worker.info.pool, []).append(worker)
     return {pool: Candidates(workers, now) for pool, workers in usable.items()}
 
 
+def _is_barred(worker: Worker) -> bool:
+    """Tell whether a worker gets nothing for the moment, though it counts for its pool.
+
+    Its connection has just broken and it has not answered since, or it has a run on probation.
+    """
+    cut_off = worker.silence is not None and worker.silence.cut_off
+    return cut_off or bool(worker.trials)
+
+
 def _place_job(
     entry: JobEntry, candidates: Candidates, allow: Allow, quotas: Quotas
 ) -> list[Placement]:
@@ -116,7 +126,8 @@
         found = _find_place(task, candidates, candidates.all, allow)
         if found is None:
             refused.add(key.step)
-            if task.step.lasting and candidates.now - task.waiting_since > RESERVE_S:
+            waits_apart = task.step.lasting or task.probation
+            if waits_apart and candidates.now - task.waiting_since > RESERVE_S:
                 candidates.reserve(task, _build_check(task, candidates, candidates.all, allow))
             continue
         candidates.claim(found, task)
@@ -187,7 +198,7 @@
 
     def accept(one: Candidate) -> bool:
         info = one.worker.info
-        if info.id in avoided or info.id in taken:
+        if info.id in avoided or info.id in taken or not one.may_join(task, candidates.now):
             return False
         if members is not None and info.id not in members:
             return False
--- a/src/foxtrestle/scheduling/progress.py
+++ b/src/foxtrestle/scheduling/progress.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from foxtrestle.scheduling.model import JobState, TaskKey
-from foxtrestle.scheduling.runs import release_steps
+from foxtrestle.scheduling.runs import attach_run, release_steps
 from foxtrestle.scheduling.state import Run, Worker
 
 if TYPE_CHECKING:
@@ -38,6 +38,14 @@
     """Runs that may be there: number, worker and its host."""
     checkpoint: str = ""
     """Newest saved progress."""
+    crashes: int = 0
+    """Workers that crashed under it."""
+    accusations: int = 0
+    """Those crashes of which it was one of the likeliest causes."""
+    probation: bool = False
+    """Whether it may have caused a crash and has not shown otherwise."""
+    crash_age_s: float = 0.0
+    """Longest that a run of it had lived at a crash, seconds."""
 
 
 class Progress(msgspec.Struct, frozen=True):
@@ -81,6 +89,10 @@
         task.done,
         runs,
         checkpoint,
+        task.crashes,
+        task.accusations,
+        task.probation,
+        task.crash_age_s,
     )
 
 
@@ -133,6 +145,10 @@
     task.starts = record.starts
     task.failures = record.failures
     task.checkpoint = record.checkpoint
+    task.crashes = record.crashes
+    task.accusations = record.accusations
+    task.probation = record.probation
+    task.crash_age_s = record.crash_age_s
     if record.done:
         task.done = True
         entry.open_tasks[record.repetition, record.step] -= 1
@@ -141,9 +157,9 @@
         worker = find_worker(worker_id, host)
         run = Run(number, worker_id, host, now)
         run.sending = False
-        task.runs[number] = run
-        worker.runs[task.key, number] = run
-        worker.take(task.step)
+        # Whether it was sent is not known; it may have been.
+        run.sent_at = now
+        attach_run(task, run, worker)
         entry.ready.pop(task.key, None)
 
 
--- a/src/foxtrestle/scheduling/runs.py
+++ b/src/foxtrestle/scheduling/runs.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from foxtrestle.scheduling.crashes import LostRun, describe_loss, note_crash, note_life
 from foxtrestle.scheduling.model import TaskKey
 from foxtrestle.scheduling.state import Run, Task
 
@@ -77,9 +78,7 @@
     entry = fleet.jobs[task.key.job]
     run = Run(number, worker.info.id, worker.info.host, now)
     task.starts = max(task.starts, number)
-    task.runs[number] = run
-    worker.runs[task.key, number] = run
-    worker.take(task.step)
+    attach_run(task, run, worker)
     entry.ready.pop(task.key, None)
     entry.begun = True
     if entry.state == "queued":
@@ -88,6 +87,15 @@
     return run
 
 
+def attach_run(task: Task, run: Run, worker: Worker) -> None:
+    """Count a run in with its task and its worker."""
+    task.runs[run.number] = run
+    worker.runs[task.key, run.number] = run
+    worker.take(task.step)
+    if task.probation:
+        worker.trials.add((task.key, run.number))
+
+
 def confirm_listing(
     fleet: Fleet, worker: Worker, running: Iterable[RunningTask], now: float
 ) -> list[StopOrder]:
@@ -128,6 +136,9 @@
         run.percent = seen.percent
         run.progressed_at = now
     run.usage = seen.usage
+    if note_life(task, now - run.confirmed_at) and (seen.key, seen.run) in worker.trials:
+        task.probation = False
+        worker.trials.discard((seen.key, seen.run))
     if seen.checkpoint:
         task.checkpoint = seen.checkpoint
     return None
@@ -148,6 +159,9 @@
     fleet.mark(end.key.job)
     if end.checkpoint:
         task.checkpoint = end.checkpoint
+    if end.kind in {"done", "failed"}:
+        # It came to its own end, and its worker lives.
+        task.probation = False
     if end.kind == "done":
         worker.successes += 1
         worker.failed_jobs.clear()
@@ -187,6 +201,7 @@
         run.move("end")
     if worker is not None and worker.runs.pop((task.key, number), None) is not None:
         worker.give(task.step)
+        worker.trials.discard((task.key, number))
 
 
 def requeue(entry: JobEntry, task: Task, now: float) -> None:
@@ -246,21 +261,47 @@
     return [order for task in entry.tasks.values() for order in list_stops(task)]
 
 
-def release_worker(fleet: Fleet, worker: Worker, now: float) -> int:
+class Release(msgspec.Struct, frozen=True):
+    """What was given up with a worker."""
+
+    lost: list[LostRun]
+    """Runs that went with it."""
+    given_up: list[Task]
+    """Tasks that are not started again, and whose jobs have failed."""
+    stops: list[StopOrder]
+    """Orders to stop what else runs of these jobs."""
+
+
+def release_worker(fleet: Fleet, worker: Worker, now: float, *, crashed: bool = False) -> Release:
     """Give up all runs of a worker that is certainly over.
 
-    Returns:
-        How many there were.
+    Args:
+        fleet: The state.
+        worker: The worker.
+        now: Monotonic time, seconds.
+        crashed: Whether it crashed, for which a task that ran there may be at fault. A crash lists
+            no ends, so without a count of its own such a task was started 100 times and more.
     """
-    count = 0
-    for key, run in list(fleet.list_runs(worker.info.id)):
-        entry = fleet.jobs.get(key.job)
-        task = entry.tasks.get(key) if entry else None
-        if entry is None or task is None:
-            continue
-        drop_run(task, run.number, worker)
-        requeue(entry, task, now)
+    lost = _list_lost(fleet, worker)
+    given_up = note_crash(lost) if crashed else []
+    for one in lost:
+        key = one.task.key
+        drop_run(one.task, one.run.number, worker)
+        requeue(fleet.jobs[key.job], one.task, now)
         fleet.mark(key.job)
-        count += 1
     worker.runs.clear()
-    return count
+    worker.trials.clear()
+    stops: list[StopOrder] = []
+    for task in given_up:
+        stops += end_job(fleet, fleet.jobs[task.key.job], "failed")
+    return Release(lost, given_up, stops)
+
+
+def _list_lost(fleet: Fleet, worker: Worker) -> list[LostRun]:
+    lost = []
+    for key, run in fleet.list_runs(worker.info.id):
+        entry = fleet.jobs.get(key.job)
+        task = entry.tasks.get(key) if entry else None
+        if task is not None:
+            lost.append(describe_loss(worker, task, run))
+    return lost
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 from foxtrestle.chart import load_chart
 from foxtrestle.scheduling.durations import Durations
 from foxtrestle.scheduling.model import ENDED_JOB, Shape, TaskKey
@@ -40,6 +42,7 @@
         "placed_at",
         "progressed_at",
         "sending",
+        "sent_at",
         "state",
         "usage",
         "worker",
@@ -65,6 +68,8 @@
         """Monotonic time at which `percent` last changed, seconds."""
         self.sending = True
         """Whether an order for it is being sent, or waits to be recorded."""
+        self.sent_at = 0.0
+        """Monotonic time at which its start was first sent, seconds; 0 before."""
         self.pace = 100
         """Share of its speed at which it may work, percent."""
         self.usage = 0
@@ -79,11 +84,15 @@
     """One task of a job."""
 
     __slots__ = (
+        "accusations",
         "checkpoint",
+        "crash_age_s",
+        "crashes",
         "done",
         "failed_on",
         "failures",
         "key",
+        "probation",
         "runs",
         "starts",
         "step",
@@ -102,6 +111,14 @@
         """Runs that ended `failed`."""
         self.failed_on: set[str] = set()
         """Workers on which they did, as far as this controller has seen it."""
+        self.crashes = 0
+        """Workers that crashed under it."""
+        self.accusations = 0
+        """Those crashes of which it was one of the likeliest causes."""
+        self.crash_age_s = 0.0
+        """Longest that a run of it had lived at a crash, seconds."""
+        self.probation = False
+        """Whether it may have caused a crash and has not shown otherwise."""
         self.done = False
         """Whether a run ended `done`."""
         self.checkpoint = ""
@@ -177,11 +194,23 @@
         return max(1, self.job.spec.repeat_count)
 
 
+class Silence(msgspec.Struct, frozen=True):
+    """How a worker fell silent."""
+
+    since: float
+    """Monotonic time of the first call without an answer, seconds."""
+    leaving: bool
+    """Whether it had said before that it leaves, or its entry had gone."""
+    cut_off: bool
+    """Whether a connection broke, rather than that an answer did not come in time."""
+
+
 class Worker:
     """A worker and what the controller has placed on it."""
 
     __slots__ = (
         "acknowledged",
+        "alive_at",
         "clock_offset_ms",
         "contact_at",
         "cordoned",
@@ -196,12 +225,12 @@
         "lapse_at",
         "lasting",
         "lasting_used",
-        "leaving",
         "revision",
         "runs",
         "seen_end",
-        "silent_at",
+        "silence",
         "successes",
+        "trials",
         "unknown_runs",
         "used",
     )
@@ -216,6 +245,8 @@
         """Runs that may be there."""
         self.used = Shape()
         """Room that they take."""
+        self.trials: set[tuple[TaskKey, int]] = set()
+        """Those of its runs that are on probation; it gets nothing else meanwhile."""
         self.unknown_runs = 0
         """Runs that it listed last and that are not among `runs`; how much room they take is not
         known."""
@@ -233,10 +264,10 @@
         """Whether its host is being emptied."""
         self.contact_at = -1e9
         """Monotonic time of its last answer, seconds."""
-        self.silent_at = 0.0
-        """Monotonic time of the first call without an answer since then, seconds; 0 for none."""
-        self.leaving = False
-        """Whether it had said that it leaves, or its entry had gone, before it fell silent."""
+        self.alive_at = -1e9
+        """Monotonic time at which it is last known to have lived, seconds."""
+        self.silence: Silence | None = None
+        """How it fell silent; None while it answers."""
         self.first_seen = now
         """Monotonic time at which it was first seen, seconds."""
         self.lapse_at = 0.0
@@ -259,13 +290,24 @@
     def note_answer(self, now: float) -> None:
         """Note that it answers."""
         self.contact_at = now
-        self.silent_at = 0.0
-
-    def note_silence(self, now: float) -> None:
-        """Note that a call had no answer; what is known at the first tells a crash from leaving."""
-        if not self.silent_at:
-            self.silent_at = now
-            self.leaving = self.gone or self.info.draining
+        self.alive_at = now
+        self.silence = None
+
+    def note_silence(self, now: float, *, cut_off: bool = False) -> None:
+        """Note that a call had no answer; what is known at the first tells a crash from leaving.
+
+        Args:
+            now: Monotonic time, seconds.
+            cut_off: Whether the connection broke, which tells that the worker lived until now.
+        """
+        if self.silence is None:
+            self.silence = Silence(now, self.gone or self.info.draining, cut_off)
+            if cut_off:
+                self.alive_at = now
+
+    def has_fresh(self, now: float, seconds: float) -> bool:
+        """Tell whether a run was placed there within the last seconds."""
+        return any(now - run.placed_at < seconds for run in self.runs.values())
 
     def fits(self, shape: Shape, *, fills: bool) -> bool:
         """Tell whether there is room for a task."""
