Condemn a job of the own interface that its workers lose again and again

Now the fourth loss on a worker that answers condemns the job, unless it had run for ten minutes. Both new tests of placement pass; before, there was nothing that counted. Looked at and left: ends listed as lapsed, broken or alone and refused starts, which name a cause of ours or of the host and are paced by a worker's pause; watches and calls of the store.

--- a/src/foxtrestle/job_shard.py
+++ b/src/foxtrestle/job_shard.py
@@ -26,6 +26,7 @@
     Task,
     decide,
     note_failure,
+    note_loss,
     note_success,
     order_waiting,
 )
@@ -292,7 +293,7 @@
             # A worker that answers and does not know the task has lost it, unless the order to
             # start it may still be under way.
             if task.state != "starting" or now - task.since > LEASE_S + LEASE_MARGIN_S:
-                self._move(task, "lost", now, "the worker lost it")
+                self._lose(task, now)
             return
         if report.state == "running":
             used = Usage(report.cores_used, report.memory_gb_used)
@@ -314,6 +315,14 @@
         else:
             self._move(task, "lost", now, "its lease ran out")
 
+    def _lose(self, task: Task, now: float) -> None:
+        """Take in that a worker that answers does not know a task any more."""
+        verdict = note_loss(self.board, task.job.id, now)
+        task = self.board.tasks[task.job.id]
+        condemned = verdict == "condemn-job" and task.state in ("starting", "running")
+        event = "condemn" if condemned else "lost"
+        self._move(task, event, now, f"worker {task.worker} lost it, {task.losses} have")
+
     def _expire(self, task: Task, now: float) -> None:
         """Give a silent worker's task up once its lease has surely run out there."""
         last = max(self._renewed.get(_attempt_id(task), 0.0), task.since, self._taken_at)
--- a/src/foxtrestle/placement.py
+++ b/src/foxtrestle/placement.py
@@ -21,6 +21,11 @@
 
 FAILURES_TO_CONDEMN: Final = 3
 """Distinct jobs that must fail on a worker, or distinct workers on which a job must fail."""
+LOSSES_TO_CONDEMN: Final = 4
+"""Workers that came back without a job's task, as after a crash, until the job is condemned. None
+of them tells a failure, so without a count a job that crashes them is repeated without end."""
+LONG_RUN_S: Final = 600.0
+"""Seconds after which a task that is lost was not at fault: a job of weeks meets many crashes."""
 EPSILON: Final = 1e-6
 
 TaskState = Literal[
@@ -97,6 +102,8 @@
     """Whether it runs beyond its team's quota."""
     failed_on: list[str] = []
     """Workers on which it failed."""
+    losses: int = 0
+    """Times a worker that answers did not know it any more."""
     note: str = ""
     """Why it waits, failed or cannot run."""
 
@@ -457,6 +464,15 @@
     return "retry"
 
 
+def note_loss(board: Board, name: str, now: float) -> Literal["retry", "condemn-job"]:
+    """Take in that a worker that answers has lost a job's task, and tell whether to go on."""
+    task = board.tasks[name]
+    long = task.state == "running" and now - task.since > LONG_RUN_S
+    losses = 0 if long else task.losses + 1
+    board.put(msgspec.structs.replace(task, losses=losses))
+    return "condemn-job" if losses >= LOSSES_TO_CONDEMN else "retry"
+
+
 def _strike_worker(board: Board, jobs: set[str], worker: str) -> None:
     for name in jobs:
         task = board.tasks.get(name)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,7 +6,17 @@
 
 from foxtrestle.declaration import Team
 from foxtrestle.fleet import Shape
-from foxtrestle.placement import Board, Job, Task, decide, note_failure, order_waiting
+from foxtrestle.placement import (
+    LONG_RUN_S,
+    LOSSES_TO_CONDEMN,
+    Board,
+    Job,
+    Task,
+    decide,
+    note_failure,
+    note_loss,
+    order_waiting,
+)
 from foxtrestle.usage import Usage, UsageModel
 
 
@@ -116,6 +126,23 @@
     assert all("bad" not in jobs for jobs in board.failures.values())
 
 
+def test_a_job_that_its_workers_lose_again_and_again_is_condemned() -> None:
+    """Workers that crash tell no failure, so nothing else ends a job that crashes them."""
+    board = make_board(workers=4)
+    add(board, "crashing")
+    verdicts = [note_loss(board, "crashing", 100.0) for _ in range(LOSSES_TO_CONDEMN)]
+    assert verdicts == ["retry"] * (LOSSES_TO_CONDEMN - 1) + ["condemn-job"]
+    assert not board.condemned
+
+
+def test_a_job_of_weeks_is_not_condemned_for_the_crashes_that_it_meets() -> None:
+    board = make_board()
+    add(board, "long")
+    board.put(msgspec.structs.replace(board.tasks["long"], state="running", since=0.0))
+    for _ in range(2 * LOSSES_TO_CONDEMN):
+        assert note_loss(board, "long", LONG_RUN_S + 1.0) == "retry"
+
+
 def test_urgent_jobs_and_higher_levels_come_first() -> None:
     board = make_board()
     add(board, "a")
