Give steps that need several hosts whole their turns

Two pools swapped the same two hosts for good, each away for 1.6 s of it (cases of gangs over four hosts); a single gang got its second host as its first was taken back for the pool it came from. Hold and wait, without anybody who may hold until the end.

Ways weighed: (1) the present one with a longer hold after each move: the second host is then held by the other pool as long; (2) one order for all that wait: the step that had no turn for longest is named hosts that hold it whole, these come from wherever they are but a pool's last, get nothing else and go nowhere until it starts, 8 s at the most; then it is another's turn. Kept (2), in scheduling/turns.py, for gangs and for tasks that not every host can hold; for others a turn would let late jobs pass those in time.

--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -31,6 +31,7 @@
 from foxtrestle.scheduling.scaling import choose_drops, choose_moves
 from foxtrestle.scheduling.state import WaveEntry
 from foxtrestle.scheduling.turning_off import OffBudget
+from foxtrestle.scheduling.turns import take_turn
 from foxtrestle.store import StoreError
 
 if TYPE_CHECKING:
@@ -48,6 +49,7 @@
     from foxtrestle.scheduling.model import Wave
     from foxtrestle.scheduling.needs import PoolNeed
     from foxtrestle.scheduling.state import Fleet, Worker
+    from foxtrestle.scheduling.turns import Turn
 
 RETRY_S: Final = 0.3
 """Mean pause after a failed read, seconds."""
@@ -265,7 +267,8 @@
             return
         reserve = configuration.find_reserve()
         fitting = self._find_fitting(views, now)
-        drops = choose_drops(needs, views, reserve, now, fitting)
+        turn = self._take_turn(views, now)
+        drops = choose_drops(needs, views, reserve, now, fitting, turn)
         for host in drops:
             self._ordering.drop(self._fleet.plans[host], "not needed any more", now)
         views = view_hosts(self._fleet)
@@ -274,7 +277,7 @@
         barred = self._records.list_barred(now)
         known = self.loads.is_known(now)
         most_off = self._off.count(len(views), needs.values(), now) if known else 0
-        moves = choose_moves(needs, views, reserve, now, barred, most_off, fitting)
+        moves = choose_moves(needs, views, reserve, now, barred, most_off, fitting, turn)
         self._off.take(sum(1 for move in moves if move.pool == reserve))
         told = {
             name: [round(need.demand, 2), need.wanted, need.have, round(need.growth, 1)]
@@ -288,6 +291,17 @@
                 continue
             self._plan(views[move.host], move.pool, 0, now)
 
+    def _take_turn(self, views: dict[str, HostView], now: float) -> Turn | None:
+        before = self._fleet.turn
+        turn = take_turn(self._fleet, views, now)
+        if before is not None and turn is not before:
+            log("turn.ended", job=before.where[0], step=before.where[2],
+                took_s=round(now - before.since, 2))  # fmt: skip
+        if turn is not None and turn is not before:
+            log("turn.begun", job=turn.where[0], step=turn.where[2], pool=turn.pool,
+                hosts=sorted(turn.hosts))  # fmt: skip
+        return turn
+
     def _find_fitting(self, views: dict[str, HostView], now: float) -> list[FittingNeed]:
         host = measure_host(self._fleet)
         return find_fitting_needs(self._fleet, views, host, now) if host is not None else []
--- a/src/foxtrestle/explain.py
+++ b/src/foxtrestle/explain.py
@@ -41,6 +41,8 @@
     "run.absent": "step {step} task {index}: run {run} is not on {worker} any more",
     "run.lost": "step {step} task {index}: run {run} went with {worker} after {lived_s} s"
     " ({reason}, crashed: {crashed}, {together} runs together)",
+    "turn.begun": "hosts {hosts} are kept for its step {step} in pool {pool}",
+    "turn.ended": "its turn for these hosts ended after {took_s} s",
     "task.given-up": "step {step} task {index} is given up: {crashes} workers crashed under it",
     "run.evacuated": "step {step} task {index}: run {run} stopped for wave {wave}",
     "start.refused": "step {step} task {index}: {worker} refused run {run}: {reason}",
--- a/src/foxtrestle/scheduling/candidates.py
+++ b/src/foxtrestle/scheduling/candidates.py
@@ -19,6 +19,7 @@
 
     from foxtrestle.scheduling.model import Step
     from foxtrestle.scheduling.state import Task, Worker
+    from foxtrestle.scheduling.turns import Turn, Where
 
 ANY_CPU: Final = -1_000_000_000
 """Cpu that a task needs free which uses what others leave, thousandths of a core: below any amount
@@ -41,6 +42,7 @@
         "busy",
         "cpu",
         "gpu",
+        "kept_for",
         "memory_mb",
         "placed",
         "probation",
@@ -49,7 +51,7 @@
         "worker",
     )
 
-    def __init__(self, worker: Worker) -> None:
+    def __init__(self, worker: Worker, kept_for: Where | None = None) -> None:
         """Create a candidate on which this round has placed nothing."""
         room, used = worker.info.room, worker.used
         self.worker = worker
@@ -63,6 +65,8 @@
         self.busy = len(worker.runs) > worker.lasting
         """Whether it carries or was given anything that ends: by that a suspect worker is tried.
         Lasting tasks never end, so one of them would keep a worker from ever being tried again."""
+        self.kept_for = kept_for
+        """The only step whose tasks it may get; None for any."""
         self.reserved = False
         """Whether its room is kept for a task that waits for more of it."""
         self.probation = ""
@@ -100,11 +104,13 @@
         return not self.busy or (task.step.gang and self.trial == task.key[:3])
 
     def may_join(self, task: Task, now: float) -> bool:
-        """Tell whether a task may join what has just been placed there.
+        """Tell whether a task may join what is kept or has just been placed there.
 
         Nothing joins tasks on probation but those of their job. They themselves join no run that is
         so young that it might cause a crash which would be laid to them.
         """
+        if self.kept_for not in {None, task.key[:3]}:
+            return False
         if self.probation:
             return task.probation and task.key.job == self.probation
         if not task.probation:
@@ -120,16 +126,21 @@
 class Candidates:
     """The usable workers of one pool, those with the least free cpu first."""
 
-    def __init__(self, workers: Iterable[Worker], now: float) -> None:
+    def __init__(self, workers: Iterable[Worker], now: float, turn: Turn | None = None) -> None:
         """Index some workers.
 
         Args:
             workers: Usable workers of one pool.
             now: Monotonic time of the round, seconds.
+            turn: Whose turn it is, if several steps wait for hosts.
         """
         self.now = now
         """Monotonic time of the round, seconds."""
-        self.all = [Candidate(worker) for worker in workers]
+        kept = turn.hosts if turn is not None else frozenset()
+        where = turn.where if turn is not None else None
+        self.all = [
+            Candidate(worker, where if worker.info.host in kept else None) for worker in workers
+        ]
         """All candidates."""
         self._suspects = [one for one in self.all if is_suspect(one.worker)]
         trusted = (one for one in self.all if not is_suspect(one.worker))
--- a/src/foxtrestle/scheduling/fitting.py
+++ b/src/foxtrestle/scheduling/fitting.py
@@ -63,7 +63,7 @@
         host: Room of the mean host.
         now: Monotonic time, seconds.
     """
-    smallest = _find_smallest_room(views.values())
+    smallest = find_smallest_room(views.values())
     labelled: dict[tuple[str, str], list[JobEntry]] = {}
     large: dict[str, list[FittingNeed]] = {}
     for entry in fleet.active.values():
@@ -88,7 +88,7 @@
     return needs
 
 
-def _find_smallest_room(views: Iterable[HostView]) -> Shape:
+def find_smallest_room(views: Iterable[HostView]) -> Shape:
     """Return the least that any host has of each part of its room."""
     rooms = [view.info.room for view in views if view.info.room.cpu]
     if not rooms:
--- a/src/foxtrestle/scheduling/placing.py
+++ b/src/foxtrestle/scheduling/placing.py
@@ -91,7 +91,7 @@
     for worker in fleet.workers.values():
         if worker.info.pool in wanted and is_usable(worker, now) and not _is_barred(worker):
             usable.setdefault(worker.info.pool, []).append(worker)
-    return {pool: Candidates(workers, now) for pool, workers in usable.items()}
+    return {pool: Candidates(workers, now, fleet.turn) for pool, workers in usable.items()}
 
 
 def _is_barred(worker: Worker) -> bool:
--- a/src/foxtrestle/scheduling/scaling.py
+++ b/src/foxtrestle/scheduling/scaling.py
@@ -16,6 +16,7 @@
     from foxtrestle.scheduling.fitting import FittingNeed
     from foxtrestle.scheduling.hosts import HostView
     from foxtrestle.scheduling.needs import PoolNeed
+    from foxtrestle.scheduling.turns import Turn
 
 
 class HostMove(msgspec.Struct, frozen=True):
@@ -77,6 +78,7 @@
     barred: frozenset[str] = frozenset(),
     most_off: int = 1_000_000,
     fitting: Sequence[FittingNeed] = (),
+    turn: Turn | None = None,
 ) -> list[HostMove]:
     """Choose hosts to move: into pools that lack some, out of pools that have too many.
 
@@ -90,11 +92,14 @@
         barred: Hosts that cannot be ordered yet; planned, they would only stand idle.
         most_off: Hosts that may be turned off now at most.
         fitting: Hosts that particular tasks need.
+        turn: Whose turn it is, if several steps wait for hosts.
     """
     targets = share_hosts(needs, count_available(views))
     have = {name: need.have for name, need in needs.items()}
+    moves = _choose_turn(turn, have, views, barred)
+    barred = barred | turn.hosts if turn is not None else barred
     movable = MovableHosts(views, reserve, barred, now, list_kept(fitting, views, now))
-    moves = _choose_fitting(fitting, targets, have, movable, views, now)
+    moves += _choose_fitting(fitting, targets, have, movable, views, now)
     lacking = sorted(
         (name for name in needs if have[name] < targets[name]),
         # A pool without any host goes first: its tasks cannot run at all.
@@ -124,6 +129,24 @@
     return moves + off
 
 
+def _choose_turn(
+    turn: Turn | None, have: dict[str, int], views: dict[str, HostView], barred: frozenset[str]
+) -> list[HostMove]:
+    """Choose the hosts that are to come for the step whose turn it is, from wherever they are."""
+    moves: list[HostMove] = []
+    for name in sorted(turn.hosts - barred) if turn is not None else ():
+        view = views[name]
+        pool = view.pool if view.plan is None else view.plan.pool
+        if turn is None or pool == turn.pool or (view.plan and view.plan.state != "emptying"):
+            continue
+        if turn.pool in have:
+            have[turn.pool] += 1
+        if pool in have:
+            have[pool] -= 1
+        moves.append(HostMove(name, turn.pool))
+    return moves
+
+
 def _choose_fitting(
     fitting: Sequence[FittingNeed],
     targets: dict[str, int],
@@ -182,9 +205,11 @@
     reserve: str,
     now: float,
     fitting: Sequence[FittingNeed] = (),
+    turn: Turn | None = None,
 ) -> list[str]:
     """Choose hosts whose planned move is not needed any more; their names."""
     kept = list_kept(fitting, views, now)
+    kept = kept | turn.hosts if turn is not None else kept
     targets = share_hosts(needs, count_available(views))
     have = {name: need.have for name, need in needs.items()}
     drops: list[str] = []
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -23,6 +23,7 @@
         Wave,
         WorkerInfo,
     )
+    from foxtrestle.scheduling.turns import Turn
 
 ENDED_REMEMBERED: Final = 10_000
 """Ended jobs whose ids are remembered: a listing that still shows one is at most seconds old."""
@@ -397,6 +398,10 @@
         """How long tasks take."""
         self.at_limit: frozenset[str] = frozenset()
         """Organisations that the last round of placements kept from starting more."""
+        self.turn: Turn | None = None
+        """Step that has the right to some hosts now."""
+        self.turn_ends: dict[tuple[str, int, int], float] = {}
+        """Monotonic time at which each waiting step's last turn ended, seconds."""
         self.dirty: dict[str, None] = {}
         """Ids of jobs whose progress must be recorded, oldest change first."""
 
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -21,6 +21,7 @@
 from foxtrestle.scheduling.runs import place_run, record_end
 from foxtrestle.scheduling.scaling import HostMove, choose_drops, choose_moves
 from foxtrestle.scheduling.state import Fleet, JobEntry
+from foxtrestle.scheduling.turns import take_turn
 from tests.properties import scale
 from tests.scheduling_fakes import (
     NOW,
@@ -62,7 +63,8 @@
     views = view_hosts(fleet)
     fitting = find_fitting_needs(fleet, views, ROOM, now)
     needs = needs or compute_needs(fleet, views, {}, LEAD_S, now)
-    return choose_moves(needs, views, "off", now, fitting=fitting)
+    turn = take_turn(fleet, views, now)
+    return choose_moves(needs, views, "off", now, fitting=fitting, turn=turn)
 
 
 def add_off(fleet: Fleet, name: str, labels: tuple[str, ...], room: Shape = ROOM) -> None:
