Judge ages by a clock that counts suspensions of the host

Cause: all ages came from the monotonic clock, which stands still while a host is suspended: a controller that woke took its lock for valid, extended leases and sent orders; a node answered from an old configuration; the reckoning of workers' clocks was off by the time it stood.

A suspension is logged once with its length.

Nine tests drive both clocks apart: the moments 0.1 s before and after the lock's end for controller, standby and an order that waited for its record, the grace of leases, worker's answers, a client's call. None of them could pass before, as nothing read that clock. The soak cannot part a process's clocks.

--- a/src/foxtrestle/control/advisor.py
+++ b/src/foxtrestle/control/advisor.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING, Final
 
+from foxtrestle.clock import read_clock
 from foxtrestle.control.log import Outage, log
 from foxtrestle.platform.http import CallError
 from foxtrestle.scheduling.eligibility import is_usable
@@ -39,12 +39,12 @@
         """Ask for what is missing, until cancelled."""
         outage = Outage("advice", "advisor")
         while True:
-            needed = self._find_needed(time.monotonic())
+            needed = self._find_needed(read_clock())
             if needed is None:
                 await asyncio.sleep(IDLE_S)
                 continue
             key, workers = needed
-            asked_at = time.monotonic()
+            asked_at = read_clock()
             try:
                 advice = await self._calls.ask(key, workers)
             except CallError as error:
--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from foxtrestle.clock import read_clock
 from foxtrestle.control.advisor import Advisor
 from foxtrestle.control.following import follow, list_as_changes, scan_until_answered
 from foxtrestle.control.hosts import HostOrders
@@ -79,7 +80,7 @@
         self._store = store
         self._calls = workers
         self._operators = operators
-        self._started_at = time.monotonic()
+        self._started_at = read_clock()
         self._ledger = Ledger(store, self.fleet, term, self._measures)
         self._roster = Roster(
             self.fleet, term.partition, self._hold, self._note_loss, self._measures
@@ -145,7 +146,7 @@
         Returns:
             Revisions from which to follow the inbox and the workers' entries.
         """
-        now = time.monotonic()
+        now = read_clock()
         keys = self._keys
         inbox, entries, learned = await asyncio.gather(
             *(
@@ -162,7 +163,7 @@
         log("control.loaded", term=self._term.number, partition=self._term.partition.number,
             jobs=len(self.fleet.jobs), active=len(self.fleet.active),
             workers=len(self.fleet.workers),
-            took_s=round(time.monotonic() - now, 3))  # fmt: skip
+            took_s=round(read_clock() - now, 3))  # fmt: skip
         return inbox.revision, entries.revision
 
     def _load_jobs(self, inbox: Listing, progress: Listing, now: float) -> None:
@@ -218,7 +219,7 @@
             self.wake()
 
     def _take_inbox(self, changes: list[Change]) -> None:
-        now = time.monotonic()
+        now = read_clock()
         self._heard_at = now
         for change in changes:
             job = change.key.removeprefix(self._keys.jobs)
@@ -284,14 +285,14 @@
             with suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), ROUND_S)
             self._changed.clear()
-            began_at = time.monotonic()
+            began_at = read_clock()
             self._decide_once()
-            took_s = time.monotonic() - began_at
+            took_s = read_clock() - began_at
             self._measures.note_round(took_s)
             await asyncio.sleep(compute_pause(took_s))
 
     def _decide_once(self) -> None:
-        now = time.monotonic()
+        now = read_clock()
         self.fleet.configuration = self._share_configuration()
         wall_ms = time.time() * 1000
         for entry in self.fleet.active.values():
--- a/src/foxtrestle/control/host_list.py
+++ b/src/foxtrestle/control/host_list.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING, Final
 
+from foxtrestle.clock import read_clock
 from foxtrestle.control.log import Outage, log
 from foxtrestle.platform.http import CallError
 from foxtrestle.scheduling.hosts import has_silent
@@ -48,7 +48,7 @@
         self._calls = calls
         self._wake = wake
         self._seen_at: dict[str, float] = {}
-        self._since = time.monotonic()
+        self._since = read_clock()
 
     def is_missing(self, host: str, now: float) -> bool:
         """Tell whether a host has not been listed for long.
@@ -69,7 +69,7 @@
             else:
                 outage.note_success()
                 hosts = [host for host in listed if self._partition.owns(host.name)]
-                now = time.monotonic()
+                now = read_clock()
                 self._seen_at.update(dict.fromkeys((host.name for host in hosts), now))
                 self._note_states(hosts)
                 if self._fleet.hosts:
@@ -80,10 +80,10 @@
 
     async def _pause(self) -> None:
         """Wait until the list is due: soon if a worker that carries tasks is silent."""
-        read_at = time.monotonic()
+        read_at = read_clock()
         while True:
             await asyncio.sleep(LIST_STEP_S)
-            now = time.monotonic()
+            now = read_clock()
             due_s = LIST_SOON_S if has_silent(self._fleet, now) else LIST_S
             if now - read_at >= due_s:
                 return
--- a/src/foxtrestle/control/host_ordering.py
+++ b/src/foxtrestle/control/host_ordering.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import random
-import time
 from typing import TYPE_CHECKING, Final
 
+from foxtrestle.clock import read_clock
 from foxtrestle.control.log import log
 from foxtrestle.control.spawn import Spawner
 from foxtrestle.platform.hosts import HostRefused
@@ -68,7 +68,7 @@
 
     async def _give(self, plan: HostPlan) -> None:
         if not await self._records.record(plan.host):
-            plan.move("refused", time.monotonic())
+            plan.move("refused", read_clock())
             return
         for _ in range(ATTEMPTS):
             if not self._term.is_valid():
@@ -89,10 +89,10 @@
                 self._accept(plan)
                 return
         # Whether it was carried out shows in the list; until then the host counts as away.
-        plan.move("accepted", time.monotonic())
+        plan.move("accepted", read_clock())
 
     def _accept(self, plan: HostPlan) -> None:
-        now = time.monotonic()
+        now = read_clock()
         log("host.ordered", host=plan.host, pool=plan.pool, wave=plan.wave, term=self._term.number)
         plan.move("accepted", now)
         worker = self._fleet.workers.get(plan.old_worker)
@@ -104,7 +104,7 @@
             self._background.spawn(self._waves.record(entry))
 
     def _take_refusal(self, plan: HostPlan, refusal: HostRefused) -> None:
-        now = time.monotonic()
+        now = read_clock()
         log("host.order-refused", host=plan.host, wave=plan.wave, pool=plan.pool,
             reason=refusal.refusal)  # fmt: skip
         if refusal.refusal == "wave":
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from foxtrestle.clock import read_clock
 from foxtrestle.control.host_list import HostList
 from foxtrestle.control.host_ordering import HostOrdering
 from foxtrestle.control.log import log
@@ -83,7 +84,7 @@
         self._settings = settings
         self._operators = operators
         self._orders = orders
-        self._started_at = time.monotonic()
+        self._started_at = read_clock()
         self._looked_at = 0.0
         self._postponed: dict[str, float] = {}
         self._off = OffBudget()
@@ -135,7 +136,7 @@
                 entry.done = set(held.done)
                 entry.begun_ms = held.begun_ms
             else:
-                entry.begun_ms = int((time.time() - time.monotonic() + seen_at) * 1000)
+                entry.begun_ms = int((time.time() - read_clock() + seen_at) * 1000)
                 self._background.spawn(self._waves.record(entry))
             self._fleet.waves[number] = entry
             self._background.spawn(self._waves.tell(entry))
--- a/src/foxtrestle/control/layout.py
+++ b/src/foxtrestle/control/layout.py
@@ -8,11 +8,11 @@
 
 import asyncio
 import random
-import time
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 
+from foxtrestle.clock import read_clock
 from foxtrestle.control.keys import LAYOUT, Keys, build_keys
 from foxtrestle.control.log import Outage, log
 from foxtrestle.platform.http import CallError
@@ -65,11 +65,11 @@
 
     async def load(self, store: PlatformStore, hosts: HostCalls) -> None:
         """Read the layout, and decide it if nobody has."""
-        began_at = time.monotonic()
+        began_at = read_clock()
         outage = Outage("store", "layout")
         while not self.count:
             try:
-                await self._load_once(store, hosts, time.monotonic() - began_at)
+                await self._load_once(store, hosts, read_clock() - began_at)
                 outage.note_success()
             except (StoreError, CallError) as error:
                 outage.note_failure(error)
--- a/src/foxtrestle/control/ledger.py
+++ b/src/foxtrestle/control/ledger.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from foxtrestle.clock import read_clock
 from foxtrestle.control.keys import ENDED
 from foxtrestle.control.log import Outage, log
 from foxtrestle.scheduling.progress import encode_progress
@@ -165,7 +166,7 @@
             self._adopt(batch, conflict)
             self._put_back(batch)
         except StoreError as error:
-            self.away_since = self.away_since or time.monotonic()
+            self.away_since = self.away_since or read_clock()
             self._outage.note_failure(error)
             self._put_back(batch)
             await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
@@ -238,7 +239,7 @@
             del self._fleet.tickets[where]
         entry.archived = True
         self._fleet.note_ended(entry.job.id)
-        took_s = time.monotonic() - entry.created_at
+        took_s = read_clock() - entry.created_at
         self._measures.note_job(entry.job.queue, entry.state, took_s)
         log("job.ended", job=entry.job.id, queue=entry.job.queue, state=entry.state,
             took_s=round(took_s, 3))  # fmt: skip
--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING, Final
 
+from foxtrestle.clock import read_clock
 from foxtrestle.control.log import log
 from foxtrestle.control.orders import compute_expiry_ms, compute_lapse
 from foxtrestle.control.spawn import Spawner
@@ -97,7 +97,7 @@
         """Hold until the worker's life or the term is over."""
         worker = self._worker
         while self._term.may_hold():
-            sent_at = time.monotonic()
+            sent_at = read_clock()
             try:
                 report = await self._hold(sent_at)
             except OtherLife:
@@ -141,7 +141,7 @@
             Whether the worker was given up.
         """
         worker = self._worker
-        now = time.monotonic()
+        now = read_clock()
         if worker.silence is None:
             worker.note_silence(now, cut_off=is_cut_off(error))
             log("worker.silent", worker=worker.info.id, runs=len(worker.runs), reason=error.reason)
@@ -152,7 +152,7 @@
 
     async def _take(self, report: WorkerReport, sent_at: float) -> None:
         worker = self._worker
-        now = time.monotonic()
+        now = read_clock()
         if worker.silence is not None:
             log("worker.answers", worker=worker.info.id)
         worker.note_answer(now)
--- a/src/foxtrestle/control/log.py
+++ b/src/foxtrestle/control/log.py
@@ -4,13 +4,14 @@
 
 import os
 import sys
-import time
 from collections import deque
 from typing import TYPE_CHECKING, Any, Final
 
 import msgspec
 from eliot import add_destinations, log_message, remove_destination
 
+from foxtrestle.clock import read_clock
+
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Mapping
@@ -99,7 +100,7 @@
         """Note a failed call."""
         self._failures += 1
         if not self.since:
-            self.since = time.monotonic()
+            self.since = read_clock()
             log("dependency.lost", dependency=self._dependency, user=self._user, step=error.step,
                 peer=error.peer, reason=error.reason)  # fmt: skip
 
@@ -107,7 +108,7 @@
         """Note a call that was answered."""
         if self.since:
             log("dependency.regained", dependency=self._dependency, user=self._user,
-                failures=self._failures, away_s=round(time.monotonic() - self.since, 3),
+                failures=self._failures, away_s=round(read_clock() - self.since, 3),
             )  # fmt: skip
         self.since = 0.0
         self._failures = 0
--- a/src/foxtrestle/control/order_records.py
+++ b/src/foxtrestle/control/order_records.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 
+from foxtrestle.clock import read_clock
 from foxtrestle.control.log import log
 from foxtrestle.scheduling.hosts import LIST_LAG_S
 from foxtrestle.store import Conflict, StoreError, Transaction
@@ -73,7 +73,7 @@
 
     def settle(self, host: str) -> None:
         """Note that the outcome of a host's order is known, or that it will not be sent again."""
-        self._settled_at[host] = time.monotonic()
+        self._settled_at[host] = read_clock()
         self._recorded -= {host}
 
     async def record(self, host: str) -> bool:
@@ -89,7 +89,7 @@
             return host in self._recorded or await self._write()
 
     async def _write(self) -> bool:
-        value = msgspec.json.encode(self._describe(time.monotonic()))
+        value = msgspec.json.encode(self._describe(read_clock()))
         included = frozenset(name for name, at in self._settled_at.items() if at == UNSETTLED)
         keys = self._term.keys
         conditions = {keys.lock: self._term.lock.revision, keys.host_orders: self._revision}
--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING, Final
 
+from foxtrestle.clock import read_clock
 from foxtrestle.control.log import log
 from foxtrestle.control.spawn import Spawner
 from foxtrestle.platform.http import CallError, MalformedAnswer, NoAnswer
@@ -89,7 +89,7 @@
         if entry is None:
             # The job was cancelled while this start waited for its record, and is settled.
             return
-        ticket = self._fleet.find_ticket(task.key, worker.info.id, time.monotonic())
+        ticket = self._fleet.find_ticket(task.key, worker.info.id, read_clock())
         order = StartOrder(
             task.key, run.number, entry.job.spec.text, self._term.number, task.checkpoint, ticket
         )
@@ -99,7 +99,7 @@
                 return
             if run.state != "recorded":
                 return
-            now = time.monotonic()
+            now = read_clock()
             worker.lapse_at = max(worker.lapse_at, compute_lapse(now))
             run.sent_at = run.sent_at or now
             try:
@@ -127,7 +127,7 @@
     def _confirm(self, run: Run) -> None:
         if run.state == "recorded":
             run.move("confirm")
-        run.confirmed_at = time.monotonic()
+        run.confirmed_at = read_clock()
 
     def _take_refusal(
         self, task: Task, run: Run, worker: Worker, refusal: OrderRefused, *, sent: bool
@@ -146,7 +146,7 @@
         if reason == "late":
             # Our reading of its clock is too old; the refusal brings a fresh one.
             if refusal.clock_ms:
-                worker.clock_offset_ms = refusal.clock_ms - time.monotonic() * 1000
+                worker.clock_offset_ms = refusal.clock_ms - read_clock() * 1000
             return False
         if reason == "old" or sent:
             # The run has been there, or an earlier copy of the order may still arrive: the
@@ -158,7 +158,7 @@
             key = task.key
             self._fleet.tickets.pop((key.job, key.repetition, key.step), None)
         else:
-            worker.full_until = time.monotonic() + FULL_PAUSE_S
+            worker.full_until = read_clock() + FULL_PAUSE_S
         self._drop(task, run, worker)
         return True
 
@@ -166,7 +166,7 @@
         """Settle a start without an answer: stop it, which bars a late copy, or leave it."""
         if not sent:
             log("start.given-up", job=task.key.job, worker=worker.info.id, run=run.number)
-            worker.full_until = time.monotonic() + FULL_PAUSE_S
+            worker.full_until = read_clock() + FULL_PAUSE_S
             self._drop(task, run, worker)
             return
         await self.stop_run(task, run, worker)
@@ -175,7 +175,7 @@
         drop_run(task, run.number, worker)
         entry = self._fleet.jobs.get(task.key.job)
         if entry is not None:
-            requeue(entry, task, time.monotonic())
+            requeue(entry, task, read_clock())
             self._fleet.mark(task.key.job)
         self._wake()
 
@@ -199,7 +199,7 @@
         run.sending = True
         try:
             if await self._send_stop(worker, task.key, run.number):
-                run.confirmed_at = time.monotonic()
+                run.confirmed_at = read_clock()
         finally:
             run.sending = False
 
--- a/src/foxtrestle/control/ownership.py
+++ b/src/foxtrestle/control/ownership.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import random
-import time
 import uuid
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 
+from foxtrestle.clock import read_clock
 from foxtrestle.control.keys import build_keys
 from foxtrestle.control.log import Outage, log
 from foxtrestle.scheduling.partitions import Partition
@@ -109,12 +109,12 @@
         """Tell whether orders may be given now."""
         if self.closing or self.lost.is_set():
             return False
-        return time.monotonic() < self.valid_until
+        return read_clock() < self.valid_until
 
     def may_hold(self) -> bool:
         """Tell whether workers' leases may be extended now."""
         limit = self.valid_until + GRACE_WITHOUT_STORE_S
-        return not self.lost.is_set() and time.monotonic() < limit
+        return not self.lost.is_set() and read_clock() < limit
 
     def lose(self, why: str) -> None:
         """End the term."""
@@ -191,10 +191,10 @@
         if term is None:
             return
         term.closing = True
-        give_up_at = time.monotonic() + RELEASE_S
+        give_up_at = read_clock() + RELEASE_S
         outage = Outage("store", "release of the lock")
         while term.may_hold() and not await self._release(term, outage):
-            if time.monotonic() > give_up_at:
+            if read_clock() > give_up_at:
                 break
             await asyncio.sleep(random.uniform(RELEASE_RETRY_S / 2, RELEASE_RETRY_S * 1.5))
         term.lose("planned stop")
@@ -249,7 +249,7 @@
         held = await self._store.get(self._keys.term)
         keys = self._keys
         number = int(held.value) + 1 if held else 1
-        sent_at = time.monotonic()
+        sent_at = read_clock()
         lease = await self._store.grant(LEASE_S)
         value = msgspec.json.encode(LockRecord(self._node, uuid.uuid4().hex[:12]))
         transaction = Transaction(
@@ -302,7 +302,7 @@
                 # What is not given up in time runs out by itself.
                 await asyncio.sleep(RENEW_S)
                 continue
-            sent_at = time.monotonic()
+            sent_at = read_clock()
             try:
                 kept = await self._store.keep_alive(
                     self._lease, timeout_s=None if failures else FIRST_RENEWAL_S
--- a/src/foxtrestle/control/pool_loads.py
+++ b/src/foxtrestle/control/pool_loads.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING, Final
 
+from foxtrestle.clock import read_clock
 from foxtrestle.scheduling.load import PoolLoad
 from foxtrestle.scheduling.needs import LEAD_MARGIN_S, compute_needs, measure_host
 
@@ -33,7 +33,7 @@
         """
         self._fleet = fleet
         self._lead_s = move_s + LEAD_MARGIN_S
-        self._started_at = time.monotonic()
+        self._started_at = read_clock()
         self._loads: dict[str, PoolLoad] = {}
 
     def note_job(self, entry: JobEntry) -> None:
--- a/src/foxtrestle/control/roster.py
+++ b/src/foxtrestle/control/roster.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING, Final
 
+from foxtrestle.clock import read_clock
 from foxtrestle.control.following import list_as_changes
 from foxtrestle.control.log import log, log_failure
 from foxtrestle.control.orders import CLOCK_DRIFT, HOLD_S, LAPSE_MARGIN_S
@@ -60,7 +60,7 @@
         self._note_loss = note_loss
         self._measures = measures
         self._ended_lives: set[str] = set()
-        self._started_at = time.monotonic()
+        self._started_at = read_clock()
 
     def find(self, worker_id: str, host: str) -> Worker:
         """Return a worker that a record names, listed or not."""
@@ -68,7 +68,7 @@
         if worker is None:
             # Not listed any more, yet what was placed there may run until its lease lapses.
             info = WorkerInfo(worker_id, "", "", "", True, Shape(), (), host)
-            worker = Worker(info, 0, time.monotonic())
+            worker = Worker(info, 0, read_clock())
             worker.gone = True
             worker.lapse_at = self._started_at + TAKEOVER_S
             self._fleet.workers[worker_id] = worker
@@ -87,7 +87,7 @@
 
     def take(self, changes: list[Change]) -> None:
         """Take in changes of entries."""
-        now = time.monotonic()
+        now = read_clock()
         for change in changes:
             if change.record is not None:
                 self._take_entry(change.record, now)
@@ -106,7 +106,7 @@
         """
         held = self._fleet.workers.keys() | self._ended_lives
         fresh = [one for one in listing.records if one.key.removeprefix(ENTRIES) not in held]
-        now = time.monotonic()
+        now = read_clock()
         for record in fresh:
             self._take_entry(record, now)
         if fresh:
@@ -145,7 +145,7 @@
 
     def lose(self, worker: Worker, reason: LossReason) -> None:
         """Give up what was placed on a worker whose life or lease is certainly over."""
-        now = time.monotonic()
+        now = read_clock()
         worker.note_silence(now)
         crashed = is_crash(self._fleet, worker, reason)
         release = release_worker(self._fleet, worker, now, crashed=crashed)
--- a/src/foxtrestle/control/sweep.py
+++ b/src/foxtrestle/control/sweep.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING, Final
 
+from foxtrestle.clock import read_clock
 from foxtrestle.control.log import Outage
 from foxtrestle.store import StoreError
 
@@ -38,7 +38,7 @@
     outage = Outage("store", f"sweep {prefix}")
     while True:
         await asyncio.sleep(SWEEP_S)
-        if not is_due(time.monotonic()):
+        if not is_due(read_clock()):
             continue
         try:
             listing = await store.scan(prefix)
--- a/src/foxtrestle/node/loop_lag.py
+++ b/src/foxtrestle/node/loop_lag.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING, Final
 
+from foxtrestle.clock import SuspensionWatch, read_clock
 from foxtrestle.control.log import log
 
 if TYPE_CHECKING:
@@ -20,10 +20,14 @@
 
 async def watch_loop(measures: Measures) -> None:
     """Measure the lag of the loop until cancelled."""
+    suspensions = SuspensionWatch()
     while True:
-        due = time.monotonic() + LOOK_S
+        due = read_clock() + LOOK_S
         await asyncio.sleep(LOOK_S)
-        lag_s = max(0.0, time.monotonic() - due)
+        suspended_s = suspensions.look()
+        if suspended_s:
+            log("host.suspended", suspended_s=round(suspended_s, 3))
+        lag_s = max(0.0, read_clock() - due)
         measures.note_lag(lag_s)
         if lag_s >= TOLD_S:
             log("loop.lagged", lag_s=round(lag_s, 3))
--- a/src/foxtrestle/node/operators.py
+++ b/src/foxtrestle/node/operators.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import random
-import time
 from typing import TYPE_CHECKING, Final
 
+from foxtrestle.clock import read_clock
 from foxtrestle.control.log import Outage, log
 from foxtrestle.platform.http import MalformedAnswer
 from foxtrestle.platform.operators import (
@@ -91,10 +91,10 @@
             try:
                 if not revision:
                     revision = await self._read_all()
-                sent_at = time.monotonic()
+                sent_at = read_clock()
                 changes, revision = await self._store.poll(OPERATORS, revision, wait_s)
                 outage.note_success()
-                took_s = time.monotonic() - sent_at
+                took_s = read_clock() - sent_at
                 self.complete_at = find_complete(sent_at, took_s, wait_s, eventful=bool(changes))
                 self._take(changes)
                 if took_s > wait_s + SLOW_S:
@@ -115,10 +115,10 @@
 
     def is_current(self) -> bool:
         """Tell whether every configuration that must be in force by now is known."""
-        return time.monotonic() - self.complete_at < self._current_s
+        return read_clock() - self.complete_at < self._current_s
 
     async def _read_all(self) -> int:
-        sent_at = time.monotonic()
+        sent_at = read_clock()
         listing = await self._store.scan(OPERATORS)
         self.complete_at = sent_at
         self._take([Change(record.key, record, record.revision) for record in listing.records])
@@ -147,7 +147,7 @@
         elif key.startswith(WAVES):
             wave = decode_wave(key, record.value)
             if wave.number not in self.waves:
-                self.waves[wave.number] = (wave, time.monotonic())
+                self.waves[wave.number] = (wave, read_clock())
                 log("wave.seen", wave=wave.number, hosts=len(wave.hosts), within_s=wave.within_s,
                     max_parallel=wave.max_parallel)  # fmt: skip
 
--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -6,12 +6,12 @@
 import gc
 import signal
 import sys
-import time
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Final
 
 from returns.result import Failure
 
+from foxtrestle.clock import read_clock
 from foxtrestle.control.controller import Controller
 from foxtrestle.control.layout import Layout
 from foxtrestle.control.log import log, start_logging
@@ -167,7 +167,7 @@
             "ready": float(self.is_ready()),
             "store_away": float(self.health.away),
             "configuration_version": configuration.version if configuration else 0.0,
-            "configuration_age_s": time.monotonic() - self.operators.complete_at,
+            "configuration_age_s": read_clock() - self.operators.complete_at,
             "controls": float(len(self.controllers)),
         }
         fleets = [controller.fleet for controller in self.controllers.values()]
--- a/src/foxtrestle/platform/connections.py
+++ b/src/foxtrestle/platform/connections.py
@@ -9,11 +9,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING, Final
 
 import aiohttp
 
+from foxtrestle.clock import read_clock
+
 if TYPE_CHECKING:
     from types import TracebackType
 
@@ -58,7 +59,7 @@
         """Calls under way."""
         self.retired = False
         """Whether it gets no further calls, and is closed after those under way."""
-        self.used_at = time.monotonic()
+        self.used_at = read_clock()
         """Monotonic time of the last call, seconds."""
 
 
@@ -75,7 +76,7 @@
         self._shared = Pool(per_peer)
         self._fresh: dict[str, Pool] = {}
         self._closing: set[asyncio.Task[None]] = set()
-        self._looked_at = time.monotonic()
+        self._looked_at = read_clock()
 
     async def __aenter__(self) -> Connections:
         """Return itself."""
@@ -96,7 +97,7 @@
         """Return the pool on which a call to a peer is made; `end` must follow."""
         pool = self._fresh.get(peer, self._shared)
         pool.calls += 1
-        pool.used_at = time.monotonic()
+        pool.used_at = read_clock()
         return pool
 
     def end(self, pool: Pool) -> None:
@@ -113,7 +114,7 @@
         held = self._fresh.get(peer, self._shared)
         if held is not pool:
             return
-        self._drop_idle(time.monotonic())
+        self._drop_idle(read_clock())
         self._fresh[peer] = Pool(self._per_peer)
         if pool is not self._shared:
             self._retire(pool)
--- a/src/foxtrestle/platform/front.py
+++ b/src/foxtrestle/platform/front.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING, Final
 
 from starlette.applications import Starlette
 from starlette.responses import Response
 from starlette.routing import Route
 
+from foxtrestle.clock import read_clock
 from foxtrestle.control.log import log
 from foxtrestle.control.measures import CONTENT_TYPE
 from foxtrestle.platform.http import MalformedAnswer
@@ -69,9 +69,9 @@
     """
 
     async def measure(request: Request) -> Response:
-        began = time.monotonic()
+        began = read_clock()
         response = await handle(request)
-        measures.note_request(request.method, response.status_code, time.monotonic() - began)
+        measures.note_request(request.method, response.status_code, read_clock() - began)
         return response
 
     async def handle(request: Request) -> Response:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING, cast
 
+from foxtrestle.clock import read_clock
 from foxtrestle.node.operators import OperatorMirror, find_complete
 from foxtrestle.store import Change, Listing, Record
 
@@ -51,7 +51,7 @@
     following = asyncio.create_task(mirror.follow())
     await asyncio.sleep(0.52)
     # The answer has just arrived, yet it tells only what was there half a second ago.
-    assert mirror.complete_at < time.monotonic() - 0.45
+    assert mirror.complete_at < read_clock() - 0.45
     assert not mirror.is_current()
     following.cancel()
 
--- a/tests/test_order_records.py
+++ b/tests/test_order_records.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING, cast
 
 import msgspec
 
+from foxtrestle.clock import read_clock
 from foxtrestle.control.order_records import OrderRecords, OrdersRecord
 from foxtrestle.control.ownership import Term
 from foxtrestle.store import Record, StoreError, Transaction
@@ -44,7 +44,7 @@
 
 
 def make_records(store: OneRecord) -> OrderRecords:
-    term = Term(1, Record("lock", b"", 1), time.monotonic() + 60.0)
+    term = Term(1, Record("lock", b"", 1), read_clock() + 60.0)
     return OrderRecords(cast("PlatformStore", store), term, TURN_S)
 
 
@@ -82,7 +82,7 @@
     store = OneRecord()
     first, second, third = (make_records(store) for _ in range(3))
     assert await first.record("h1")
-    now = time.monotonic()
+    now = read_clock()
     # The second's term began a second ago: so long at least the first has given no order.
     await second.load(now - 1.0)
     assert await second.record("h2")
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING
 
 import pytest
 
+from foxtrestle.clock import read_clock
 from foxtrestle.control.ownership import Ownership, Term
 from foxtrestle.store import Conflict, OutcomeUnknown, Record, StoreError
 
@@ -46,7 +46,7 @@
 
 def build(store: AwayStore) -> tuple[Ownership, Term]:
     ownership = Ownership(store, "n", 0.0, no_work)  # type: ignore[arg-type]
-    store.term = ownership.term = Term(3, LOCK, time.monotonic() + 60.0)
+    store.term = ownership.term = Term(3, LOCK, read_clock() + 60.0)
     return ownership, ownership.term
 
 
--- /dev/null
+++ b/tests/test_suspension.py
@@ -0,0 +1,190 @@
+"""A host is suspended for seconds: the clock that timers run by stands still, ages go on.
+
+A controller that wakes may have lost its lock to another node, its workers' leases may be over, and
+its configuration may be old, while by the monotonic clock no time has passed. Both clocks are
+driven apart here; nothing sleeps.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from foxtrestle import clock
+from foxtrestle.clock import GAP_S, SuspensionWatch, read_clock
+from foxtrestle.control.orders import HOLD_S, Orders
+from foxtrestle.control.ownership import (
+    GRACE_WITHOUT_STORE_S,
+    LEASE_MARGIN_S,
+    LEASE_S,
+    Ownership,
+    Term,
+)
+from foxtrestle.node import loop_lag
+from foxtrestle.node.operators import OperatorMirror
+from foxtrestle.scheduling.access import Address, Denial
+from foxtrestle.scheduling.eligibility import is_usable
+from foxtrestle.scheduling.runs import place_run
+from foxtrestle.store import Record
+from tests.scheduling_fakes import enter, make_fleet, make_job
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+VALID_S = LEASE_S - LEASE_MARGIN_S
+
+
+class Clocks:
+    """Both clocks of a host, in seconds."""
+
+    def __init__(self) -> None:
+        self.monotonic = 1000.0
+        self.ahead = 50.0
+
+    def run(self, seconds: float) -> None:
+        self.monotonic += seconds
+
+    def suspend(self, seconds: float) -> None:
+        self.ahead += seconds
+
+
+@pytest.fixture
+def clocks(monkeypatch: pytest.MonkeyPatch) -> Iterator[Clocks]:
+    held = Clocks()
+
+    def read(which: int) -> float:
+        assert which == time.CLOCK_BOOTTIME
+        return held.monotonic + held.ahead
+
+    shim = SimpleNamespace(clock_gettime=read, monotonic=lambda: held.monotonic)
+    monkeypatch.setattr(clock, "time", shim)
+    yield held
+
+
+def make_term(valid_s: float = VALID_S) -> Term:
+    return Term(3, Record("lock", b"", 1), read_clock() + valid_s)
+
+
+@pytest.mark.parametrize("running_s", [0.0, VALID_S - 0.2])
+def test_a_controller_that_was_suspended_gives_no_orders_once_its_lock_may_be_another_s(
+    clocks: Clocks, running_s: float
+) -> None:
+    term = make_term()
+    clocks.run(running_s)
+    clocks.suspend(VALID_S - running_s - 0.1)
+    assert term.is_valid(), "just before"
+    clocks.suspend(0.2)
+    assert not term.is_valid(), "just after"
+    assert term.may_hold()
+    clocks.suspend(GRACE_WITHOUT_STORE_S)
+    assert not term.may_hold()
+
+
+class Calls:
+    """Counts what is sent to workers."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+
+    async def start(self, *_: Any) -> int:
+        self.sent += 1
+        return 0
+
+    async def stop(self, *_: Any) -> int:
+        self.sent += 1
+        return 0
+
+
+async def test_an_order_that_waited_through_a_suspension_is_not_sent(clocks: Clocks) -> None:
+    """Its start waits for its record; by the clock of timers that took no time at all."""
+    fleet = make_fleet(1)
+    [task] = enter(fleet, make_job()).tasks.values()
+    worker = fleet.workers["w-main-0"]
+    run = place_run(fleet, task, worker, 1, read_clock())
+    term, calls = make_term(), Calls()
+    orders = Orders(fleet, term, calls, lambda: None, lambda *_: None)  # type: ignore[arg-type]
+    clocks.suspend(2.0)
+    await orders.start(task, run, worker)
+    await orders.stop_run(task, run, worker)
+    assert calls.sent == 0
+
+
+def test_a_worker_gets_nothing_after_a_suspension_until_it_has_answered(clocks: Clocks) -> None:
+    fleet = make_fleet(1)
+    worker = fleet.workers["w-main-0"]
+    worker.note_answer(read_clock())
+    assert is_usable(worker, read_clock())
+    clocks.suspend(HOLD_S)
+    assert not is_usable(worker, read_clock())
+
+
+def test_a_node_that_was_suspended_refuses_until_its_configuration_is_known_again(
+    clocks: Clocks,
+) -> None:
+    mirror = OperatorMirror(None, lambda: None, apply_s=2.0)  # type: ignore[arg-type]
+    mirror.complete_at = read_clock()
+    clocks.run(1.0)
+    assert mirror.is_current()
+    clocks.suspend(1.0)
+    assert mirror.admit(Address("h", "/q/1", "")) is Denial.NO_CONFIGURATION
+
+
+class SuspendedStore:
+    """A store whose answer to the lock's transaction arrives after a suspension."""
+
+    def __init__(self, clocks: Clocks, suspended_s: float) -> None:
+        self.clocks = clocks
+        self.suspended_s = suspended_s
+
+    async def get(self, key: str) -> None:
+        return None
+
+    async def grant(self, seconds: float) -> int:
+        return 7
+
+    async def commit(self, transaction: object) -> int:
+        self.clocks.suspend(self.suspended_s)
+        return 9
+
+
+@pytest.mark.parametrize(("suspended_s", "valid"), [(VALID_S - 0.1, True), (VALID_S + 0.1, False)])
+async def test_a_standby_that_is_suspended_as_it_takes_the_lock_does_not_control(
+    clocks: Clocks, suspended_s: float, valid: bool
+) -> None:
+    store: Any = SuspendedStore(clocks, suspended_s)
+
+    async def no_work(term: Term) -> None:
+        return None
+
+    term = await Ownership(store, "n", 0.0, no_work)._acquire()
+    assert term is not None
+    assert term.is_valid() is valid
+
+
+def test_a_suspension_is_told_once_with_its_length(clocks: Clocks) -> None:
+    watch = SuspensionWatch()
+    clocks.run(100.0)
+    assert watch.look() == 0.0
+    clocks.suspend(4.0)
+    assert watch.look() == pytest.approx(4.0)
+    assert watch.look() == 0.0
+    clocks.suspend(GAP_S / 2)
+    assert watch.look() == 0.0, "clocks drift"
+
+
+async def test_a_node_logs_a_suspension(clocks: Clocks, monkeypatch: pytest.MonkeyPatch) -> None:
+    lines: list[tuple[str, dict[str, Any]]] = []
+    monkeypatch.setattr(loop_lag, "log", lambda event, **fields: lines.append((event, fields)))
+    monkeypatch.setattr(loop_lag, "LOOK_S", 0.001)
+    measures: Any = SimpleNamespace(note_lag=lambda seconds: None)
+    task = asyncio.create_task(loop_lag.watch_loop(measures))
+    await asyncio.sleep(0.01)
+    clocks.suspend(3.0)
+    await asyncio.sleep(0.02)
+    task.cancel()
+    told = [fields for event, fields in lines if event == "host.suspended"]
+    assert told == [{"suspended_s": 3.0}]
