Look at a worker's room again before a start is sent

Cause: a start is decided on the room as known then, recorded, and sent when the record is there, from 4 ms to seconds later. Room that had shrunk meanwhile was not looked at, and a worker that does not guard it starts the task over it (LIMIT).

Change: checks.check_send looks at room, drain and unknown runs when the record is there; of a gang all starts are withheld or none. HostView.room is the one place that tells a host's room.

Without the look at the room: a state machine of deciding, sending, ending and changing rooms fails, and so do both plays of a whole node whose worker shrinks while the start is recorded. With it all pass.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 from contextlib import AsyncExitStack, suppress
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 import msgspec
 
@@ -24,7 +24,7 @@
 from foxtrestle.control.spawn import Spawner
 from foxtrestle.control.sweep import SWEEP_S, sweep
 from foxtrestle.platform.workers import ENTRIES
-from foxtrestle.scheduling.checks import check_start
+from foxtrestle.scheduling.checks import check_send, check_start
 from foxtrestle.scheduling.hosts import is_worker_overdue
 from foxtrestle.scheduling.model import Job
 from foxtrestle.scheduling.partitions import share_configuration
@@ -52,8 +52,12 @@
     from foxtrestle.scheduling.model import FleetConfiguration
     from foxtrestle.scheduling.placing import Placement
     from foxtrestle.scheduling.runs import StopOrder
+    from foxtrestle.scheduling.state import Run, Task
     from foxtrestle.store import Change, Listing, Record
 
+Start: TypeAlias = "tuple[Task, Run, Worker]"
+"""A run that is to be started, with its task and its worker."""
+
 
 class Controller:
     """Everything that one node does while it is the controller."""
@@ -318,8 +322,21 @@
             self._shared = share_configuration(self._term.partition, whole) if whole else None
         return self._shared
 
+    def _look_again(self, starts: list[Start]) -> list[Start]:
+        """Return those of the starts of one placement that may still be sent; of a gang all."""
+        reasons = [check_send(worker) for _, _, worker in starts]
+        barred = next((reason for reason in reasons if reason), "")
+        sent = []
+        for (task, run, worker), own in zip(starts, reasons, strict=True):
+            reason = barred if task.step.gang else own
+            if reason:
+                self._orders.withhold(task, run, worker, reason)
+            else:
+                sent.append((task, run, worker))
+        return sent
+
     def _carry_out(self, placement: Placement, now: float) -> None:
-        starts = []
+        starts: list[Start] = []
         for task, worker in placement.members:
             broken = check_start(self.fleet, task, worker)
             if broken:
@@ -336,6 +353,8 @@
 
         async def start_recorded() -> None:
             await self._ledger.record([placement.job])
-            await asyncio.gather(*(self._orders.start(*start) for start in starts))
+            await asyncio.gather(
+                *(self._orders.start(*start) for start in self._look_again(starts))
+            )
 
         self._background.spawn(start_recorded())
--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -84,6 +84,14 @@
         finally:
             run.sending = False
 
+    def withhold(self, task: Task, run: Run, worker: Worker, reason: str) -> None:
+        """Drop a run whose start was never sent."""
+        log("start.withheld", job=task.key.job, step=task.key.step, index=task.key.number,
+            run=run.number, worker=worker.info.id, reason=reason)  # fmt: skip
+        run.sending = False
+        if task.runs.get(run.number) is run:
+            self._drop(task, run, worker)
+
     async def _start(self, task: Task, run: Run, worker: Worker) -> None:
         entry = self._fleet.jobs.get(task.key.job)
         if entry is None:
--- a/src/foxtrestle/scheduling/checks.py
+++ b/src/foxtrestle/scheduling/checks.py
@@ -30,6 +30,19 @@
     return next((name for name, broken in faults.items() if broken), "")
 
 
+def check_send(worker: Worker) -> str:
+    """Return why a start that was decided and recorded is not to be sent now; empty if it may be.
+
+    Recording takes from 4 ms to seconds. Meanwhile the worker may have told that its room is less,
+    and one that does not guard it would start the task all the same.
+    """
+    if worker.is_overfull():
+        return "room"
+    if worker.info.draining:
+        return "draining"
+    return "unknown runs" if worker.unknown_runs else ""
+
+
 def _is_done(fleet: Fleet, task: Task, step: int) -> bool:
     entry = fleet.jobs[task.key.job]
     return entry.open_tasks.get((task.key.repetition, step)) == 0
--- a/src/foxtrestle/scheduling/fitting.py
+++ b/src/foxtrestle/scheduling/fitting.py
@@ -47,9 +47,7 @@
 
     def is_met_by(self, view: HostView) -> bool:
         """Tell whether a host is one of them."""
-        worker = view.worker
-        room = worker.info.room if worker is not None and worker.info.room.cpu else view.info.room
-        return can_hold(self.step, view.info.labels, room)
+        return can_hold(self.step, view.info.labels, view.room)
 
 
 def find_fitting_needs(
@@ -90,7 +88,7 @@
 
 def find_smallest_room(views: Iterable[HostView]) -> Shape:
     """Return the least that any host has of each part of its room."""
-    rooms = [view.info.room for view in views if view.info.room.cpu]
+    rooms = [view.room for view in views if view.room.cpu]
     if not rooms:
         return Shape()
     return Shape(
--- a/src/foxtrestle/scheduling/hosts.py
+++ b/src/foxtrestle/scheduling/hosts.py
@@ -8,6 +8,7 @@
 
 from foxtrestle.chart import load_chart
 from foxtrestle.scheduling.losses import LossReason
+from foxtrestle.scheduling.model import Shape
 
 if TYPE_CHECKING:
     from foxtrestle.scheduling.model import HostInfo
@@ -66,6 +67,12 @@
     pool: str
     """Pool it is in, by its worker if it has one."""
 
+    @property
+    def room(self) -> Shape:
+        """Its room, as its worker says if it has one: the list lags, and room shrinks and grows."""
+        told = self.worker.info.room if self.worker is not None else Shape()
+        return told if told != Shape() else self.info.room
+
     def is_up(self) -> bool:
         """Tell whether the host serves its pool now."""
         return self.worker is not None and not self.worker.gone and self.worker.known
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -319,6 +319,11 @@
             and used.gpu + shape.gpu <= room.gpu
         )
 
+    def is_overfull(self) -> bool:
+        """Tell whether what may run there takes more than its room, which may have shrunk."""
+        room, used = self.info.room, self.used
+        return used.cpu > room.cpu or used.memory_mb > room.memory_mb or used.gpu > room.gpu
+
     def take(self, step: Step) -> None:
         """Count a task in."""
         self._count(step, 1)
--- a/src/foxtrestle/scheduling/turns.py
+++ b/src/foxtrestle/scheduling/turns.py
@@ -169,13 +169,12 @@
     worker, plan = view.worker, view.plan
     if view.info.state in {"down", "upkeep"} or (plan is not None and plan.wave):
         return 0
-    room = view.info.room
+    room = view.room
     if worker is not None and not worker.gone:
         if worker.info.draining or (plan is None and not is_usable(worker, now)):
             return 0
         if worker.lasting and view.pool != pool:
             return 0
-        room = worker.info.room if worker.info.room.cpu else room
         room = _subtract(room, worker.lasting_used)
     if not can_hold(step, view.info.labels, room):
         return 0
--- /dev/null
+++ b/tests/test_shrinking_room.py
@@ -0,0 +1,151 @@
+"""A worker's room shrinks and grows while it runs: no start is sent that its room does not hold.
+
+A start is decided, recorded and sent; the record takes seconds while the store is slow. A worker
+that does not guard its room starts whatever it is told, so the room is looked at again at the send.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import hypothesis.strategies as st
+import msgspec
+import pytest
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from foxtrestle.control.ledger import Ledger
+from foxtrestle.scheduling.checks import check_send
+from foxtrestle.scheduling.fitting import find_fitting_needs
+from foxtrestle.scheduling.hosts import view_hosts
+from foxtrestle.scheduling.model import Shape, Step
+from foxtrestle.scheduling.placing import choose_placements
+from foxtrestle.scheduling.runs import drop_run, place_run, record_end, requeue
+from foxtrestle.standins.site import Site
+from tests.properties import scale
+from tests.scheduling_fakes import NOW, ROOM, add_worker, end, enter, make_fleet, make_job
+from tests.test_node import count_starts, name, running, short_times, wait_for
+
+if TYPE_CHECKING:
+    from foxtrestle.scheduling.state import Fleet, Run, Task, Worker
+
+__all__ = ["short_times"]
+
+
+def tell_room(fleet: Fleet, worker: str, room: Shape) -> None:
+    held = fleet.workers[worker]
+    held.info = msgspec.structs.replace(held.info, room=room)
+
+
+class Sending(RuleBasedStateMachine):
+    """Decides, records, sends and ends in any order, under rooms that change."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.fleet = make_fleet(3)
+        self.waiting: list[tuple[Task, Run, Worker]] = []
+        self.there: dict[str, list[tuple[Task, Run]]] = {name: [] for name in self.fleet.workers}
+        self.jobs = 0
+        self.ends = 0
+
+    @rule(count=st.integers(1, 4), cpu=st.sampled_from((1000, 8000, 20_000)))
+    def submit(self, count: int, cpu: int) -> None:
+        self.jobs += 1
+        enter(self.fleet, make_job(Step(count=count, shape=Shape(cpu, 100)), id=name(self.jobs)))
+
+    @rule(number=st.integers(0, 2), cpu=st.sampled_from((0, 1000, 8000, 16_000, 32_000)))
+    def change_room(self, number: int, cpu: int) -> None:
+        tell_room(self.fleet, f"w-main-{number}", Shape(cpu, ROOM.memory_mb))
+
+    @rule()
+    def decide(self) -> None:
+        for placement in choose_placements(self.fleet, NOW):
+            for task, worker in placement.members:
+                run = place_run(self.fleet, task, worker, placement.run, NOW)
+                self.waiting.append((task, run, worker))
+
+    @rule(number=st.integers(0, 30))
+    def send(self, number: int) -> None:
+        if not self.waiting:
+            return
+        task, run, worker = self.waiting.pop(number % len(self.waiting))
+        if check_send(worker):
+            drop_run(task, run.number, worker)
+            requeue(self.fleet.jobs[task.key.job], task, NOW)
+            return
+        run.move("confirm")
+        run.confirmed_at = NOW
+        there = self.there[worker.info.id]
+        there.append((task, run))
+        # The worker does not guard its room: what it runs now must fit what it has told.
+        assert sum(held.step.shape.cpu for held, _ in there) <= worker.info.room.cpu
+
+    @rule(number=st.integers(0, 2))
+    def finish(self, number: int) -> None:
+        worker = self.fleet.workers[f"w-main-{number}"]
+        if self.there[worker.info.id]:
+            task, run = self.there[worker.info.id].pop(0)
+            self.ends += 1
+            record_end(self.fleet, worker, end(task.key, run.number, "done", self.ends), NOW)
+
+
+TestSending = Sending.TestCase
+TestSending.settings = settings(max_examples=scale(80), stateful_step_count=30, deadline=None)
+
+
+@pytest.mark.parametrize("gang", [False, True])
+async def test_room_that_shrinks_while_a_start_is_recorded_is_looked_at_again(
+    monkeypatch: pytest.MonkeyPatch, gang: bool
+) -> None:
+    site = Site(describe=lambda key: (Shape(20_000, 100), 5000.0, "done"))
+    async with running(site, hosts=2) as (client, nodes):
+        await wait_for(lambda: any(one.node.controller for one in nodes))
+        controller: Any = next(one.node.controller for one in nodes if one.node.controller)
+        await wait_for(lambda: len(controller.fleet.workers) == 2)
+        record = Ledger.record
+        shrunk = [False]
+
+        async def record_slowly(self: Ledger, jobs: Any) -> None:
+            await record(self, jobs)
+            if not shrunk[0]:
+                shrunk[0] = True
+                first = next(iter(site.workers.values()))
+                first.info = msgspec.structs.replace(first.info, room=Shape(8000, 131_072))
+                site.write_entry(first)
+                held = controller.fleet.workers[first.info.id]
+                await wait_for(lambda: held.info.room.cpu == 8000)
+
+        monkeypatch.setattr(Ledger, "record", record_slowly)
+        step = {"count": 2, "cpu": 20_000, "gang": gang, "antiAffinity": 1}
+        assert await client.submit(name(1), step) == 200
+        await wait_for(lambda: shrunk[0])
+        small = next(iter(site.workers.values()))
+        if not gang:
+            await wait_for(lambda: count_starts(site))
+        assert small.starts == []
+        assert len(count_starts(site)) == (0 if gang else 1)
+
+
+def test_a_worker_with_less_room_than_it_runs_gets_nothing_and_loses_nothing() -> None:
+    fleet = make_fleet(1)
+    entry = enter(fleet, make_job(Step(count=2, shape=Shape(20_000, 100))))
+    worker = fleet.workers["w-main-0"]
+    [placement] = choose_placements(fleet, NOW)
+    [(task, _)] = placement.members
+    place_run(fleet, task, worker, 1, NOW)
+    tell_room(fleet, "w-main-0", Shape(8000, 131_072))
+    assert worker.is_overfull()
+    assert choose_placements(fleet, NOW) == []
+    assert len(worker.runs) == 1
+    assert len(entry.ready) == 1
+
+
+def test_a_task_that_a_shrunk_worker_cannot_hold_asks_for_a_host_that_can() -> None:
+    fleet = make_fleet(2)
+    for number in range(2):
+        tell_room(fleet, f"w-main-{number}", Shape(8000, 131_072))
+    add_worker(fleet, "other", "side")
+    enter(fleet, make_job(Step(shape=Shape(20_000, 100))))
+    [need] = find_fitting_needs(fleet, view_hosts(fleet), ROOM, NOW)
+    assert need.pool == "main"
+    assert [name for name, view in view_hosts(fleet).items() if need.is_met_by(view)] == ["h-other"]
