Tests of shrinking room: let them find what they are for

Now the workers of the whole-node test do not guard it, the machine has two workers and four room sizes, and with the look taken out these three fail: the machine, and both plays of a whole node. With it all pass.

--- a/src/foxtrestle/standins/worker.py
+++ b/src/foxtrestle/standins/worker.py
@@ -79,7 +79,8 @@
         """Whether this life is over."""
         self._clock_ms = clock_ms
         self._describe = describe
-        self._guards_room = guards_room
+        self.guards_room = guards_room
+        """Whether it refuses what does not fit."""
         self._stop_ms = stop_ms
         self._barred: dict[TaskKey, int] = {}
         self._expires_ms = 0.0
@@ -101,7 +102,7 @@
         if run <= self._barred.get(key, 0):
             raise Refused("old")
         shape, work_ms, ends = self._describe(key)
-        if self._guards_room and not self._fits(shape):
+        if self.guards_room and not self._fits(shape):
             raise Refused("room")
         now = self._clock_ms()
         self.running[key, run] = SimulatedRun(key, run, shape, now, work_ms, ends, text)
--- a/tests/test_shrinking_room.py
+++ b/tests/test_shrinking_room.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Any
 
 import hypothesis.strategies as st
@@ -42,18 +43,18 @@
 
     @initialize()
     def begin(self) -> None:
-        self.fleet = make_fleet(3)
+        self.fleet = make_fleet(2)
         self.waiting: list[tuple[Task, Run, Worker]] = []
         self.there: dict[str, list[tuple[Task, Run]]] = {name: [] for name in self.fleet.workers}
         self.jobs = 0
         self.ends = 0
 
-    @rule(count=st.integers(1, 4), cpu=st.sampled_from((1000, 8000, 20_000)))
+    @rule(count=st.integers(1, 4), cpu=st.sampled_from((8000, 20_000)))
     def submit(self, count: int, cpu: int) -> None:
         self.jobs += 1
         enter(self.fleet, make_job(Step(count=count, shape=Shape(cpu, 100)), id=name(self.jobs)))
 
-    @rule(number=st.integers(0, 2), cpu=st.sampled_from((0, 1000, 8000, 16_000, 32_000)))
+    @rule(number=st.integers(0, 1), cpu=st.sampled_from((0, 16_000, 32_000)))
     def change_room(self, number: int, cpu: int) -> None:
         tell_room(self.fleet, f"w-main-{number}", Shape(cpu, ROOM.memory_mb))
 
@@ -64,7 +65,7 @@
                 run = place_run(self.fleet, task, worker, placement.run, NOW)
                 self.waiting.append((task, run, worker))
 
-    @rule(number=st.integers(0, 30))
+    @rule(number=st.integers(0, 9))
     def send(self, number: int) -> None:
         if not self.waiting:
             return
@@ -80,7 +81,7 @@
         # The worker does not guard its room: what it runs now must fit what it has told.
         assert sum(held.step.shape.cpu for held, _ in there) <= worker.info.room.cpu
 
-    @rule(number=st.integers(0, 2))
+    @rule(number=st.integers(0, 1))
     def finish(self, number: int) -> None:
         worker = self.fleet.workers[f"w-main-{number}"]
         if self.there[worker.info.id]:
@@ -102,6 +103,8 @@
         await wait_for(lambda: any(one.node.controller for one in nodes))
         controller: Any = next(one.node.controller for one in nodes if one.node.controller)
         await wait_for(lambda: len(controller.fleet.workers) == 2)
+        for worker in site.workers.values():
+            worker.guards_room = False
         record = Ledger.record
         shrunk = [False]
 
@@ -122,6 +125,8 @@
         small = next(iter(site.workers.values()))
         if not gang:
             await wait_for(lambda: count_starts(site))
+        # Starts are sent within a few milliseconds once they are recorded.
+        await asyncio.sleep(0.3)
         assert small.starts == []
         assert len(count_starts(site)) == (0 if gang else 1)
 
