Use no worker, wave or host whose entry cannot be read, and hold the others

Cause: other writers' entries were trusted in part. An unreadable entry of a known worker left the former one in use; an unknown state read as a drain; a worker of an unknown pool could stand for a host; one odd row made the whole host list unreadable, so no host was known; a wave with a limit of 0 was taken and never ended.

Change: states, addresses and amounts are checked where they are decoded. Each is told once a revision.

--- a/src/foxtrestle/control/roster.py
+++ b/src/foxtrestle/control/roster.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 from foxtrestle.clock import read_clock
 from foxtrestle.control.following import list_as_changes
 from foxtrestle.control.log import log, log_failure
@@ -60,6 +62,7 @@
         self._note_loss = note_loss
         self._measures = measures
         self._ended_lives: set[str] = set()
+        self._unreadable: dict[str, int] = {}
         self._started_at = read_clock()
 
     def find(self, worker_id: str, host: str) -> Worker:
@@ -117,7 +120,7 @@
         try:
             info = decode_worker(record.key, record.value)
         except CallError as error:
-            log("worker.unreadable", key=record.key, reason=error.reason)
+            self._note_unreadable(record, error)
             return
         if info.id in self._ended_lives or not self._partition.owns(info.host or info.id):
             return
@@ -135,6 +138,19 @@
         worker.gone = False
         self._link(worker)
 
+    def _note_unreadable(self, record: Record, error: CallError) -> None:
+        """Keep a worker from new work whose entry another writer has made unreadable.
+
+        What runs there goes on under its lease: the worker itself may be well.
+        """
+        if self._unreadable.get(record.key) != record.revision:
+            self._unreadable[record.key] = record.revision
+            log("worker.unreadable", key=record.key, revision=record.revision,
+                reason=error.reason)  # fmt: skip
+        worker = self._fleet.workers.get(record.key.removeprefix(ENTRIES))
+        if worker is not None:
+            worker.info = msgspec.structs.replace(worker.info, readable=False)
+
     def _link(self, worker: Worker) -> None:
         held = self.links.get(worker.info.id)
         if held is not None and not held.done():
--- a/src/foxtrestle/node/operators.py
+++ b/src/foxtrestle/node/operators.py
@@ -80,6 +80,7 @@
         """Monotonic time up to which no change is missing for certain, seconds."""
         self._current_s = apply_s - APPLY_MARGIN_S
         self._store = store
+        self._unreadable: dict[str, int] = {}
         self._on_change = on_change
 
     async def follow(self) -> None:
@@ -137,7 +138,10 @@
             try:
                 self._install(change.key, change.record)
             except MalformedAnswer as error:
-                log("operators.unreadable", key=change.key, reason=error.reason)
+                if self._unreadable.get(change.key) != change.record.revision:
+                    self._unreadable[change.key] = change.record.revision
+                    log("operators.unreadable", key=change.key, reason=error.reason,
+                        revision=change.record.revision)  # fmt: skip
         if changes:
             self._on_change()
 
--- a/src/foxtrestle/platform/hosts.py
+++ b/src/foxtrestle/platform/hosts.py
@@ -2,17 +2,23 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 
+from foxtrestle.control.log import log
 from foxtrestle.platform._capacity import Capacity
-from foxtrestle.platform.http import CallError, call, decode
+from foxtrestle.platform.http import CallError, MalformedAnswer, call, decode
 from foxtrestle.scheduling.model import HostInfo, HostState
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
     from foxtrestle.platform.connections import Connections
 
+MAX_TOLD: Final = 100
+"""Most unreadable rows that are remembered and told."""
+
 
 class _Machine(msgspec.Struct):
     machine: str
@@ -25,7 +31,7 @@
 
 
 class _Page(msgspec.Struct):
-    machines: list[_Machine] = []
+    machines: list[msgspec.Raw] = []
     nextToken: str | None = None
 
 
@@ -61,6 +67,7 @@
         self._node = node
         self._connections = connections
         self._timeout_s = timeout_s
+        self._unreadable: set[bytes] = set()
 
     async def list_hosts(self) -> list[HostInfo]:
         """Read the whole list; it lags."""
@@ -79,11 +86,27 @@
             if reply.status != 200:
                 raise CallError(f"status {reply.status}", step="hosts.list", peer=self._base)
             page = decode(reply.body, _Page, step="hosts.list", peer=self._base)
-            hosts += [_to_host(machine) for machine in page.machines]
+            hosts += self._read_rows(page.machines)
             if not page.nextToken:
                 return hosts
             query = {"pageToken": page.nextToken}
 
+    def _read_rows(self, rows: Iterable[msgspec.Raw]) -> Iterator[HostInfo]:
+        """Decode the rows that can be read; one that cannot names no host, and the others hold."""
+        for row in rows:
+            try:
+                machine = decode(bytes(row), _Machine, step="hosts.list", peer=self._base)
+            except MalformedAnswer as error:
+                self._tell_unreadable(bytes(row), error)
+            else:
+                yield _to_host(machine)
+
+    def _tell_unreadable(self, row: bytes, error: MalformedAnswer) -> None:
+        """Tell of a row once, as it is read every second."""
+        if row not in self._unreadable and len(self._unreadable) < MAX_TOLD:
+            self._unreadable.add(row)
+            log("host.unreadable", reason=error.reason, row=repr(row[:100]))
+
     async def move(self, host: str, pool: str, token: int) -> None:
         """Move a host to a pool: what runs there dies, a new worker joins the pool."""
         await self._order("machine-move", {"machine": host, "pool": pool}, token)
--- a/src/foxtrestle/platform/operators.py
+++ b/src/foxtrestle/platform/operators.py
@@ -76,8 +76,8 @@
 class _Wave(msgspec.Struct):
     wave: int
     machines: tuple[str, ...]
-    withinS: float
-    upperLimit: int
+    withinS: Annotated[float, msgspec.Meta(ge=0)]
+    upperLimit: Annotated[int, msgspec.Meta(ge=1)]
 
 
 def decode_configuration(value: bytes, revision: int) -> FleetConfiguration:
--- a/src/foxtrestle/platform/workers.py
+++ b/src/foxtrestle/platform/workers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, Final, Literal
+from typing import TYPE_CHECKING, Annotated, Any, Final, Literal
 
 import msgspec
 
@@ -46,11 +46,15 @@
     """The address belongs to another life than the one meant, which therefore has ended."""
 
 
+Name = Annotated[str, msgspec.Meta(min_length=1)]
+
+
 class _Entry(msgspec.Struct):
-    service: str
-    address: str
+    # Others can write entries too: one that is not like this names no worker to use.
+    service: Name
+    address: Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
     zone: str = ""
-    state: str = "ready"
+    state: Literal["ready", "draining"] = "ready"
     capacity: Capacity = msgspec.field(default_factory=Capacity)
     labels: tuple[str, ...] = ()
     machine: str = ""
--- a/src/foxtrestle/scheduling/eligibility.py
+++ b/src/foxtrestle/scheduling/eligibility.py
@@ -45,6 +45,7 @@
     return (
         worker.known
         and not worker.gone
+        and worker.info.readable
         and not worker.cordoned
         and not worker.unknown_runs
         and not worker.info.draining
--- a/src/foxtrestle/scheduling/hosts.py
+++ b/src/foxtrestle/scheduling/hosts.py
@@ -132,7 +132,9 @@
         host = worker.info.host
         held = newest.get(host)
         # An entry of a former life may be written again, late; who answers is the present one.
-        if host and (held is None or _rank(worker) > _rank(held)):
+        if not host or not _is_named(fleet, worker):
+            continue
+        if held is None or _rank(worker) > _rank(held):
             newest[host] = worker
     views = {}
     for name, info in fleet.hosts.items():
@@ -143,6 +145,12 @@
     return views
 
 
+def _is_named(fleet: Fleet, worker: Worker) -> bool:
+    """Tell whether a worker's pool is one of the configuration's; other writers may name any."""
+    pool = worker.info.pool
+    return not pool or fleet.configuration is None or pool in fleet.configuration.pools
+
+
 def _rank(worker: Worker) -> tuple[float, int]:
     return worker.contact_at, worker.revision
 
--- a/src/foxtrestle/scheduling/model.py
+++ b/src/foxtrestle/scheduling/model.py
@@ -210,6 +210,9 @@
     """Kind and rack."""
     host: str = ""
     """The host; empty if it did not say."""
+    readable: bool = True
+    """Whether its newest entry can be read; if not, it gets nothing new, and what runs there goes
+    on."""
 
 
 class HostInfo(msgspec.Struct, frozen=True):
