--- a/src/foxtrestle/scheduling/fitting.py
+++ b/src/foxtrestle/scheduling/fitting.py
@@ -87,8 +87,12 @@
 
 
 def find_smallest_room(views: Iterable[HostView]) -> Shape:
-    """Return the least that any host has of each part of its room."""
-    rooms = [view.room for view in views if view.room.cpu]
+    """Return the least that any host has of each part of its room.
+
+    By the host list: a worker whose room has shrunk for a while does not make all tasks need hosts
+    of their own.
+    """
+    rooms = [view.info.room for view in views if view.info.room.cpu]
     if not rooms:
         return Shape()
     return Shape(
--- a/src/foxtrestle/scheduling/hosts.py
+++ b/src/foxtrestle/scheduling/hosts.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from foxtrestle.chart import load_chart
-from foxtrestle.scheduling.losses import LossReason
+from foxtrestle.scheduling.losses import HOST_LOSSES, LossReason
 from foxtrestle.scheduling.model import Shape
 
 if TYPE_CHECKING:
@@ -119,7 +119,7 @@
         # Missing once may be a page that was read while the list changed.
         return None if name in (fleet.hosts_before or ()) else LossReason.HOST_GONE
     if host.state != "up":
-        return LossReason(f"its host is {host.state}")
+        return HOST_LOSSES[host.state]
     if host.worker and host.worker != worker.info.id:
         return LossReason.NEW_WORKER
     return None
--- a/src/foxtrestle/scheduling/losses.py
+++ b/src/foxtrestle/scheduling/losses.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
+    from foxtrestle.scheduling.model import HostState
     from foxtrestle.scheduling.state import Fleet, Worker
 
 
@@ -13,16 +14,29 @@
     """How it is known that nothing of what was placed on a worker runs any more."""
 
     LAPSED = "lease lapsed"
-    """It may come back, unlike the others."""
+    """It has been out of reach for longer than its lease; it may come back, unlike the others."""
     ORDERED_AWAY = "its host was ordered away"
+    """This controller has moved its host, or has it maintained."""
     OTHER_LIFE = "another life at its address"
+    """A call to it was answered by another."""
     NEW_WORKER = "its host has a new worker"
+    """The host list names another for its host."""
     HOST_DOWN = "its host is down"
+    """So the host list says."""
     HOST_MOVING = "its host is moving"
+    """So the host list says; an earlier controller ordered it."""
     HOST_MAINTAINED = "its host is upkeep"
+    """The host list says that its host is in maintenance, ordered by an earlier controller."""
     HOST_GONE = "its host is gone"
+    """The host list has not named its host twice."""
 
 
+HOST_LOSSES: Final[dict[HostState, LossReason]] = {
+    "down": LossReason.HOST_DOWN,
+    "moving": LossReason.HOST_MOVING,
+    "upkeep": LossReason.HOST_MAINTAINED,
+}
+"""What a host's state tells of a worker there that does not answer."""
 CRASHES: Final = frozenset({LossReason.OTHER_LIFE, LossReason.NEW_WORKER, LossReason.HOST_DOWN})
 """What shows a crash, unless the worker was about to leave. A lapsed lease does not: the worker may
 be cut off and live. A host that is gone was taken away."""
