Run the tests in four processes; draw ports where the kernel does not

Side by side, a port that was bound, closed and told to a node could be taken by any socket that the kernel gives a port, before the node had it. Tests and soak now draw below that range.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 
 SEED ?= 1
 EXAMPLES ?= 20
+WORKERS ?= 4
 SECONDS ?= 60
 
 .PHONY: try test explore lint bench soak clean
@@ -20,10 +21,10 @@
 	$(BIN)/python -m foxtrestle.trial examples/$(EXAMPLE).toml
 
 test: $(VENV)/ready
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(WORKERS) --dist worksteal
 
 explore: $(VENV)/ready
-	FOXTRESTLE_EXAMPLES=$(EXAMPLES) $(BIN)/python -m pytest -m hypothesis --hypothesis-profile=fresh
+	FOXTRESTLE_EXAMPLES=$(EXAMPLES) $(BIN)/python -m pytest -n $(WORKERS) -m hypothesis --hypothesis-profile=fresh
 
 lint: $(VENV)/ready
 	$(BIN)/ruff format --check src tests benches soak
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,9 +16,9 @@
 import aiohttp
 import cyclopts
 
-from foxtrestle.listener import bind
 from foxtrestle.scheduling.model import Shape, TaskKey
 from foxtrestle.standins.site import Site
+from soak.ports import find_free_port
 from soak.proxy import Proxy
 from soak.watcher import TEXT, Watcher
 
@@ -47,14 +47,6 @@
     return Shape(3000, 500), 100.0 + 200.0 * (key.number % 5), "done"
 
 
-def free_port() -> int:
-    """Return a TCP port that is free now."""
-    socket = bind("127.0.0.1", 0)
-    port = int(socket.getsockname()[1])
-    socket.close()
-    return port
-
-
 class NodeProcess:
     """One node, run as its own process."""
 
@@ -62,16 +54,17 @@
         """Create a node that is not started."""
         self.name = name
         """Name of the node."""
-        self.front = free_port()
+        self.front = find_free_port()
         """Port for clients."""
         self.store = store
         """Its way to the store."""
         self._settings = folder / f"{name}.toml"
         self._log = folder / f"{name}.log"
         self._process: asyncio.subprocess.Process | None = None
+        ready = find_free_port()
         self._settings.write_text(
             f'nodeName = "{name}"\nzone = "z"\n'
-            f'[listenAddrs]\nfront = "127.0.0.1:{self.front}"\nready = "127.0.0.1:{free_port()}"\n'
+            f'[listenAddrs]\nfront = "127.0.0.1:{self.front}"\nready = "127.0.0.1:{ready}"\n'
             f'[platform]\naddress = "{store.address}"\n[cloudApi]\naddress = "{hosts}"\n'
         )
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -12,13 +12,13 @@
 import pytest
 
 from foxtrestle.control.orders import Orders
-from foxtrestle.listener import bind
 from foxtrestle.node.process import Node
 from foxtrestle.node.settings import Bounds, NodeSettings
 from foxtrestle.scheduling.hosts import LIST_LAG_S, HostPlan
 from foxtrestle.scheduling.model import Shape, Step, TaskKey
 from foxtrestle.standins.site import Site
 from foxtrestle.store import Change, Transaction
+from soak.ports import find_free_port
 from tests.scheduling_fakes import make_job
 
 if TYPE_CHECKING:
@@ -41,10 +41,7 @@
 
 
 def free_address() -> str:
-    socket = bind("127.0.0.1", 0)
-    address = f"127.0.0.1:{socket.getsockname()[1]}"
-    socket.close()
-    return address
+    return f"127.0.0.1:{find_free_port()}"
 
 
 class RunningNode:
