Measure a gang at the door against its partition's part of the limit

In fleets of more than 600 hosts control is divided, and each partition has a part of an organisation's limit. The door measured a gang against the whole: one between the two was accepted and never started. The new case of the test failed (200 instead of 429 with three partitions and a limit of 9,000 for a gang of 9,000); with the part it passes. Undivided fleets see no difference: their part is the whole.

--- a/src/foxtrestle/control/layout.py
+++ b/src/foxtrestle/control/layout.py
@@ -53,15 +53,23 @@
         """List all partitions."""
         return [Partition(number, self.count) for number in range(self.count)]
 
-    def find_keys(self, job: str) -> Keys:
-        """Return the keys of the partition to which a job belongs.
+    def find_partition(self, job: str) -> Partition:
+        """Return the partition to which a job belongs.
 
         Raises:
             StoreError: The layout is not known yet.
         """
         if not self.count:
             raise StoreError("the layout is not known yet", step="layout.find", peer=job)
-        return build_keys(find_number(job, self.count))
+        return Partition(find_number(job, self.count), self.count)
+
+    def find_keys(self, job: str) -> Keys:
+        """Return the keys of the partition to which a job belongs.
+
+        Raises:
+            StoreError: The layout is not known yet.
+        """
+        return build_keys(self.find_partition(job).number)
 
     async def load(self, store: PlatformStore, hosts: HostCalls) -> None:
         """Read the layout, and decide it if nobody has."""
--- a/src/foxtrestle/node/intake.py
+++ b/src/foxtrestle/node/intake.py
@@ -14,6 +14,7 @@
 from foxtrestle.platform.operators import CONFIGURATION
 from foxtrestle.scheduling.access import Access, Denial, admit
 from foxtrestle.scheduling.model import Job
+from foxtrestle.scheduling.partitions import share_limit
 from foxtrestle.scheduling.progress import decode_progress
 from foxtrestle.scheduling.quotas import find_unstartable
 from foxtrestle.store import ABSENT, Conflict, OutcomeUnknown, StoreError, Transaction
@@ -27,6 +28,7 @@
     from foxtrestle.platform.store import PlatformStore
     from foxtrestle.scheduling.access import Address
     from foxtrestle.scheduling.model import FleetConfiguration, JobSpec, JobState, Queue
+    from foxtrestle.scheduling.partitions import Partition
     from foxtrestle.store import Record
 
 Acceptance = Literal["accepted", "refused", "unknown", "taken", "too-large"] | Denial
@@ -65,7 +67,7 @@
             access = admit(configuration, address)
             if configuration is None or not isinstance(access, Access):
                 return "unknown" if sent else _settle_denial(access)
-            if _is_too_large(configuration, access, spec):
+            if _is_too_large(configuration, access, spec, self._layout.find_partition(job_id)):
                 return "unknown" if sent else "too-large"
             transaction = _build_submission(configuration, keys, access, job_id, spec, accepted_ms)
             try:
@@ -159,9 +161,14 @@
     return access if isinstance(access, Denial) else Denial.NO_CONFIGURATION
 
 
-def _is_too_large(configuration: FleetConfiguration, access: Access, spec: JobSpec) -> bool:
+def _is_too_large(
+    configuration: FleetConfiguration, access: Access, spec: JobSpec, partition: Partition
+) -> bool:
+    """Tell whether a gang of a job can never start: a job runs in one partition alone."""
     held = configuration.organisations.get(access.organisation)
-    return held is not None and find_unstartable(spec, held.limit) is not None
+    if held is None:
+        return False
+    return find_unstartable(spec, share_limit(partition, held).limit) is not None
 
 
 def _read_pending(record: Record | None, queue: Queue) -> int:
--- a/tests/test_node_organisations.py
+++ b/tests/test_node_organisations.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
+import pytest
 from eliot import add_destinations
 
 from foxtrestle.clock import read_clock
@@ -12,9 +13,6 @@
 from foxtrestle.standins.site import Site
 from tests.test_node import CONFIGURATION, Client, is_state, name, running, short_times, wait_for
 
-if TYPE_CHECKING:
-    import pytest
-
 __all__ = ["short_times"]
 
 PATH = f"/q/{name(1)}"
@@ -131,10 +129,16 @@
         await wait_for(lambda: count(name(1)) == 5)
 
 
-async def test_a_gang_beyond_the_limit_is_refused_at_once() -> None:
+@pytest.mark.parametrize(("partitions", "limit"), [(1, 3000), (3, 9000)])
+async def test_a_gang_beyond_the_limit_is_refused_at_once(partitions: int, limit: int) -> None:
+    """In a divided fleet a job runs in one partition, which has its part of the limit.
+
+    Measured against the whole limit, a gang between the two was accepted and never started.
+    """
     site = Site()
     async with running(site) as (client, nodes):
-        await apply(site, client, configure(2, {"acme": ["k1"]}, acme=3000))
+        nodes[0].node.layout.count = partitions
+        await apply(site, client, configure(2, {"acme": ["k1"]}, acme=limit))
         client.key = "k1"
         url = f"http://{nodes[0].settings.client_address}{PATH}"
         headers = {"Host": "jobs.example", "Authorization": "Bearer k1"}
