Blame a run for a crash only if it was certainly there

Starts that timed out counted as there: a worker that goes dark is known as silent 1.5 s later and meanwhile looks emptiest, so a task on probation went from one dead worker of a rack to the next and was given up without ever having run. The new test shows the mechanism and failed (1 crash counted, on probation).

Change: a run counts if its start was answered, or its worker's connections broke after the start was sent.

--- a/src/foxtrestle/scheduling/crashes.py
+++ b/src/foxtrestle/scheduling/crashes.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-from math import inf
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -50,16 +49,29 @@
     lived_s: float
     """Seconds for which it is known to have lived; 0 if it may not have begun."""
     there: bool
-    """Whether it may have been there when the worker fell silent."""
+    """Whether it was certainly there when the worker crashed."""
 
 
 def describe_loss(worker: Worker, task: Task, run: Run) -> LostRun:
     """Return what is known of a run whose worker is over."""
     since = run.confirmed_at or run.sent_at
     lived_s = max(0.0, worker.alive_at - since) if since else 0.0
-    silent_at = worker.silence.since if worker.silence is not None else inf
-    sent = run.state != "recorded" or run.sent_at > 0
-    return LostRun(task, run, lived_s, there=sent and run.sent_at <= silent_at)
+    return LostRun(task, run, lived_s, there=_was_there(worker, run))
+
+
+def _was_there(worker: Worker, run: Run) -> bool:
+    """Tell whether a run was on its worker when that crashed.
+
+    Its start was answered, or the worker's connections broke after it was sent. One that timed out
+    may have gone to a worker that was dead for a second and a half already: a task that had never
+    run was given up for two such.
+    """
+    if run.confirmed_at or run.state == "running":
+        return True
+    silence = worker.silence
+    if silence is None or not silence.cut_off:
+        return False
+    return 0 < run.sent_at <= silence.since
 
 
 def note_crash(lost: list[LostRun]) -> list[Task]:
--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -38,6 +38,8 @@
 """Where everything listens."""
 ROOM: Final = Shape(32_000, 131_072, 0)
 """Room of a worker: 32 cores, 128 GB."""
+CRASH_AFTER_S: Final = 0.01
+"""Seconds that a task runs which crashes its worker; as long as on the users' platform."""
 POLL_S: Final = 0.01
 """Seconds between two looks of a waiting call."""
 
@@ -194,6 +196,12 @@
         host.state = "down"
         self._late.add(asyncio.create_task(self._come_back(host)))
 
+    async def _crash_soon(self, worker: SimulatedWorker) -> None:
+        """Crash a worker just after it has answered a start."""
+        await asyncio.sleep(CRASH_AFTER_S)
+        if not worker.dead:
+            self.crash(worker.info.id)
+
     async def _come_back(self, host: SimulatedHost) -> None:
         await asyncio.sleep(self.faults.back_s)
         host.state = "up"
@@ -350,7 +358,7 @@
                 await asyncio.sleep(3600)
             begin()
             if parse_task(body["task"]) in self.faults.crashing:
-                self.crash(worker.info.id)
+                self._late.add(asyncio.create_task(self._crash_soon(worker)))
             return {}
 
         async def stop(body: dict[str, Any]) -> dict[str, Any]:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -301,6 +301,31 @@
     assert task.crashes == 0
 
 
+def test_a_start_without_an_answer_to_a_worker_that_went_dark_is_not_blamed() -> None:
+    """Twice placed on workers of a rack that had lost power, a task that never ran was given up.
+
+    A worker that goes dark is known as silent 1.5 s later. Meanwhile it looks like the emptiest
+    one, to which a task on probation goes first.
+    """
+    fleet = make_fleet(1)
+    [task] = enter(fleet, make_job(Step(shape=SMALL))).tasks.values()
+    worker = fleet.workers["w-main-0"]
+    place_run(fleet, task, worker, 1, NOW).sent_at = NOW
+    worker.note_silence(NOW + 1.5, cut_off=False)
+    release_worker(fleet, worker, NOW + 2.0, crashed=True)
+    assert task.crashes == 0
+    assert not task.probation
+
+
+def test_a_start_under_which_the_connection_breaks_is_blamed_without_an_answer() -> None:
+    fleet = make_fleet(1)
+    [task] = enter(fleet, make_job(Step(shape=SMALL))).tasks.values()
+    place_run(fleet, task, fleet.workers["w-main-0"], 1, NOW).sent_at = NOW
+    lose(fleet, "w-main-0")
+    assert task.crashes == 1
+    assert task.probation
+
+
 def test_tasks_on_probation_go_apart_and_nothing_joins_them() -> None:
     fleet = make_fleet(3)
     [first] = enter(fleet, make_job(Step(shape=SMALL), id=name(1))).tasks.values()
