--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -9,13 +9,14 @@
 from __future__ import annotations
 
 import hypothesis.strategies as st
+import msgspec
 import pytest
 from hypothesis import given, settings
 
 from foxtrestle.scheduling.eligibility import SUSPECT_S, can_hold, is_suspect
 from foxtrestle.scheduling.fitting import FORCE_S, GROW_S, find_fitting_needs, list_kept
 from foxtrestle.scheduling.hosts import HostPlan, view_hosts
-from foxtrestle.scheduling.model import HostInfo, Shape, Step
+from foxtrestle.scheduling.model import HostInfo, Organisation, Shape, Step
 from foxtrestle.scheduling.needs import STUCK_MORE_S, STUCK_S, PoolNeed, compute_needs
 from foxtrestle.scheduling.placing import RESERVE_S, RETURN_S, choose_placements
 from foxtrestle.scheduling.runs import place_run, record_end
@@ -303,6 +304,8 @@
     assert list_kept([], views, NOW) == frozenset()
 
 
+LIMITED = "limited"
+"""Organisation that may start little, for which nothing is promised here."""
 BOUND_S = 12.0
 """Seconds within which a task must have been started: a host that fits is emptied and moved (4 s),
 a suspect worker is let alone (2 s) and a place of failure kept away from (2 s), twice. To this
@@ -375,8 +378,10 @@
                 add_worker(fleet, f"{move.host}-{now:.1f}", move.pool, labels=info.labels,
                            host=move.host, room=info.room)  # fmt: skip
         for placement in choose_placements(fleet, now):
+            owner = fleet.jobs[placement.job].job.owner
             for task, worker in placement.members:
-                worst = max(worst, now - task.waiting_since)
+                if owner != LIMITED:
+                    worst = max(worst, now - task.waiting_since)
                 place_run(fleet, task, worker, placement.run, now).move("confirm")
                 running.append((now + 1.0, task, worker.info.id))
         for move in choose(fleet, now):
@@ -395,6 +400,8 @@
                 moving.append((now + 1.6, HostMove(plan.host, plan.pool)))
         now += 0.2
     for entry in fleet.active.values():
+        if entry.job.owner == LIMITED:
+            continue
         for task in entry.ready.values():
             worst = max(worst, now - task.waiting_since)
     return worst
@@ -481,3 +488,72 @@
     hosts: list, steps: list[Step]
 ) -> None:
     check_waits(hosts, steps)
+
+
+crowd_strategy = st.lists(
+    st.tuples(
+        st.sampled_from(("main", "side", "third", "off")),
+        st.sampled_from(("a", "a", "b")),
+        st.sampled_from((ROOM, ROOM, LARGE_ROOM)),
+        st.sampled_from((False, False, False, True)),
+    ),
+    min_size=4,
+    max_size=10,
+)
+
+
+def build_crowd(hosts: list, steps: list[Step], limited: int) -> Fleet:
+    """Build a fleet of three pools; some of its workers drain, one job is of a limited owner."""
+    fleet = Fleet(1)
+    held = make_configuration(("main", "side", "third"))
+    organisations = {LIMITED: Organisation(LIMITED, limit=Shape(cpu=1000))}
+    fleet.configuration = msgspec.structs.replace(held, organisations=organisations)
+    for number, (pool, kind, room, draining) in enumerate(hosts):
+        if pool == "off":
+            add_off(fleet, f"h{number}", (kind, "r1"), room)
+            continue
+        worker = add_worker(fleet, f"w{number}", pool, labels=(kind, "r1"), host=f"h{number}",
+                            room=room)  # fmt: skip
+        worker.info = msgspec.structs.replace(worker.info, draining=draining)
+    pools = ("main", "side", "third")
+    for number, step in enumerate(steps):
+        pool = pools[number % 3]
+        enter(fleet, make_job(step, id=f"{number:016x}", max_attempts=99, pool=pool))
+    # What already runs of the limited owner is all that it may have.
+    busy = enter(fleet, make_job(Step(lasting=True, shape=Shape(1000, 1)), id="e" * 16,
+                                 pool=pools[limited], owner=LIMITED))  # fmt: skip
+    [task] = busy.tasks.values()
+    for worker in fleet.workers.values():
+        if worker.info.pool == pools[limited] and not worker.info.draining:
+            place_run(fleet, task, worker, 1, NOW).move("confirm")
+            break
+    waiting = Step(count=3, shape=MIDDLE, gang=True)
+    enter(fleet, make_job(waiting, id="f" * 16, pool=pools[limited], owner=LIMITED))
+    return fleet
+
+
+def could_run_in_crowd(fleet: Fleet, step: Step) -> bool:
+    """Tell whether hosts that neither drain nor carry lasting tasks could run a step.
+
+    Each of the two other pools keeps one, the largest.
+    """
+    leaving = {w.info.host for w in fleet.workers.values() if w.info.draining or w.lasting}
+    holding = [
+        host
+        for host in fleet.hosts.values()
+        if host.name not in leaving and can_hold(step, host.labels, host.room)
+    ]
+    places = sorted(1 if step.max_per_worker else h.room.cpu // step.shape.cpu for h in holding)
+    return sum(places[:-2]) >= (step.count if step.gang else 1)
+
+
+@settings(max_examples=scale(60), deadline=None)
+@given(crowd_strategy, st.lists(steps_strategy, min_size=1, max_size=4), st.integers(0, 2))
+def test_three_pools_drains_and_a_limited_organisation_keep_nobody_waiting(
+    hosts: list, steps: list[Step], limited: int
+) -> None:
+    fleet = build_crowd(hosts, [], limited)
+    steps = [step for step in steps if could_run_in_crowd(fleet, step)]
+    fleet = build_crowd(hosts, steps, limited)
+    one_by_one_s = 2.0 * sum(step.count for step in steps)
+    assert play(fleet, 60.0) <= BOUND_S + one_by_one_s
