--- /dev/null
+++ b/tests/test_layout_start.py
@@ -0,0 +1,71 @@
+"""Hundreds of nodes start at once, and the platform lets few of them read the host list.
+
+Seen: with 300 nodes and 3,003 hosts control was not divided, one node had connections to 2,531
+workers, and no request was served all day; with 99 nodes and 1,000 hosts nearly all were. In logs
+every node's first read of the list was refused within 0.2 s of its start, and after 5 s the fleet
+was taken for a small one: the list takes several pages, a refused page throws the read away, and
+all nodes try at once, again every 0.3 s, against 64 pages a second for all of them together.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from foxtrestle.clock import read_clock
+from foxtrestle.control.layout import Layout
+from foxtrestle.platform.http import CallError
+from foxtrestle.scheduling.partitions import count_partitions
+from foxtrestle.store import Conflict, Record, Transaction
+
+NODES = 300
+HOSTS = 3003
+PAGES = 7
+PAGES_PER_S = 64.0
+BURST = 6.4
+"""Pages that may be read at once: a tenth of a second's."""
+
+
+class Store:
+    """A store that answers at once."""
+
+    def __init__(self) -> None:
+        self.records: dict[str, Record] = {}
+
+    async def get(self, key: str) -> Record | None:
+        return self.records.get(key)
+
+    async def commit(self, transaction: Transaction) -> int:
+        held = {key: self.records[key] for key in transaction.conditions if key in self.records}
+        if held:
+            raise Conflict(held, step="store.commit", peer="store")
+        for key, value in transaction.puts.items():
+            self.records[key] = Record(key, value, 1)
+        return 1
+
+
+class Hosts:
+    """A host list of several pages, of which few are given a second, and hardly any at once."""
+
+    def __init__(self) -> None:
+        self.left = BURST
+        self.at = read_clock()
+
+    async def list_hosts(self) -> list[None]:
+        for _ in range(PAGES):
+            now = read_clock()
+            self.left = min(BURST, self.left + (now - self.at) * PAGES_PER_S)
+            self.at = now
+            if self.left < 1.0:
+                raise CallError("status 429", step="hosts.list", peer="hosts")
+            self.left -= 1.0
+            await asyncio.sleep(0.004)
+        return [None] * HOSTS
+
+
+async def test_a_large_fleet_is_divided_though_all_nodes_start_at_once() -> None:
+    store: Any = Store()
+    hosts: Any = Hosts()
+    layouts = [Layout() for _ in range(NODES)]
+    await asyncio.gather(*(layout.load(store, hosts) for layout in layouts))
+    assert {layout.count for layout in layouts} == {count_partitions(HOSTS)}
