--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -34,6 +34,7 @@
 from foxtrestle.scheduling.state import Fleet, JobEntry
 from tests.properties import scale
 from tests.scheduling_fakes import NOW, add_worker, end, enter, make_fleet, make_job
+from tests.test_node import name
 
 if TYPE_CHECKING:
     from foxtrestle.scheduling.state import Task, Worker
@@ -158,10 +159,6 @@
         return self.fleet.jobs[job].state
 
 
-def name(number: int) -> str:
-    return f"{number:016x}"
-
-
 jobs_strategy = st.lists(
     st.tuples(
         st.builds(
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -21,7 +21,7 @@
 from foxtrestle.scheduling.placing import RESERVE_S, RETURN_S, choose_placements
 from foxtrestle.scheduling.runs import place_run, record_end
 from foxtrestle.scheduling.scaling import HostMove, choose_drops, choose_moves
-from foxtrestle.scheduling.state import Fleet, JobEntry
+from foxtrestle.scheduling.state import Fleet, JobEntry, Worker
 from foxtrestle.scheduling.turns import take_turn
 from tests.properties import scale
 from tests.scheduling_fakes import (
@@ -332,15 +332,23 @@
 )
 
 
-def build(hosts: list, steps: list[Step]) -> Fleet:
-    fleet = Fleet(1)
-    fleet.configuration = make_configuration(("main", "side"))
-    for number, (pool, kind, room, failing) in enumerate(hosts):
+def add_hosts(fleet: Fleet, hosts: list) -> list[tuple[Worker, bool]]:
+    """Add drawn hosts; return the workers of those that are not off, each with its drawn flag."""
+    workers = []
+    for number, (pool, kind, room, flag) in enumerate(hosts):
         if pool == "off":
             add_off(fleet, f"h{number}", (kind, "r1"), room)
             continue
         worker = add_worker(fleet, f"w{number}", pool, labels=(kind, "r1"), host=f"h{number}",
                             room=room)  # fmt: skip
+        workers.append((worker, flag))
+    return workers
+
+
+def build(hosts: list, steps: list[Step]) -> Fleet:
+    fleet = Fleet(1)
+    fleet.configuration = make_configuration(("main", "side"))
+    for worker, failing in add_hosts(fleet, hosts):
         worker.failed_jobs = {"x", "y"} if failing else set()
     for number, step in enumerate(steps):
         job = make_job(
@@ -508,12 +516,7 @@
     held = make_configuration(("main", "side", "third"))
     organisations = {LIMITED: Organisation(LIMITED, limit=Shape(cpu=1000))}
     fleet.configuration = msgspec.structs.replace(held, organisations=organisations)
-    for number, (pool, kind, room, draining) in enumerate(hosts):
-        if pool == "off":
-            add_off(fleet, f"h{number}", (kind, "r1"), room)
-            continue
-        worker = add_worker(fleet, f"w{number}", pool, labels=(kind, "r1"), host=f"h{number}",
-                            room=room)  # fmt: skip
+    for worker, draining in add_hosts(fleet, hosts):
         worker.info = msgspec.structs.replace(worker.info, draining=draining)
     pools = ("main", "side", "third")
     for number, step in enumerate(steps):
