Tell what the division of control was decided from, and count refused reads of the host list

Seen: a fleet of 3,003 hosts was given one partition, and no line tells whether the list was refused because all nodes read it at once, because one read is more than the platform takes, or because it was not there yet. layout.decided now names its ground, the hosts counted and the time waited; node.calls and foxtrestle_host_calls count pages of the list and those refused. No logic is changed.

--- a/src/foxtrestle/control/layout.py
+++ b/src/foxtrestle/control/layout.py
@@ -39,6 +39,17 @@
     """How many partitions there are."""
 
 
+class Proposal(msgspec.Struct, frozen=True):
+    """A division that a node would have, with its grounds."""
+
+    partitions: int
+    """Into how many partitions control should be divided."""
+    hosts: int
+    """Hosts that were counted; 0 if none were."""
+    ground: str
+    """What it rests on."""
+
+
 class Layout:
     """The division of control, as far as this node knows it."""
 
@@ -91,7 +102,8 @@
             if record is not None:
                 self.count = msgspec.json.decode(record.value, type=LayoutRecord).partitions
                 return
-        count = await _propose(store, hosts, waited_s)
+        proposal = await _propose(store, hosts, waited_s)
+        count = proposal.partitions
         value = msgspec.json.encode(LayoutRecord(count))
         try:
             await store.commit(Transaction({LAYOUT: ABSENT}, {LAYOUT: value}))
@@ -99,11 +111,12 @@
             # Another node was first; its decision is read next.
             return
         self.count = count
-        log("layout.decided", partitions=count)
+        log("layout.decided", partitions=count, hosts=proposal.hosts, ground=proposal.ground,
+            waited_s=round(waited_s, 2))  # fmt: skip
 
 
-async def _propose(store: PlatformStore, hosts: HostCalls, waited_s: float) -> int:
-    """Return how many partitions there should be.
+async def _propose(store: PlatformStore, hosts: HostCalls, waited_s: float) -> Proposal:
+    """Return how many partitions there should be, and why.
 
     Raises:
         CallError: The host list cannot be read now.
@@ -111,11 +124,11 @@
     """
     if await store.get(build_keys(0).term) is not None:
         # What a former release keeps is not divided.
-        return 1
+        return Proposal(1, 0, "former release")
     try:
         listed = await hosts.list_hosts()
     except CallError:
         if waited_s > HOSTS_WAIT_S:
-            return 1
+            return Proposal(1, 0, "no host list")
         raise
-    return count_partitions(len(listed))
+    return Proposal(count_partitions(len(listed)), len(listed), "host list")
--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -120,6 +120,7 @@
 
             intake = Intake(store, self.operators, self.layout)
             measures.add_source("store_calls", "Calls to the store.", lambda: store.calls)
+            measures.add_source("host_calls", "Calls about hosts.", lambda: hosts.calls)
             measures.add_source("state", "State of this node.", self._read_state)
             ready = build_ready(self.is_ready, measures)
             front = build_front(intake, self.operators, lambda: self.health.away, measures)
--- a/src/foxtrestle/platform/hosts.py
+++ b/src/foxtrestle/platform/hosts.py
@@ -16,6 +16,8 @@
 
     from foxtrestle.platform.connections import Connections
 
+TOO_MANY: Final = 429
+"""Status of a call beyond the rate that the platform takes from all nodes together."""
 MAX_TOLD: Final = 100
 """Most unreadable rows that are remembered and told."""
 
@@ -61,8 +63,8 @@
             connections: Connections of this process.
             timeout_s: Seconds to wait for an answer.
         """
-        self.calls = 0
-        """Calls made."""
+        self.calls = {"list": 0, "list refused": 0, "order": 0}
+        """Calls made, by kind; `list refused`: pages of the list that were over the rate."""
         self._base = f"http://{address}/-/"
         self._node = node
         self._connections = connections
@@ -74,7 +76,7 @@
         hosts: list[HostInfo] = []
         query: dict[str, str] = {}
         while True:
-            self.calls += 1
+            self.calls["list"] += 1
             reply = await call(
                 self._connections,
                 "GET",
@@ -83,6 +85,7 @@
                 timeout_s=self._timeout_s,
                 query=query,
             )
+            self.calls["list refused"] += reply.status == TOO_MANY
             if reply.status != 200:
                 raise CallError(f"status {reply.status}", step="hosts.list", peer=self._base)
             page = decode(reply.body, _Page, step="hosts.list", peer=self._base)
@@ -117,7 +120,7 @@
 
     async def _order(self, path: str, body: dict[str, str | int], token: int) -> None:
         step = f"hosts.{path}"
-        self.calls += 1
+        self.calls["order"] += 1
         reply = await call(
             self._connections,
             "POST",
