Let one node read the host list for all when the division of control is decided

Symptom: 300 nodes that start at once decided for good that a fleet of 3,003 hosts is small and not to be divided; one controller for all, and no request served. Cause: every node read the whole list by itself; the list is seven pages, the platform gives 64 a second to all nodes together, a refused page threw the pages before it away, and after 5 s a refusal was taken for a list that is away, that in turn for a small fleet.

--- a/src/foxtrestle/control/keys.py
+++ b/src/foxtrestle/control/keys.py
@@ -11,6 +11,8 @@
 """Prefix of everything."""
 LAYOUT: Final = ROOT + "control/layout"
 """Into how many partitions control is divided."""
+LAYOUT_READER: Final = ROOT + "control/layout-reader"
+"""Which node reads the host list for all until that is decided."""
 ENDED: Final = ROOT + "ended/"
 """Prefix of the final states of ended jobs of all partitions, kept for clients that ask."""
 
--- a/src/foxtrestle/control/layout.py
+++ b/src/foxtrestle/control/layout.py
@@ -14,22 +14,36 @@
 
 from foxtrestle.clock import read_clock
 from foxtrestle.control.keys import LAYOUT, Keys, build_keys
+from foxtrestle.control.layout_claim import LayoutClaim
 from foxtrestle.control.log import Outage, log
-from foxtrestle.platform.http import CallError
-from foxtrestle.scheduling.partitions import Partition, count_partitions, find_number
-from foxtrestle.store import ABSENT, Conflict, StoreError, Transaction
+from foxtrestle.platform.http import CallError, OverRate
+from foxtrestle.platform.workers import ENTRIES
+from foxtrestle.scheduling.division import (
+    Proposal,
+    propose_by_hosts,
+    propose_by_workers,
+    propose_whole,
+)
+from foxtrestle.scheduling.partitions import Partition, find_number
+from foxtrestle.store import (
+    ABSENT,
+    Conflict,
+    RateExceeded,
+    StoreError,
+    Transaction,
+    compute_pause,
+)
 
 if TYPE_CHECKING:
     from foxtrestle.platform.hosts import HostCalls
     from foxtrestle.platform.store import PlatformStore
 
-PROPOSE_PAUSE_S: Final = 0.5
-"""Longest pause before a node proposes: all start within 0.3 s, and one proposal is enough."""
 RETRY_S: Final = 0.3
 """Mean pause after a failed call, seconds."""
 HOSTS_WAIT_S: Final = 5.0
-"""Seconds for which the host list may be away; then control is not divided, which a fleet too large
-for one controller bears badly, and any other well."""
+"""Seconds for which the host list may be away; then the workers' entries tell the fleet's size. A
+list that is only refused, as too many ask for it, is waited for: taken for one that is away, it had
+a fleet of 3,003 hosts not divided, for good, and no request served."""
 
 
 class LayoutRecord(msgspec.Struct, frozen=True):
@@ -39,17 +53,6 @@
     """How many partitions there are."""
 
 
-class Proposal(msgspec.Struct, frozen=True):
-    """A division that a node would have, with its grounds."""
-
-    partitions: int
-    """Into how many partitions control should be divided."""
-    hosts: int
-    """Hosts that were counted; 0 if none were."""
-    ground: str
-    """What it rests on."""
-
-
 class Layout:
     """The division of control, as far as this node knows it."""
 
@@ -86,36 +89,48 @@
         """Read the layout, and decide it if nobody has."""
         began_at = read_clock()
         outage = Outage("store", "layout")
+        claim = LayoutClaim(store)
+        rng = random.Random()
+        looks = 0
         while not self.count:
+            looks += 1
+            pause_s = compute_pause(looks, rng)
             try:
-                await self._load_once(store, hosts, read_clock() - began_at)
+                await self._load_once(store, hosts, claim, began_at)
                 outage.note_success()
+            except (RateExceeded, OverRate) as error:
+                outage.note_failure(error)
             except (StoreError, CallError) as error:
                 outage.note_failure(error)
-                await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
+                # Not longer each time: who waits for a store that returns has nothing else to do.
+                looks = 0
+                pause_s = random.uniform(RETRY_S / 2, RETRY_S * 1.5)
+            if not self.count:
+                await asyncio.sleep(pause_s)
         log("layout.known", partitions=self.count)
 
-    async def _load_once(self, store: PlatformStore, hosts: HostCalls, waited_s: float) -> None:
-        for pause_s in (0.0, PROPOSE_PAUSE_S):
-            await asyncio.sleep(random.uniform(0.0, pause_s))
-            record = await store.get(LAYOUT)
-            if record is not None:
-                self.count = msgspec.json.decode(record.value, type=LayoutRecord).partitions
-                return
-        proposal = await _propose(store, hosts, waited_s)
-        count = proposal.partitions
-        value = msgspec.json.encode(LayoutRecord(count))
+    async def _load_once(
+        self, store: PlatformStore, hosts: HostCalls, claim: LayoutClaim, began_at: float
+    ) -> None:
+        record = await store.get(LAYOUT)
+        if record is not None:
+            self.count = msgspec.json.decode(record.value, type=LayoutRecord).partitions
+            return
+        if not await claim.take():
+            return
+        proposal = await _propose(store, hosts, began_at)
+        value = msgspec.json.encode(LayoutRecord(proposal.partitions))
         try:
             await store.commit(Transaction({LAYOUT: ABSENT}, {LAYOUT: value}))
         except Conflict:
             # Another node was first; its decision is read next.
             return
-        self.count = count
-        log("layout.decided", partitions=count, hosts=proposal.hosts, ground=proposal.ground,
-            waited_s=round(waited_s, 2))  # fmt: skip
+        self.count = proposal.partitions
+        log("layout.decided", partitions=proposal.partitions, counted=proposal.counted,
+            ground=proposal.ground, waited_s=round(read_clock() - began_at, 2))  # fmt: skip
 
 
-async def _propose(store: PlatformStore, hosts: HostCalls, waited_s: float) -> Proposal:
+async def _propose(store: PlatformStore, hosts: HostCalls, began_at: float) -> Proposal:
     """Return how many partitions there should be, and why.
 
     Raises:
@@ -123,12 +138,14 @@
         StoreError: The store did not answer.
     """
     if await store.get(build_keys(0).term) is not None:
-        # What a former release keeps is not divided.
-        return Proposal(1, 0, "former release")
+        return propose_whole()
     try:
         listed = await hosts.list_hosts()
-    except CallError:
-        if waited_s > HOSTS_WAIT_S:
-            return Proposal(1, 0, "no host list")
+    except OverRate:
         raise
-    return Proposal(count_partitions(len(listed)), len(listed), "host list")
+    except CallError:
+        if read_clock() - began_at < HOSTS_WAIT_S:
+            raise
+        entries = await store.scan(ENTRIES)
+        return propose_by_workers(len(entries.records))
+    return propose_by_hosts(len(listed))
--- a/src/foxtrestle/platform/hosts.py
+++ b/src/foxtrestle/platform/hosts.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 
 from foxtrestle.control.log import log
 from foxtrestle.platform._capacity import Capacity
-from foxtrestle.platform.http import CallError, MalformedAnswer, call, decode
+from foxtrestle.platform.http import CallError, MalformedAnswer, OverRate, Reply, call, decode
 from foxtrestle.scheduling.model import HostInfo, HostState
+from foxtrestle.store import compute_pause
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -18,6 +21,9 @@
 
 TOO_MANY: Final = 429
 """Status of a call beyond the rate that the platform takes from all nodes together."""
+LIST_PATIENCE_S: Final = 10.0
+"""Seconds of pauses, over a whole list, after which it is given up: what is asked for once, at the
+start of a fleet, can wait. The list of 57,000 hosts is 115 pages, 1.8 s at 64 pages a second."""
 MAX_TOLD: Final = 100
 """Most unreadable rows that are remembered and told."""
 
@@ -65,35 +71,68 @@
         """
         self.calls = {"list": 0, "list refused": 0, "order": 0}
         """Calls made, by kind; `list refused`: pages of the list that were over the rate."""
+        self.pages = 1
+        """Pages of the newest list; a page is one call."""
+        self._rng = random.Random()
         self._base = f"http://{address}/-/"
         self._node = node
         self._connections = connections
         self._timeout_s = timeout_s
         self._unreadable: set[bytes] = set()
 
-    async def list_hosts(self) -> list[HostInfo]:
-        """Read the whole list; it lags."""
+    async def list_hosts(self, patience_s: float = LIST_PATIENCE_S) -> list[HostInfo]:
+        """Read the whole list; it lags.
+
+        All nodes together may read so many pages a second. A page that is refused for that is
+        asked for again after a growing pause, and those read before it are kept: a list of seven
+        pages, begun anew with each refusal, was not read once in 5 s beside 300 other readers.
+
+        Args:
+            patience_s: Most seconds of such pauses; the first pages are older by so much.
+
+        Raises:
+            OverRate: Pages were refused for longer.
+            CallError: The list cannot be read.
+        """
         hosts: list[HostInfo] = []
         query: dict[str, str] = {}
+        pages = 0
+        paused_s = 0.0
+        refusals = 0
         while True:
-            self.calls["list"] += 1
-            reply = await call(
-                self._connections,
-                "GET",
-                self._base + "machines",
-                step="hosts.list",
-                timeout_s=self._timeout_s,
-                query=query,
-            )
-            self.calls["list refused"] += reply.status == TOO_MANY
+            reply = await self._read_page(query)
+            if reply.status == TOO_MANY:
+                refusals += 1
+                pause_s = compute_pause(refusals, self._rng)
+                paused_s += pause_s
+                if paused_s > patience_s:
+                    raise OverRate("over the call rate", step="hosts.list", peer=self._base)
+                await asyncio.sleep(pause_s)
+                continue
             if reply.status != 200:
                 raise CallError(f"status {reply.status}", step="hosts.list", peer=self._base)
+            refusals = 0
+            pages += 1
             page = decode(reply.body, _Page, step="hosts.list", peer=self._base)
             hosts += self._read_rows(page.machines)
             if not page.nextToken:
+                self.pages = pages
                 return hosts
             query = {"pageToken": page.nextToken}
 
+    async def _read_page(self, query: dict[str, str]) -> Reply:
+        self.calls["list"] += 1
+        reply = await call(
+            self._connections,
+            "GET",
+            self._base + "machines",
+            step="hosts.list",
+            timeout_s=self._timeout_s,
+            query=query,
+        )
+        self.calls["list refused"] += reply.status == TOO_MANY
+        return reply
+
     def _read_rows(self, rows: Iterable[msgspec.Raw]) -> Iterator[HostInfo]:
         """Decode the rows that can be read; one that cannot names no host, and the others hold."""
         for row in rows:
--- a/src/foxtrestle/platform/http.py
+++ b/src/foxtrestle/platform/http.py
@@ -25,6 +25,13 @@
     """A call that certainly was not carried out: it was refused, or never reached the peer."""
 
 
+class OverRate(CallError):
+    """A call beyond the rate that the platform takes from all nodes together.
+
+    It says that the callee is there, and nothing of what was asked.
+    """
+
+
 class NoAnswer(CallError):
     """A call that was sent and got no answer; it may be carried out, also later."""
 
--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -40,6 +40,8 @@
 """Room of a worker: 32 cores, 128 GB."""
 CRASH_AFTER_S: Final = 0.01
 """Seconds that a task runs which crashes its worker; as long as on the users' platform."""
+PAGE_HOSTS: Final = 500
+"""Most hosts on a page of the list."""
 POLL_S: Final = 0.01
 """Seconds between two looks of a waiting call."""
 
@@ -65,6 +67,10 @@
         """Seconds by which such a start is late."""
         self.lost_host_orders = 0.0
         """Share of host orders that take effect and are not answered."""
+        self.refused_lists = 0
+        """How many of the next pages of the host list are refused as over the rate."""
+        self.hosts_down = False
+        """Whether the host list refuses every call with 503."""
         self.crashing: set[TaskKey] = set()
         """Tasks that crash each worker that starts them."""
         self.back_s = 0.3
@@ -394,7 +400,15 @@
             self.calls["late start refused"] += 1
 
     def _build_hosts(self) -> Starlette:
-        async def list_hosts(_: Request) -> Response:
+        async def list_hosts(request: Request) -> Response:
+            self.calls["hosts"] += 1
+            if self.faults.hosts_down:
+                return Response(status_code=503)
+            if self.faults.refused_lists:
+                self.faults.refused_lists -= 1
+                return Response(status_code=429)
+            first = int(request.query_params.get("pageToken", "0"))
+            rest = list(self.hosts.values())[first:]
             machines = [
                 {
                     "machine": host.name,
@@ -403,9 +417,10 @@
                     "capacity": {"cpu": self._room.cpu, "memMb": self._room.memory_mb, "gpu": 0},
                     "id": host.worker or None,
                 }
-                for host in self.hosts.values()
+                for host in rest[:PAGE_HOSTS]
             ]
-            return JSONResponse({"machines": machines, "nextToken": None})
+            more = str(first + PAGE_HOSTS) if len(rest) > PAGE_HOSTS else None
+            return JSONResponse({"machines": machines, "nextToken": more})
 
         async def order(request: Request) -> Response:
             body = msgspec.json.decode(await request.body())
--- /dev/null
+++ b/tests/test_division.py
@@ -0,0 +1,168 @@
+"""Who decides the division of control, from what, and what a refused call means for it.
+
+Seen: 300 nodes asked for the host list at once, were refused, and decided for good that their 3,003
+hosts were few. A refusal tells that others ask too; it tells nothing of what was asked for. So one
+node reads for all, what it has read is kept when a page is refused, and where the list is really
+away something else must tell the size of the fleet.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import hypothesis.strategies as st
+import msgspec
+import pytest
+from hypothesis import given
+
+from foxtrestle.control.keys import LAYOUT, LAYOUT_READER
+from foxtrestle.control.layout import Layout
+from foxtrestle.platform.connections import Connections
+from foxtrestle.platform.hosts import HostCalls
+from foxtrestle.platform.http import CallError, OverRate
+from foxtrestle.platform.store import PlatformStore
+from foxtrestle.scheduling.division import (
+    CLAIM_S,
+    Claim,
+    SeenClaim,
+    Turn,
+    choose_turn,
+    propose_by_hosts,
+    propose_by_workers,
+)
+from foxtrestle.scheduling.partitions import count_partitions
+from foxtrestle.standins.site import SimulatedHost, Site
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+HOSTS = 1300
+PAGES = 3
+
+
+@pytest.fixture
+async def connections() -> AsyncIterator[Connections]:
+    async with Connections() as opened:
+        yield opened
+
+
+@pytest.fixture
+async def site() -> AsyncIterator[Site]:
+    site = Site()
+    for number in range(HOSTS):
+        site.hosts[f"h{number}"] = SimulatedHost(f"h{number}", "main")
+    async with site.serve():
+        yield site
+
+
+def build_store(site: Site, connections: Connections) -> PlatformStore:
+    return PlatformStore(site.store_address, connections, 1.0)
+
+
+def build_hosts(site: Site, connections: Connections) -> HostCalls:
+    return HostCalls(site.hosts_address, "n", connections, 1.0)
+
+
+async def load(site: Site, connections: Connections) -> int:
+    layout = Layout()
+    calls = build_store(site, connections), build_hosts(site, connections)
+    await asyncio.wait_for(layout.load(*calls), 15.0)
+    return layout.count
+
+
+@given(st.text(), st.text(), st.integers(1, 100), st.floats(0, 10))
+def test_a_node_reads_under_its_own_claim_alone(
+    own: str, other: str, revision: int, seen_s: float
+) -> None:
+    assert choose_turn(None, own) is Turn.CLAIM
+    assert choose_turn(SeenClaim(own, revision, seen_s), own) is Turn.READ
+    if other != own:
+        turn = choose_turn(SeenClaim(other, revision, seen_s), own)
+        assert turn is (Turn.CLAIM if seen_s > CLAIM_S else Turn.WAIT)
+
+
+@given(st.integers(0, 60_000))
+def test_a_division_rests_on_what_was_counted(count: int) -> None:
+    for proposal in (propose_by_hosts(count), propose_by_workers(count)):
+        assert proposal.partitions == count_partitions(count)
+        assert proposal.counted == count
+
+
+async def test_one_node_reads_for_all(site: Site, connections: Connections) -> None:
+    found = await asyncio.gather(*(load(site, connections) for _ in range(30)))
+    assert set(found) == {count_partitions(HOSTS)}
+    assert site.calls["hosts"] == PAGES
+
+
+async def test_a_reader_that_is_gone_is_replaced(
+    site: Site, connections: Connections, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("foxtrestle.scheduling.division.CLAIM_S", 0.3)
+    site.write(LAYOUT_READER, msgspec.to_builtins(Claim("gone")))
+    found = await asyncio.gather(*(load(site, connections) for _ in range(5)))
+    assert set(found) == {count_partitions(HOSTS)}
+    assert site.calls["hosts"] == PAGES
+
+
+async def test_a_decision_that_stands_is_read_without_a_claim(
+    site: Site, connections: Connections
+) -> None:
+    site.write(LAYOUT, {"partitions": 7})
+    assert await load(site, connections) == 7
+    assert site.engine.get(LAYOUT_READER) is None
+    assert not site.calls["hosts"]
+
+
+async def test_refused_pages_are_asked_for_again_and_the_others_kept(
+    site: Site, connections: Connections
+) -> None:
+    hosts = build_hosts(site, connections)
+    site.faults.refused_lists = 2
+    listed = await hosts.list_hosts()
+    assert [host.name for host in listed] == list(site.hosts)
+    assert site.calls["hosts"] == PAGES + 2
+    assert hosts.calls["list refused"] == 2
+    assert hosts.pages == PAGES
+
+
+async def test_a_list_that_is_refused_for_long_is_given_up(
+    site: Site, connections: Connections
+) -> None:
+    site.faults.refused_lists = 1000
+    with pytest.raises(OverRate):
+        await build_hosts(site, connections).list_hosts(patience_s=0.3)
+
+
+class Crowded(HostCalls):
+    """A host list that is refused to this node for a while."""
+
+    def __init__(self, refusals: int) -> None:
+        self.refusals = refusals
+
+    async def list_hosts(self, patience_s: float = 0.0):  # type: ignore[no-untyped-def, override]
+        self.refusals -= 1
+        if self.refusals >= 0:
+            raise OverRate("over the call rate", step="hosts.list", peer="hosts")
+        return [None] * HOSTS
+
+
+async def test_a_refusal_is_never_taken_for_a_small_fleet(
+    site: Site, connections: Connections, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("foxtrestle.control.layout.HOSTS_WAIT_S", 0.0)
+    layout = Layout()
+    await asyncio.wait_for(layout.load(build_store(site, connections), Crowded(4)), 15.0)
+    assert layout.count == count_partitions(HOSTS)
+
+
+async def test_where_the_list_is_away_the_workers_tell_the_size(
+    site: Site, connections: Connections, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("foxtrestle.control.layout.HOSTS_WAIT_S", 0.3)
+    site.faults.hosts_down = True
+    with pytest.raises(CallError):
+        await build_hosts(site, connections).list_hosts()
+    for number in range(700):
+        site.write(f"servers/w{number}", {"service": "main"})
+    assert await load(site, connections) == count_partitions(700) == 2
