Read the host list within the platform's rate, and believe it by its age

Controllers of a divided fleet each read the whole list, every 0.3 s while a worker is silent: 8 with 7 pages ask for 187 pages a second of the 64 given, and each refused page threw a list away. Now they read as often as the rate of the settings allows them together, and ask again for a refused page for 0.5 s. Small fleets read as before. 2. The last list was believed whatever its age: while no newer one is given, a host that was down in it had its new worker given up as soon as that was silent for a second, and its tasks started again beside those that ran; a host that was up in it counted as back from maintenance. Now a list tells nothing of what came less than 1 s before it was asked for. In a fleet whose list answers this changes nothing: it is 1.1 s old at the most and 2.5 s were allowed already.

--- a/src/foxtrestle/control/host_list.py
+++ b/src/foxtrestle/control/host_list.py
@@ -9,6 +9,7 @@
 from foxtrestle.control.log import Outage, log
 from foxtrestle.platform.http import CallError
 from foxtrestle.scheduling.hosts import has_silent
+from foxtrestle.scheduling.listing import compute_list_interval
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,6 +24,10 @@
 LIST_SOON_S: Final = 0.3
 """Seconds between two reads while it matters whether a silent worker's host is down: what ran there
 waits for it, at the longest until its lease has lapsed (5 s)."""
+LIST_PATIENCE_S: Final = 0.5
+"""Seconds of pauses after refused pages for which a list is still worth having: its first pages are
+older by so much, and what is judged by it allows for a lag of 2.5 s, of which the list itself has
+0.8 s and the time between two reads one."""
 LIST_STEP_S: Final = 0.1
 """Seconds between two looks at whether the list is due."""
 MISSING_S: Final = 6.0
@@ -33,7 +38,12 @@
     """Keeps the hosts of the state up to date."""
 
     def __init__(
-        self, fleet: Fleet, partition: Partition, calls: HostCalls, wake: Callable[[], None]
+        self,
+        fleet: Fleet,
+        partition: Partition,
+        calls: HostCalls,
+        wake: Callable[[], None],
+        reads_per_s: float = 64.0,
     ) -> None:
         """Create a list that has not been read.
 
@@ -42,11 +52,13 @@
             partition: Hosts that are kept.
             calls: Client of the platform's host interface.
             wake: Has the controller decide again.
+            reads_per_s: Pages that the platform gives to all nodes together, per second.
         """
         self._fleet = fleet
         self._partition = partition
         self._calls = calls
         self._wake = wake
+        self._reads_per_s = reads_per_s
         self._seen_at: dict[str, float] = {}
         self._since = read_clock()
 
@@ -62,8 +74,9 @@
         """Follow the list until cancelled."""
         outage = Outage("hosts", "list")
         while True:
+            asked_at = read_clock()
             try:
-                listed = await self._calls.list_hosts()
+                listed = await self._calls.list_hosts(LIST_PATIENCE_S)
             except CallError as error:
                 outage.note_failure(error)
             else:
@@ -74,17 +87,24 @@
                 self._note_states(hosts)
                 if self._fleet.hosts:
                     self._fleet.hosts_before = frozenset(self._fleet.hosts)
+                self._fleet.listed_at = asked_at
                 self._fleet.hosts = {host.name: host for host in hosts}
                 self._wake()
             await self._pause()
 
     async def _pause(self) -> None:
-        """Wait until the list is due: soon if a worker that carries tasks is silent."""
+        """Wait until the list is due: soon if a worker that carries tasks is silent.
+
+        Not sooner than the readers of all partitions together may have it.
+        """
         read_at = read_clock()
         while True:
             await asyncio.sleep(LIST_STEP_S)
             now = read_clock()
-            due_s = LIST_SOON_S if has_silent(self._fleet, now) else LIST_S
+            wanted_s = LIST_SOON_S if has_silent(self._fleet, now) else LIST_S
+            due_s = compute_list_interval(
+                wanted_s, self._calls.pages, self._partition.count, self._reads_per_s
+            )
             if now - read_at >= due_s:
                 return
 
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -19,6 +19,7 @@
 from foxtrestle.scheduling.checks import check_maintenance
 from foxtrestle.scheduling.fitting import find_fitting_needs
 from foxtrestle.scheduling.hosts import LIST_LAG_S, HostPlan, is_back, view_hosts
+from foxtrestle.scheduling.listing import is_shown
 from foxtrestle.scheduling.maintaining import (
     POSTPONE_S,
     cannot_be_emptied,
@@ -91,7 +92,7 @@
         self._background = Spawner()
         self._records = OrderRecords(store, term, settings.bounds.turn_s)
         self._waves = WaveRecords(store, term)
-        self._list = HostList(fleet, term.partition, calls, wake)
+        self._list = HostList(fleet, term.partition, calls, wake, settings.host_reads_per_s)
         self._ordering = HostOrdering(fleet, term, calls, self._records, self._waves, lose_worker)
         self._loaded = False
 
@@ -178,7 +179,8 @@
                 self._empty(plan, view, views, now)
             elif plan.state == "changing":
                 away_s = bounds.maintenance_s if plan.wave else bounds.move_s
-                if is_back(view, away_s, now):
+                shown = is_shown(self._fleet, plan.changed_at)
+                if is_back(view, away_s, now, shown=shown):
                     log("host.back", host=plan.host, pool=view.pool, wave=plan.wave,
                         took_s=round(now - plan.changed_at, 2))  # fmt: skip
                     plan.move("back", now)
--- a/src/foxtrestle/node/settings.py
+++ b/src/foxtrestle/node/settings.py
@@ -63,6 +63,8 @@
     """Shortest lease that the store grants, seconds."""
     host_orders_per_s: float = 64.0
     """Orders for hosts that the platform takes from all nodes together, per second."""
+    host_reads_per_s: float = 64.0
+    """Pages of the host list that the platform gives to all nodes together, per second."""
     processor_share: float = 1.0
     """Cores that this process may use."""
     link_mbps: float = 1000.0
--- a/src/foxtrestle/platform/settings.py
+++ b/src/foxtrestle/platform/settings.py
@@ -58,6 +58,7 @@
 class _Cloud(msgspec.Struct):
     address: str = ""
     dutyPerS: float = 64.0
+    ratePerS: float = 64.0
 
 
 class _File(msgspec.Struct):
@@ -104,6 +105,7 @@
             advice_address=raw.advice,
             lease_min_s=raw.platform.ttl_min_ms / 1000,
             host_orders_per_s=raw.cloudApi.dutyPerS,
+            host_reads_per_s=raw.cloudApi.ratePerS,
             processor_share=raw.limits.cpuShare * raw.limits.cores,
             link_mbps=raw.limits.linkMbps,
             bounds=Bounds(
--- a/src/foxtrestle/scheduling/hosts.py
+++ b/src/foxtrestle/scheduling/hosts.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from foxtrestle.chart import load_chart
+from foxtrestle.scheduling.listing import is_shown
 from foxtrestle.scheduling.losses import HOST_LOSSES, LossReason
 from foxtrestle.scheduling.model import Shape
 
@@ -93,7 +94,9 @@
 def find_dead(fleet: Fleet, now: float) -> list[tuple[Worker, LossReason]]:
     """Find workers that are certainly over because of what became of their hosts.
 
-    The list lags, so it says nothing of a worker that answers, or that was first seen lately.
+    The list lags, so it says nothing of a worker that answers, or that was first seen lately. One
+    that is old, as the platform gives no newer one, says nothing of a worker that came since: a
+    host that was down when it was read may be up again, and what runs there was started twice.
 
     Returns:
         Each worker with the reason.
@@ -103,7 +106,7 @@
     dead = []
     for worker in fleet.workers.values():
         silent = now - worker.contact_at > SILENT_S
-        settled = now - worker.first_seen > LIST_LAG_S
+        settled = now - worker.first_seen > LIST_LAG_S and is_shown(fleet, worker.first_seen)
         if silent and settled and worker.info.host:
             why = _find_end(fleet, worker)
             if why:
@@ -155,13 +158,14 @@
     return worker.contact_at, worker.revision
 
 
-def is_back(view: HostView, away_s: float, now: float) -> bool:
+def is_back(view: HostView, away_s: float, now: float, *, shown: bool = True) -> bool:
     """Tell whether a host that was ordered away serves again, or is off in its new pool.
 
     Args:
         view: The host.
         away_s: Seconds that the platform needs for the order.
         now: Monotonic time, seconds.
+        shown: Whether the list is from after the order.
     """
     plan = view.plan
     if plan is None:
@@ -172,7 +176,7 @@
     if not plan.wave and view.info.pool == plan.pool and view.info.state == "up":
         # The list lags by less than a move takes, so this is from after the order.
         return now - plan.changed_at > away_s
-    return now - plan.changed_at > away_s + LIST_LAG_S and view.info.state == "up"
+    return shown and now - plan.changed_at > away_s + LIST_LAG_S and view.info.state == "up"
 
 
 def is_worker_overdue(plan: HostPlan, reserve: str, away_s: float, now: float) -> bool:
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -392,6 +392,9 @@
         """Hosts by name, from the lagging list."""
         self.hosts_before: frozenset[str] | None = None
         """Names in the list before the newest; None until two lists were read."""
+        self.listed_at: float | None = None
+        """Monotonic time at which the newest list was asked for, seconds; None while there was
+        none, and for hosts that come from elsewhere."""
         self.waves: dict[int, WaveEntry] = {}
         """Waves by number."""
         self.plans: dict[str, HostPlan] = {}
--- /dev/null
+++ b/tests/test_listing.py
@@ -0,0 +1,129 @@
+"""How often the host list is read, and what is believed of an old one.
+
+Found on looking for relatives of the first large start, where a refused call was taken for an
+answer. Two in the same list: eight controllers read seven pages each every 0.3 s while a worker is
+silent, three times what the platform gives, and each refused page threw a whole list away; and the
+last list that was read was believed whatever its age. Then a host that was down when it was read is
+up again, its new worker is cut off for a second, and the old list says that it is over: what still
+runs there is started a second time. No seed has shown that; the test below does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import hypothesis.strategies as st
+from hypothesis import given
+
+from foxtrestle.control.host_list import HostList
+from foxtrestle.platform.hosts import HostCalls
+from foxtrestle.platform.http import OverRate
+from foxtrestle.scheduling.hosts import LIST_LAG_S, HostPlan, find_dead, is_back, view_hosts
+from foxtrestle.scheduling.listing import LIST_SHOWS_S, READ_SHARE, compute_list_interval, is_shown
+from foxtrestle.scheduling.losses import LossReason
+from foxtrestle.scheduling.model import HostInfo
+from foxtrestle.scheduling.partitions import Partition
+from foxtrestle.scheduling.state import Fleet
+from tests.scheduling_fakes import NOW, ROOM, make_fleet
+
+if TYPE_CHECKING:
+    import pytest
+
+    from foxtrestle.scheduling.model import HostState
+
+
+@given(st.floats(0.1, 2.0), st.integers(1, 200), st.integers(1, 150), st.floats(1.0, 10_000.0))
+def test_all_controllers_together_stay_under_the_rate(
+    wanted_s: float, pages: int, readers: int, reads_per_s: float
+) -> None:
+    interval_s = compute_list_interval(wanted_s, pages, readers, reads_per_s)
+    assert interval_s >= wanted_s
+    assert pages * readers / interval_s <= reads_per_s * READ_SHARE * 1.001
+    alone = compute_list_interval(wanted_s, 1, 1, 64.0)
+    assert alone == wanted_s, "a small fleet reads as often as it would"
+
+
+def make_silent_fleet(state: HostState) -> Fleet:
+    """A fleet whose first worker came at NOW and has been silent since NOW + 2."""
+    fleet = make_fleet(2)
+    for worker in fleet.workers.values():
+        worker.first_seen = NOW
+        worker.note_answer(NOW + 2.0)
+    fleet.hosts = {
+        "h-w-main-0": HostInfo("h-w-main-0", "main", state, "z", ("a", "r1"), ROOM, ""),
+        "h-w-main-1": HostInfo("h-w-main-1", "main", "up", "z", ("a", "r1"), ROOM, "w-main-1"),
+    }
+    fleet.hosts_before = frozenset(fleet.hosts)
+    return fleet
+
+
+def test_an_old_list_tells_nothing_of_a_worker_that_came_since() -> None:
+    fleet = make_silent_fleet("down")
+    now = NOW + 6.0
+    fleet.listed_at = NOW - 0.5
+    assert find_dead(fleet, now) == []
+    fleet.listed_at = NOW + LIST_SHOWS_S + 0.1
+    assert [(one.info.id, why) for one, why in find_dead(fleet, now)] == [
+        ("w-main-0", LossReason.HOST_DOWN)
+    ]
+
+
+def test_an_old_list_does_not_show_that_maintenance_is_over() -> None:
+    fleet = make_silent_fleet("up")
+    plan = HostPlan("h-w-main-0", "main", 1, "w-main-0", NOW)
+    plan.move("empty", NOW)
+    plan.move("accepted", NOW)
+    fleet.plans["h-w-main-0"] = plan
+    fleet.workers["w-main-0"].gone = True
+    now = NOW + 2.0 + LIST_LAG_S + 0.1
+
+    def is_over() -> bool:
+        shown = is_shown(fleet, plan.changed_at)
+        return is_back(view_hosts(fleet)["h-w-main-0"], 2.0, now, shown=shown)
+
+    fleet.listed_at = NOW - 0.1
+    assert not is_over(), "it was up before the order"
+    fleet.listed_at = NOW + LIST_SHOWS_S + 0.1
+    assert is_over()
+
+
+class Shared(HostCalls):
+    """A list of several pages, of which all readers together get so many a second."""
+
+    def __init__(self, pages: int, reads_per_s: float) -> None:
+        self.pages = pages
+        self.reads_per_s = reads_per_s
+        self.asked = 0
+        self.given = 0
+
+    async def list_hosts(self, patience_s: float = 0.0) -> list[HostInfo]:
+        loop = asyncio.get_running_loop()
+        self.asked += self.pages
+        if self.asked > self.reads_per_s * (loop.time() - self.began_at) + self.reads_per_s:
+            raise OverRate("over the call rate", step="hosts.list", peer="hosts")
+        self.given += 1
+        return [HostInfo("h", "main", "up", "z", (), ROOM, "w")]
+
+    def begin(self) -> None:
+        self.began_at = asyncio.get_running_loop().time()
+
+
+async def test_controllers_of_a_divided_fleet_leave_each_other_the_list(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("foxtrestle.control.host_list.LIST_S", 0.01)
+    monkeypatch.setattr("foxtrestle.control.host_list.LIST_STEP_S", 0.01)
+    calls = Shared(7, 400.0)
+    calls.begin()
+    lists = [
+        HostList(Fleet(1), Partition(number, 8), calls, lambda: None, calls.reads_per_s)
+        for number in range(8)
+    ]
+    tasks = [asyncio.create_task(one.run()) for one in lists]
+    await asyncio.sleep(1.5)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    assert calls.asked == calls.given * calls.pages, "none was refused"
+    assert calls.given >= 8 * 5
