--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,8 @@
 
 from tests.properties import DEFAULT_EXAMPLES, scale
 
+pytest_plugins = ("pytester", "tests.known_red")
+
 settings.register_profile("fixed", derandomize=True, database=None)
 settings.register_profile("fresh", max_examples=scale(DEFAULT_EXAMPLES), print_blob=True)
 settings.load_profile("fixed")
