Draw the ports and addresses of the daemons' tests

tests/test_daemon.py bound fixed ports, of which two lie where other tests draw theirs, and fixed addresses: run in several processes its tests took them from each other (12 of 13 failed with three processes dealing out single tests; the test command steals work, so it could come to that). Each process now draws its own; assertions are unchanged. With six processes: 13 of 13, three times.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 import ssl
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
@@ -18,10 +19,15 @@
 from foxtrestle.settings import Settings
 from foxtrestle.standins.hosts import FakeFleet, make_hosts
 from foxtrestle.standins.keyvalue import Engine
+from soak.ports import find_free_port
 
-PLATFORM = 19000
+PLATFORM, SERVICE = find_free_port(), find_free_port()
+CALLERS, ADMINS, PEERS = ((find_free_port(), find_free_port()) for _ in range(3))
+"""Ports of the two daemons. Drawn, as tests of this file may run in several processes at once."""
+SUBNET = random.SystemRandom().randrange(5, 250)
+"""Part of the loopback network in which the hosts listen; drawn likewise."""
 DATA = Path(__file__).parent / "data"
-TEXT = """
+TEXT = f"""
 [[teams]]
 name = "team-a"
 level = 50
@@ -34,7 +40,7 @@
 [[services]]
 name = "s"
 pool = "p"
-port = 9301
+port = {SERVICE}
 """
 
 
@@ -44,19 +50,20 @@
     def __init__(self, stack: AsyncExitStack) -> None:
         self.stack = stack
         self.engine = Engine()
-        self.fleet = FakeFleet(make_hosts(6, zones=["z0", "z1"], per_rack=2, subnet=5), lag_s=0.2)
+        self.fleet = FakeFleet(
+            make_hosts(6, zones=["z0", "z1"], per_rack=2, subnet=SUBNET), lag_s=0.2
+        )
         self.daemons: list = []
 
     def settings(self, index: int) -> Settings:
-        port = 19010 + 10 * index
         return Settings(
             name=f"d{index}",
             zone=f"z{index}",
             address="127.0.0.1",
             platform=f"http://127.0.0.1:{PLATFORM}",
-            caller_port=port,
-            admin_port=port + 1,
-            peer_port=port + 2,
+            caller_port=CALLERS[index],
+            admin_port=ADMINS[index],
+            peer_port=PEERS[index],
             admin_tokens={"ann": "operator-token"},
             team_tokens={"team-a": "caller-token"},
             peer_token="peer-token",
@@ -68,7 +75,7 @@
         )
 
     async def open(self) -> None:
-        await self.stack.enter_async_context(self.fleet.serve([9301]))
+        await self.stack.enter_async_context(self.fleet.serve([SERVICE]))
         platform = bind("127.0.0.1", PLATFORM)
         app = self.fleet.build_platform(self.engine)
         await self.stack.enter_async_context(listen(app, [platform]))
@@ -102,14 +109,14 @@
                 await asyncio.sleep(0.02)
 
     async def admin(self, method, path, body=None, token="operator-token", daemon=0):
-        url = f"http://127.0.0.1:{19011 + 10 * daemon}{path}"
+        url = f"http://127.0.0.1:{ADMINS[daemon]}{path}"
         headers = {"Authorization": f"Bearer {token}"}
         async with self.session.request(method, url, data=body, headers=headers) as response:
             return response.status, json.loads(await response.read())
 
     async def call(self, method="GET", path="/s/x", daemon=0, token="caller-token", **options):
         headers = {"Authorization": f"Bearer {token}", **options.pop("headers", {})}
-        url = f"http://127.0.0.1:{19010 + 10 * daemon}{path}"
+        url = f"http://127.0.0.1:{CALLERS[daemon]}{path}"
         async with self.session.request(method, url, headers=headers, **options) as response:
             return response.status, response.headers, await response.read()
 
@@ -175,7 +182,7 @@
     tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setenv("FOXTRESTLE_TOKEN", "operator-token")
-    monkeypatch.setenv("FOXTRESTLE_SERVER", "http://127.0.0.1:19011")
+    monkeypatch.setenv("FOXTRESTLE_SERVER", f"http://127.0.0.1:{ADMINS[0]}")
     good, bad = tmp_path / "good.toml", tmp_path / "bad.toml"
     good.write_text(TEXT + "# again\n")
     bad.write_text("[[pools]]\nname = 3\n")
@@ -297,19 +304,19 @@
         session = await stack.enter_async_context(aiohttp.ClientSession())
         trusted = ssl.create_default_context(cafile=certificate)
         for url, status in (
-            ("https://127.0.0.1:19011/healthz", 200),
-            ("https://127.0.0.1:19010/s/x", 401),
+            (f"https://127.0.0.1:{ADMINS[0]}/healthz", 200),
+            (f"https://127.0.0.1:{CALLERS[0]}/s/x", 401),
         ):
             async with session.get(url, ssl=trusted) as response:
                 assert response.status == status
         with pytest.raises(aiohttp.ClientError):
-            await session.get("http://127.0.0.1:19010/s/x")
+            await session.get(f"http://127.0.0.1:{CALLERS[0]}/s/x")
 
 
 async def test_malformed_and_oversized_http_is_refused() -> None:
     async with open_site() as site:
         for raw in (b"GARBAGE\r\n\r\n", b"GET /s/x HTTP/1.1\r\nBad Header\r\n\r\n"):
-            reader, writer = await asyncio.open_connection("127.0.0.1", 19010)
+            reader, writer = await asyncio.open_connection("127.0.0.1", CALLERS[0])
             writer.write(raw)
             async with asyncio.timeout(5):
                 assert (await reader.read(64)).startswith(b"HTTP/1.1 400")
@@ -319,7 +326,10 @@
 
 @pytest.mark.parametrize("path", ["/healthz", "/readyz", "/metrics"])
 async def test_health_and_metrics_need_no_token(path: str) -> None:
-    async with open_site() as site, site.session.get(f"http://127.0.0.1:19011{path}") as response:
+    async with (
+        open_site() as site,
+        site.session.get(f"http://127.0.0.1:{ADMINS[0]}{path}") as response,
+    ):
         assert response.status == 200
         if path == "/metrics":
             assert b'foxtrestle_state{name="violations"} 0' in await response.read()
