Compare room in one place

Worker.fits, Worker.is_overfull, can_hold, Candidate.has_room and comes_to_hold each compared cpu, memory and accelerators on their own, and turns subtracted room as the state did. Shape.holds, plus and minus and Step.taken serve all; a candidate's two, which are asked a thousand times a round, share one comparison of whole numbers. Behaviour is as before.

--- a/src/foxtrestle/scheduling/candidates.py
+++ b/src/foxtrestle/scheduling/candidates.py
@@ -35,6 +35,10 @@
     return (ANY_CPU if step.fills else shape.cpu), shape.memory_mb, shape.gpu
 
 
+def _is_enough(cpu: int, memory_mb: int, gpu: int, needed: Needed) -> bool:
+    return cpu >= needed[0] and memory_mb >= needed[1] and gpu >= needed[2]
+
+
 class Candidate:
     """A worker with the room that this round has left free."""
 
@@ -78,22 +82,12 @@
 
     def has_room(self, needed: Needed) -> bool:
         """Tell whether a task's room is free."""
-        return (
-            not self.reserved
-            and self.cpu >= needed[0]
-            and self.memory_mb >= needed[1]
-            and self.gpu >= needed[2]
-        )
+        return not self.reserved and _is_enough(self.cpu, self.memory_mb, self.gpu, needed)
 
     def comes_to_hold(self, needed: Needed) -> bool:
         """Tell whether a task's room is free once all that ends by itself has ended."""
-        room, lasting = self.worker.info.room, self.worker.lasting_used
-        return (
-            not self.reserved
-            and room.cpu - lasting.cpu >= needed[0]
-            and room.memory_mb - lasting.memory_mb >= needed[1]
-            and room.gpu - lasting.gpu >= needed[2]
-        )
+        left = self.worker.info.room.minus(self.worker.lasting_used)
+        return not self.reserved and _is_enough(left.cpu, left.memory_mb, left.gpu, needed)
 
     def may_try(self, task: Task) -> bool:
         """Tell whether a suspect worker may get a task: one at a time, or one gang.
@@ -229,9 +223,10 @@
         trusted = not is_suspect(worker)
         if trusted:
             del self._trusted[bisect_left(self._trusted, (one.cpu, worker.info.id))]
-        one.cpu += 0 if step.fills else sign * step.shape.cpu
-        one.memory_mb += sign * step.shape.memory_mb
-        one.gpu += sign * step.shape.gpu
+        taken = step.taken
+        one.cpu += sign * taken.cpu
+        one.memory_mb += sign * taken.memory_mb
+        one.gpu += sign * taken.gpu
         if trusted:
             insort(self._trusted, (one.cpu, worker.info.id, one))
 
--- a/src/foxtrestle/scheduling/eligibility.py
+++ b/src/foxtrestle/scheduling/eligibility.py
@@ -31,13 +31,9 @@
         labels: Labels of the worker or its host.
         room: Its whole room.
     """
-    shape = step.shape
-    return (
-        (not step.label or step.label in labels)
-        and (step.fills or shape.cpu <= room.cpu)
-        and shape.memory_mb <= room.memory_mb
-        and shape.gpu <= room.gpu
-    )
+    if step.label and step.label not in labels:
+        return False
+    return room.holds(step.shape, fills=step.fills)
 
 
 def is_usable(worker: Worker, now: float) -> bool:
--- a/src/foxtrestle/scheduling/maintaining.py
+++ b/src/foxtrestle/scheduling/maintaining.py
@@ -169,9 +169,7 @@
             continue
         if not is_usable(other, now) or is_suspect(other):
             continue
-        if not can_hold(step, other.info.labels, other.info.room):
-            continue
-        if not other.fits(step.shape, fills=step.fills):
+        if not can_hold(step, other.info.labels, other.info.room.minus(other.used)):
             continue
         there = sum(1 for key, _ in other.runs if key[:3] == task.key[:3])
         if not step.max_per_worker or there < step.max_per_worker:
--- a/src/foxtrestle/scheduling/model.py
+++ b/src/foxtrestle/scheduling/model.py
@@ -26,6 +26,22 @@
     gpu: int = 0
     """Accelerators."""
 
+    def plus(self, other: Shape) -> Shape:
+        """Return both together."""
+        return Shape(self.cpu + other.cpu, self.memory_mb + other.memory_mb, self.gpu + other.gpu)
+
+    def minus(self, other: Shape) -> Shape:
+        """Return what is left without another; negative where that is more."""
+        return Shape(self.cpu - other.cpu, self.memory_mb - other.memory_mb, self.gpu - other.gpu)
+
+    def holds(self, other: Shape, *, fills: bool = False) -> bool:
+        """Tell whether another fits in; one that fills takes the cpu that others leave, any."""
+        return (
+            (fills or other.cpu <= self.cpu)
+            and other.memory_mb <= self.memory_mb
+            and other.gpu <= self.gpu
+        )
+
 
 class Step(msgspec.Struct, frozen=True):
     """One step of a job: tasks that are alike."""
@@ -63,6 +79,13 @@
     max_absent: int = 0
     """For lasting tasks: how many may be away at once through our doing."""
 
+    @property
+    def taken(self) -> Shape:
+        """What each task takes of a worker's room."""
+        if not self.fills:
+            return self.shape
+        return Shape(0, self.shape.memory_mb, self.shape.gpu)
+
 
 class JobSpec(msgspec.Struct, frozen=True):
     """A job as its client describes it."""
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -312,41 +312,25 @@
 
     def fits(self, shape: Shape, *, fills: bool) -> bool:
         """Tell whether there is room for a task."""
-        room, used = self.info.room, self.used
-        return (
-            (fills or used.cpu + shape.cpu <= room.cpu)
-            and used.memory_mb + shape.memory_mb <= room.memory_mb
-            and used.gpu + shape.gpu <= room.gpu
-        )
+        return self.info.room.minus(self.used).holds(shape, fills=fills)
 
     def is_overfull(self) -> bool:
         """Tell whether what may run there takes more than its room, which may have shrunk."""
-        room, used = self.info.room, self.used
-        return used.cpu > room.cpu or used.memory_mb > room.memory_mb or used.gpu > room.gpu
+        return not self.info.room.holds(self.used)
 
     def take(self, step: Step) -> None:
         """Count a task in."""
-        self._count(step, 1)
+        self.used = self.used.plus(step.taken)
+        if step.lasting:
+            self.lasting += 1
+            self.lasting_used = self.lasting_used.plus(step.taken)
 
     def give(self, step: Step) -> None:
         """Count a task out."""
-        self._count(step, -1)
-
-    def _count(self, step: Step, sign: int) -> None:
-        self.used = _change(self.used, step, sign)
+        self.used = self.used.minus(step.taken)
         if step.lasting:
-            self.lasting += sign
-            self.lasting_used = _change(self.lasting_used, step, sign)
-
-
-def _change(used: Shape, step: Step, sign: int) -> Shape:
-    """Return the room that is taken after a task has come or gone."""
-    shape = step.shape
-    return Shape(
-        used.cpu + (0 if step.fills else sign * shape.cpu),
-        used.memory_mb + sign * shape.memory_mb,
-        used.gpu + sign * shape.gpu,
-    )
+            self.lasting -= 1
+            self.lasting_used = self.lasting_used.minus(step.taken)
 
 
 class WaveEntry:
--- a/src/foxtrestle/scheduling/turns.py
+++ b/src/foxtrestle/scheduling/turns.py
@@ -14,13 +14,12 @@
 
 from foxtrestle.scheduling.eligibility import can_hold, is_usable
 from foxtrestle.scheduling.fitting import find_smallest_room
-from foxtrestle.scheduling.model import Shape
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from foxtrestle.scheduling.hosts import HostView
-    from foxtrestle.scheduling.model import Step
+    from foxtrestle.scheduling.model import Shape, Step
     from foxtrestle.scheduling.state import Fleet, JobEntry
 
 Where: TypeAlias = tuple[str, int, int]
@@ -175,15 +174,10 @@
             return 0
         if worker.lasting and view.pool != pool:
             return 0
-        room = _subtract(room, worker.lasting_used)
+        room = room.minus(worker.lasting_used)
     if not can_hold(step, view.info.labels, room):
         return 0
-    shape = step.shape
-    cpu = 0 if step.fills else shape.cpu
-    parts = [(room.cpu, cpu), (room.memory_mb, shape.memory_mb), (room.gpu, shape.gpu)]
+    each = step.taken
+    parts = [(room.cpu, each.cpu), (room.memory_mb, each.memory_mb), (room.gpu, each.gpu)]
     counts = [whole // part for whole, part in parts if part]
     return min([*counts, step.max_per_worker or step.count, step.count])
-
-
-def _subtract(room: Shape, used: Shape) -> Shape:
-    return Shape(room.cpu - used.cpu, room.memory_mb - used.memory_mb, room.gpu - used.gpu)
