Take no host for removed because there is no list

A host that a list has never named was removed 6 s after the first question, also when no list was read in these 6 s; its wave was then told completed without it. Now only time that lists cover counts. tests/test_host_list.py: the new test fails without the change; the two before it are unchanged.

--- a/src/foxtrestle/control/host_list.py
+++ b/src/foxtrestle/control/host_list.py
@@ -63,12 +63,16 @@
         self._since = read_clock()
 
     def is_missing(self, host: str, now: float) -> bool:
-        """Tell whether a host has not been listed for long.
+        """Tell whether lists have not named a host for long.
 
         One that never was may be new, and the list lags: its time begins with the first question.
+        Time for which there is no list counts for nothing: with it, a host that had come just
+        before was taken for removed, and its wave told completed without it.
         """
+        listed_at = self._fleet.listed_at
         seen_at = self._seen_at.setdefault(host, now)
-        return now - max(seen_at, self._since) > MISSING_S
+        shown_at = now if listed_at is None else listed_at
+        return shown_at - max(seen_at, self._since) > MISSING_S
 
     async def run(self) -> None:
         """Follow the list until cancelled."""
--- a/tests/test_host_list.py
+++ b/tests/test_host_list.py
@@ -29,3 +29,18 @@
     hosts._seen_at["known"] = hosts._since + 20.0
     assert not hosts.is_missing("known", hosts._since + 20.0 + MISSING_S - 0.1)
     assert hosts.is_missing("known", hosts._since + 20.0 + MISSING_S + 0.1)
+
+
+def test_a_host_is_not_removed_because_there_is_no_list() -> None:
+    """The list is refused or away for ten seconds just after a host has come.
+
+    Found on looking for what is decided for good while a call is refused: the host counted as
+    removed 6 s after it was first asked about, listed or not, and its wave as completed.
+    """
+    hosts = make_list()
+    asked = hosts._since + 14.0
+    hosts._fleet.listed_at = asked - 0.2
+    assert not hosts.is_missing("new", asked)
+    assert not hosts.is_missing("new", asked + 10.0)
+    hosts._fleet.listed_at = asked + 10.0
+    assert hosts.is_missing("new", asked + 10.0), "lists do not name it either"
--- a/tests/test_shrinking_room.py
+++ b/tests/test_shrinking_room.py
@@ -167,3 +167,31 @@
     tell_room(fleet, "w-main-0", Shape(1000, 131_072))
     enter(fleet, make_job(Step(count=9, shape=Shape(8000, 100))))
     assert find_fitting_needs(fleet, view_hosts(fleet), ROOM, NOW) == []
+
+
+def test_a_burst_goes_to_the_workers_that_have_not_shrunk() -> None:
+    """A quarter of a pool has half of its room left, and more comes than the rest can hold."""
+    fleet = make_fleet(4)
+    step = Step(count=3, shape=Shape(8000, 100))
+    shrunk = fleet.workers["w-main-0"]
+    others = [worker for worker in fleet.workers.values() if worker is not shrunk]
+    for worker in others:
+        worker.cordoned = True
+    enter(fleet, make_job(step, id=name(1)))
+    for placement in choose_placements(fleet, NOW):
+        [(task, worker)] = placement.members
+        place_run(fleet, task, worker, 1, NOW)
+    assert len(shrunk.runs) == 3
+    tell_room(fleet, "w-main-0", Shape(17_600, 131_072))
+    for worker in others:
+        worker.cordoned = False
+    enter(fleet, make_job(msgspec.structs.replace(step, count=20), id=name(2)))
+    chosen = [worker for one in choose_placements(fleet, NOW) for _, worker in one.members]
+    assert len(chosen) == 12, "as many as the others hold"
+    assert shrunk not in chosen
+    # What it runs beyond its room goes on; it gets something new when that has ended.
+    runs = list(shrunk.runs)
+    for number, (key, run) in enumerate(runs[:2], 1):
+        record_end(fleet, shrunk, end(key, run, "done", number), NOW)
+    chosen = [worker for one in choose_placements(fleet, NOW) for _, worker in one.members]
+    assert chosen.count(shrunk) == 1
