Believe the host list about a worker only when an answer of it is overdue

A hold waits for a second at its worker, and the list was believed about a worker from a second without an answer on: each sound worker with nothing to tell was in the list's hands for a moment every second, longer where the loop lags, and in a list of several pages that is read while hosts move, a host may be missing. What counts as over is never used again in the term, and its tasks are started elsewhere. Now an answer is overdue after 1.3 s, answers to starts count, and only a worker that has left a call unanswered is judged from a second on, as before.

--- a/src/foxtrestle/scheduling/hosts.py
+++ b/src/foxtrestle/scheduling/hosts.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from foxtrestle.chart import load_chart
+from foxtrestle.scheduling.eligibility import HOLD_WAIT_S
 from foxtrestle.scheduling.listing import is_shown
 from foxtrestle.scheduling.losses import HOST_LOSSES, LossReason
 from foxtrestle.scheduling.model import Shape
@@ -18,8 +19,12 @@
 PLAN_CHART: Final = load_chart("plan")
 """States of a plan."""
 SILENT_S: Final = 1.0
-"""Seconds without an answer after which the host list is believed about a worker; an answer comes
-at least every second while it lives and is in reach."""
+"""Seconds without an answer after which the host list is believed about a worker that has left a
+call unanswered."""
+OVERDUE_ANSWER_S: Final = HOLD_WAIT_S + 0.3
+"""Seconds without an answer after which it is believed about one that has left none: a hold waits
+at the worker for a second, so a sound one with nothing to tell is quiet for that and the call's
+way, and for as long as the loop lags."""
 LIST_LAG_S: Final = 2.5
 """Seconds for which the host list may still show what was before an order: its lag of about 0.8 s,
 the second between two reads, and a margin."""
@@ -83,10 +88,18 @@
         return self.worker is None or not self.worker.runs
 
 
+def is_silent(worker: Worker, now: float) -> bool:
+    """Tell whether the host list is believed about a worker, as it does not answer."""
+    if worker.silence is not None:
+        return now - worker.contact_at > SILENT_S
+    # Starts are answered, too, while a hold waits.
+    return now - max(worker.contact_at, worker.alive_at) > OVERDUE_ANSWER_S
+
+
 def has_silent(fleet: Fleet, now: float) -> bool:
     """Tell whether a worker that carries tasks has not answered for a while."""
     return any(
-        worker.runs and not worker.gone and now - worker.contact_at > SILENT_S
+        worker.runs and not worker.gone and is_silent(worker, now)
         for worker in fleet.workers.values()
     )
 
@@ -105,9 +118,8 @@
         return []
     dead = []
     for worker in fleet.workers.values():
-        silent = now - worker.contact_at > SILENT_S
         settled = now - worker.first_seen > LIST_LAG_S and is_shown(fleet, worker.first_seen)
-        if silent and settled and worker.info.host:
+        if settled and worker.info.host and is_silent(worker, now):
             why = _find_end(fleet, worker)
             if why:
                 dead.append((worker, why))
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -127,3 +127,37 @@
     await asyncio.gather(*tasks, return_exceptions=True)
     assert calls.asked == calls.given * calls.pages, "none was refused"
     assert calls.given >= 8 * 5
+
+
+def make_unlisted_fleet() -> Fleet:
+    """A fleet of which two lists in turn do not name the first worker's host."""
+    fleet = make_silent_fleet("up")
+    del fleet.hosts["h-w-main-0"]
+    fleet.hosts_before = frozenset(fleet.hosts)
+    fleet.listed_at = NOW + 9.0
+    for worker in fleet.workers.values():
+        worker.note_answer(NOW + 10.0)
+    return fleet
+
+
+def test_a_worker_whose_hold_waits_for_its_second_is_not_silent() -> None:
+    """Seen with 300 nodes: a second run of a task, 0.35 s after the first, both to their end.
+
+    A hold waits a second at its worker, and the list was believed about a worker from a second
+    without an answer on. So each sound worker was in the list's hands for a moment every second.
+    """
+    fleet = make_unlisted_fleet()
+    assert find_dead(fleet, NOW + 11.05) == [], "its hold is on the way back"
+    fleet.workers["w-main-0"].alive_at = NOW + 11.0
+    assert find_dead(fleet, NOW + 11.4) == [], "it has just answered a start"
+    fleet.workers["w-main-0"].alive_at = NOW + 10.0
+    found = [(one.info.id, why) for one, why in find_dead(fleet, NOW + 11.4)]
+    assert found == [("w-main-0", LossReason.HOST_GONE)]
+
+
+def test_a_worker_that_left_a_call_unanswered_is_silent_sooner() -> None:
+    fleet = make_unlisted_fleet()
+    fleet.workers["w-main-0"].note_silence(NOW + 10.5)
+    assert find_dead(fleet, NOW + 10.9) == []
+    found = [(one.info.id, why) for one, why in find_dead(fleet, NOW + 11.05)]
+    assert found == [("w-main-0", LossReason.HOST_GONE)]
