Give orders for hosts within the platform's rate

Cause: nothing knew the rate that the settings tell, and a refusal counted as a no to that host: a refused move was given up and its host chosen again 0.1 s later, refused maintenance was ordered at each look with a record in the store before it. After an order without an answer, a refusal let the host serve again though that order might still be carried out.

--- a/src/foxtrestle/control/host_ordering.py
+++ b/src/foxtrestle/control/host_ordering.py
@@ -10,7 +10,7 @@
 from foxtrestle.control.log import log
 from foxtrestle.control.spawn import Spawner
 from foxtrestle.platform.hosts import HostRefused
-from foxtrestle.platform.http import CallError
+from foxtrestle.platform.http import CallError, OverRate
 from foxtrestle.scheduling.losses import LossReason
 
 if TYPE_CHECKING:
@@ -21,6 +21,7 @@
     from foxtrestle.control.wave_records import WaveRecords
     from foxtrestle.platform.hosts import HostCalls
     from foxtrestle.scheduling.hosts import HostPlan
+    from foxtrestle.scheduling.order_budget import OrderBudget
     from foxtrestle.scheduling.state import Fleet, Worker
 
 ATTEMPTS: Final = 4
@@ -40,6 +41,7 @@
         records: OrderRecords,
         waves: WaveRecords,
         lose_worker: Callable[[Worker, LossReason], None],
+        budget: OrderBudget,
     ) -> None:
         """Create an ordering for one term.
 
@@ -50,6 +52,7 @@
             records: Where each order is recorded before it is given.
             waves: Where the progress of waves is recorded.
             lose_worker: Called when a worker's life is certainly over.
+            budget: Orders that may be given, from which each was taken before it comes here.
         """
         self._fleet = fleet
         self._term = term
@@ -57,6 +60,7 @@
         self._records = records
         self._waves = waves
         self._lose_worker = lose_worker
+        self._budget = budget
         self._background = Spawner()
 
     async def carry_out(self, plan: HostPlan) -> None:
@@ -70,6 +74,7 @@
         if not await self._records.record(plan.host):
             plan.move("refused", read_clock())
             return
+        unanswered = False
         for _ in range(ATTEMPTS):
             if not self._term.is_valid():
                 break
@@ -81,7 +86,17 @@
             except HostRefused as refusal:
                 self._take_refusal(plan, refusal)
                 return
+            except OverRate:
+                self._budget.note_refusal()
+                log("host.order-over-rate", host=plan.host, wave=plan.wave, pool=plan.pool)
+                if not unanswered:
+                    # Nothing was done: the host stays empty, and its plan waits for the budget.
+                    plan.move("refused", read_clock())
+                    return
+                # An earlier copy may still be carried out, so the host must not serve again.
+                await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
             except CallError as error:
+                unanswered = True
                 log("host.order-unanswered", host=plan.host, wave=plan.wave, pool=plan.pool,
                     reason=error.reason)  # fmt: skip
                 await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -29,6 +29,7 @@
     list_open,
 )
 from foxtrestle.scheduling.needs import measure_host
+from foxtrestle.scheduling.order_budget import OrderBudget, order_plans
 from foxtrestle.scheduling.partitions import share_wave
 from foxtrestle.scheduling.scaling import choose_drops, choose_moves
 from foxtrestle.scheduling.state import WaveEntry
@@ -93,7 +94,10 @@
         self._records = OrderRecords(store, term, settings.bounds.turn_s)
         self._waves = WaveRecords(store, term)
         self._list = HostList(fleet, term.partition, calls, wake, settings.host_reads_per_s)
-        self._ordering = HostOrdering(fleet, term, calls, self._records, self._waves, lose_worker)
+        self._budget = OrderBudget(settings.host_orders_per_s, term.partition.count)
+        self._ordering = HostOrdering(
+            fleet, term, calls, self._records, self._waves, lose_worker, self._budget
+        )
         self._loaded = False
 
     async def run(self) -> None:
@@ -169,7 +173,9 @@
     def _advance(self, views: dict[str, HostView], now: float) -> None:
         """Move plans on."""
         bounds = self._settings.bounds
-        for plan in list(self._fleet.plans.values()):
+        configuration = self._fleet.configuration
+        reserve = configuration.find_reserve() if configuration is not None else ""
+        for plan in order_plans(self._fleet.plans.values(), reserve):
             view = views.get(plan.host)
             if view is None:
                 if self._list.is_missing(plan.host, now):
@@ -207,6 +213,8 @@
         if worker is not None:
             worker.cordoned = True
             plan.old_worker = worker.info.id
+        if not self._budget.take(now):
+            return
         plan.move("empty", now)
         self._background.spawn(self._ordering.carry_out(plan))
 
--- a/src/foxtrestle/platform/hosts.py
+++ b/src/foxtrestle/platform/hosts.py
@@ -174,6 +174,8 @@
         )
         if reply.status == 200:
             return
+        if reply.status == TOO_MANY:
+            raise OverRate("over the call rate", step=step, peer=str(body["machine"]))
         reason = str(reply.status)
         if reply.status == 409:
             reason = decode(reply.body, _Refused, step=step, peer=self._base).reason or reason
--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -69,6 +69,8 @@
         """Share of host orders that take effect and are not answered."""
         self.refused_lists = 0
         """How many of the next pages of the host list are refused as over the rate."""
+        self.refused_orders = 0
+        """How many of the next orders for hosts are refused as over the rate."""
         self.hosts_down = False
         """Whether the host list refuses every call with 503."""
         self.crashing: set[TaskKey] = set()
@@ -423,6 +425,9 @@
             return JSONResponse({"machines": machines, "nextToken": more})
 
         async def order(request: Request) -> Response:
+            if self.faults.refused_orders:
+                self.faults.refused_orders -= 1
+                return Response(status_code=429)
             body = msgspec.json.decode(await request.body())
             host = self.hosts.get(body["machine"])
             if host is None:
