Gather changes between two calls of a watch where several controllers follow the store

Symptom, in a trial of 297 nodes and 2,940 hosts in eight partitions: 800 to 1,100 watches by each controller in the 10 s in which the workers came up, about 100 a second for each; from the first moves on 810 calls refused as over the store's rate, ten renewals of locks and 616 calls of clients among them. Cause: every controller follows all workers' entries, and asks again at once after each change. Change: it waits 5 ms for each controller there is, 0.1 s at the most; one alone does not wait.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -30,7 +30,7 @@
 from foxtrestle.scheduling.partitions import share_configuration
 from foxtrestle.scheduling.placing import choose_placements
 from foxtrestle.scheduling.progress import decode_progress, restore
-from foxtrestle.scheduling.rounds import ROUND_S, compute_pause
+from foxtrestle.scheduling.rounds import ROUND_S, compute_gather, compute_pause
 from foxtrestle.scheduling.runs import (
     add_job,
     compute_age,
@@ -111,11 +111,16 @@
     async def run(self) -> None:
         """Work until cancelled."""
         inbox, entries = await self._load()
+        gather_s = compute_gather(self._term.partition.count)
         loops = [
             self._ledger.run(),
             self._decide(),
-            follow(self._store, self._keys.inbox, inbox, list_as_changes, self._take_inbox),
-            follow(self._store, ENTRIES, entries, self._roster.compare, self._take_entries),
+            follow(
+                self._store, self._keys.inbox, inbox, list_as_changes, self._take_inbox, gather_s
+            ),
+            follow(
+                self._store, ENTRIES, entries, self._roster.compare, self._take_entries, gather_s
+            ),
             self._hosts.run(),
             sweep(self._store, self._keys.inbox, self._is_inbox_quiet, self._take_inbox_listing),
             sweep(self._store, ENTRIES, self._is_host_overdue, self._take_entries_listing),
--- a/src/foxtrestle/control/following.py
+++ b/src/foxtrestle/control/following.py
@@ -38,6 +38,7 @@
     revision: int,
     compare: Callable[[Listing], list[Change]],
     take: Callable[[list[Change]], None],
+    gather_s: float = 0.0,
 ) -> None:
     """Follow a prefix until cancelled; after a gap, read it whole and take in what differs.
 
@@ -47,6 +48,7 @@
         revision: Revision of the store from which changes are not known.
         compare: Turns a listing into changes against what is known.
         take: Takes changes in; never called without any.
+        gather_s: Seconds to wait after changes, in which further ones gather at the store.
     """
     outage = Outage("store", f"watch {prefix}")
     while True:
@@ -66,6 +68,7 @@
             continue
         if changes:
             take(changes)
+            await asyncio.sleep(gather_s)
 
 
 async def _pause() -> None:
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -7,9 +7,18 @@
 
 import pytest
 
+from foxtrestle.control.following import follow
 from foxtrestle.control.measures import Measures
 from foxtrestle.node import loop_lag
-from foxtrestle.scheduling.rounds import DECIDING_SHARE, GATHER_S, ROUND_S, compute_pause
+from foxtrestle.scheduling.rounds import (
+    DECIDING_SHARE,
+    GATHER_S,
+    LONGEST_GATHER_S,
+    ROUND_S,
+    compute_gather,
+    compute_pause,
+)
+from foxtrestle.store import Change
 
 
 @pytest.mark.parametrize("took_s", [0.0, 0.001, 0.006, 0.02, 0.04])
@@ -41,3 +50,39 @@
     late = [fields["lag_s"] for event, fields in told if event == "loop.lagged"]
     assert max(late) >= 0.1  # type: ignore[type-var, operator]
     assert b"foxtrestle_loop_lag_seconds_count" in measures.render()
+
+
+class Chatty:
+    """A store in which something changes every millisecond."""
+
+    def __init__(self) -> None:
+        self.began_at = asyncio.get_running_loop().time()
+        self.polls = 0
+
+    async def poll(self, prefix: str, after: int) -> tuple[list[Change], int]:
+        self.polls += 1
+        await asyncio.sleep(0.004)
+        newest = int((asyncio.get_running_loop().time() - self.began_at) * 1000)
+        return [Change(f"{prefix}{n}", None, n) for n in range(after + 1, newest + 1)], newest
+
+
+@pytest.mark.parametrize("controllers", [1, 8, 100])
+async def test_controllers_that_follow_the_same_store_gather_changes(controllers: int) -> None:
+    """Seen: 8 controllers made 800 to 1,100 calls each in 10 s while workers came up.
+
+    Every change of a worker's entry had each of them ask again at once. The store takes 2,000 calls
+    a second of all nodes, and refused clients' jobs and renewals of locks.
+    """
+    store, heard = Chatty(), []
+    gather_s = compute_gather(controllers)
+    taking = follow(store, "servers/", 0, list, heard.extend, gather_s)  # type: ignore[arg-type]
+    task = asyncio.create_task(taking)
+    await asyncio.sleep(0.5)
+    task.cancel()
+    assert [change.revision for change in heard] == list(range(1, len(heard) + 1)), "none is missed"
+    assert len(heard) > 200
+    if controllers == 1:
+        assert gather_s == 0.0
+    else:
+        assert store.polls <= 0.5 / gather_s + 1
+        assert gather_s <= LONGEST_GATHER_S
