--- a/src/foxtrestle/control/roster.py
+++ b/src/foxtrestle/control/roster.py
@@ -162,13 +162,18 @@
     def lose(self, worker: Worker, reason: LossReason) -> None:
         """Give up what was placed on a worker whose life or lease is certainly over."""
         now = read_clock()
+        unanswered = worker.silence is not None
         worker.note_silence(now)
         crashed = is_crash(self._fleet, worker, reason)
         release = release_worker(self._fleet, worker, now, crashed=crashed)
         self._tell_lost(release, worker, reason, crashed=crashed)
         worker.known = False
+        listed_at = self._fleet.listed_at
         log("worker.released", worker=worker.info.id, host=worker.info.host, reason=reason,
-            crashed=crashed, runs=len(release.lost))  # fmt: skip
+            crashed=crashed, runs=len(release.lost), unanswered=unanswered,
+            heard_s=round(now - max(worker.contact_at, worker.alive_at), 3),
+            list_age_s=round(now - listed_at, 3) if listed_at is not None else None,
+            )  # fmt: skip
         if reason != LossReason.LAPSED:
             self._ended_lives.add(worker.info.id)
         if worker.gone or reason != LossReason.LAPSED:
