--- a/src/foxtrestle/scheduling/listing.py
+++ b/src/foxtrestle/scheduling/listing.py
@@ -7,8 +7,9 @@
 if TYPE_CHECKING:
     from foxtrestle.scheduling.state import Fleet
 
-LIST_SHOWS_S: Final = 1.0
-"""Seconds after which a host list shows what has happened: its lag of about 0.8 s and a margin."""
+LIST_SHOWS_S: Final = 1.5
+"""Seconds after which a host list shows what has happened: its lag, about 0.8 s of a list of one
+page and up to 1.1 s of one of six, and a margin."""
 READ_SHARE: Final = 0.8
 """Share of the platform's rate that controllers take. The rest is for those that have just taken
 over, which read at once, and for pages that are asked for again."""
