--- a/soak/watcher.py
+++ b/soak/watcher.py
@@ -63,24 +63,30 @@
                 running[key] = worker.info.id
 
     def _check_starts(self) -> None:
-        done = {
-            end.key
-            for worker in self._site.list_workers()
-            for end in worker.noted
-            if end.kind == "done"
-        }
+        noted = self._find_noted()
         for worker in self._site.list_workers():
             seen = self._seen.get(worker.info.id, 0)
-            for key, run, _ in worker.starts[seen:]:
+            began = zip(worker.starts[seen:], worker.started_at[seen:], strict=True)
+            for (key, run, _), started_at in began:
                 if key.job not in self.submitted:
                     self._report(f"unasked: {key} run {run}")
                 running = worker.running.get((key, run))
                 if running is not None and running.text != TEXT + key.job:
                     self._report(f"unasked: {key} run {run} has another text")
-                if key in done:
+                # By time: this look may be late, and a task have run since the last one.
+                if started_at > noted.get(key, float("inf")):
                     self._report(f"twice: {key} run {run} starts after its noted end")
             self._seen[worker.info.id] = len(worker.starts)
 
+    def _find_noted(self) -> dict[TaskKey, float]:
+        """Return when the first `done` of each task was noted, by the monotonic clock."""
+        noted: dict[TaskKey, float] = {}
+        for worker in self._site.list_workers():
+            for end, at in zip(worker.noted, worker.noted_at, strict=True):
+                if end.kind == "done":
+                    noted[end.key] = min(at, noted.get(end.key, at))
+        return noted
+
     def finish(self, states: dict[str, str]) -> None:
         """Check what must hold at the end, when everything is healed.
 
--- a/src/foxtrestle/standins/worker.py
+++ b/src/foxtrestle/standins/worker.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -71,10 +72,14 @@
         """Ends not acknowledged."""
         self.noted: list[EndedRun] = []
         """Ends that were acknowledged."""
+        self.noted_at: list[float] = []
+        """Monotonic time at which each of them was, seconds."""
         self.highest_token = 0
         """Highest token seen."""
         self.starts: list[tuple[TaskKey, int, float]] = []
         """Every run that was begun, with the clock."""
+        self.started_at: list[float] = []
+        """Monotonic time at which each of them was, seconds; alike for all workers."""
         self.dead = False
         """Whether this life is over."""
         self._clock_ms = clock_ms
@@ -107,6 +112,7 @@
         now = self._clock_ms()
         self.running[key, run] = SimulatedRun(key, run, shape, now, work_ms, ends, text)
         self.starts.append((key, run, now))
+        self.started_at.append(time.monotonic())
 
     def stop(self, key: TaskKey, run: int, token: int) -> None:
         """Stop a run, and bar it if it is not there yet."""
@@ -124,7 +130,9 @@
         self._fence(token)
         if expires_ms is not None:
             self._expires_ms = max(self._expires_ms, expires_ms)
-        self.noted += [end for end in self.ends if end.number <= acknowledged]
+        noted = [end for end in self.ends if end.number <= acknowledged]
+        self.noted += noted
+        self.noted_at += [time.monotonic()] * len(noted)
         self.ends = [end for end in self.ends if end.number > acknowledged]
         return self.report()
 
