Order no host into the pool it is in

Cause: a host that was being emptied for another pool got the turn of a step of its own pool, and its plan was turned round, into an order to move where it was. The platform says yes and does nothing; the controller took the worker for gone with the move and never asked it again. Each turn then chose that host, without a worker, for 8 s each. Change: such a plan is dropped, and the host serves on.

--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -196,6 +196,11 @@
         self, plan: HostPlan, view: HostView, views: dict[str, HostView], now: float
     ) -> None:
         worker = view.worker
+        if not plan.wave and view.pool == plan.pool:
+            # The platform would answer that it is done, and its worker, which lives on, would be
+            # taken for gone with the move.
+            self._ordering.drop(plan, "wanted where it is", now)
+            return
         if worker is not None and not worker.gone and (worker.runs or worker.unknown_runs):
             worker.cordoned = True
             if plan.wave and cannot_be_emptied(self._fleet, worker, now - plan.changed_at, now):
--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -433,7 +433,8 @@
             if host is None:
                 return Response(status_code=400)
             token = int(request.headers["Foxtrestle-Fencing-Token"])
-            if body.get("wave") in host.waves:
+            if body.get("wave") in host.waves or body.get("pool") == host.pool:
+                # What has been done already is answered like what is done now.
                 return JSONResponse({})
             if host.state != "up":
                 return JSONResponse({"reason": "busy"}, status_code=409)
