--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -127,6 +127,8 @@
         """Workers whose life is over."""
         self.hosts: dict[str, SimulatedHost] = {}
         """Hosts by name."""
+        self.pages_asked = 0
+        """Pages of the host list that were asked for."""
         self.calls: Counter[str] = Counter()
         """Calls by kind."""
         self.host_orders: list[tuple[str, str, int]] = []
@@ -403,7 +405,7 @@
 
     def _build_hosts(self) -> Starlette:
         async def list_hosts(request: Request) -> Response:
-            self.calls["hosts"] += 1
+            self.pages_asked += 1
             if self.faults.hosts_down:
                 return Response(status_code=503)
             if self.faults.refused_lists:
--- a/tests/test_division.py
+++ b/tests/test_division.py
@@ -92,7 +92,7 @@
 async def test_one_node_reads_for_all(site: Site, connections: Connections) -> None:
     found = await asyncio.gather(*(load(site, connections) for _ in range(30)))
     assert set(found) == {count_partitions(HOSTS)}
-    assert site.calls["hosts"] == PAGES
+    assert site.pages_asked == PAGES
 
 
 async def test_a_reader_that_is_gone_is_replaced(
@@ -102,7 +102,7 @@
     site.write(LAYOUT_READER, msgspec.to_builtins(Claim("gone")))
     found = await asyncio.gather(*(load(site, connections) for _ in range(5)))
     assert set(found) == {count_partitions(HOSTS)}
-    assert site.calls["hosts"] == PAGES
+    assert site.pages_asked == PAGES
 
 
 async def test_a_decision_that_stands_is_read_without_a_claim(
@@ -111,7 +111,7 @@
     site.write(LAYOUT, {"partitions": 7})
     assert await load(site, connections) == 7
     assert site.engine.get(LAYOUT_READER) is None
-    assert not site.calls["hosts"]
+    assert not site.pages_asked
 
 
 async def test_refused_pages_are_asked_for_again_and_the_others_kept(
@@ -121,7 +121,7 @@
     site.faults.refused_lists = 2
     listed = await hosts.list_hosts()
     assert [host.name for host in listed] == list(site.hosts)
-    assert site.calls["hosts"] == PAGES + 2
+    assert site.pages_asked == PAGES + 2
     assert hosts.calls["list refused"] == 2
     assert hosts.pages == PAGES
 
--- a/tests/test_own_pool.py
+++ b/tests/test_own_pool.py
@@ -6,7 +6,7 @@
 what has been done already, and does nothing; the controller took the worker, which lived on, for
 gone with the move, and never asked it again. Each further turn chose the same host, without a
 worker, for 8 s each. Proved by the lines of that host: planned for one pool, the turn, ordered into
-the other, which it was in already; its worker released as ordered away, and no worker seen after it.
+the other, where it was already; its worker released as ordered away, and no worker seen after it.
 """
 
 from __future__ import annotations
