--- a/tests/test_crashes_by_chance.py
+++ b/tests/test_crashes_by_chance.py
@@ -4,14 +4,14 @@
 their tasks, lasting and harmless, was placed alone on a second worker, which the soak crashed 0.5 s
 after the first. The task was given up and its job failed. It came about as a task on probation has
 its worker to itself, so the next crash is laid to it alone; that hosts crash by themselves, two
-within a second, is not reckoned with. Proof: the lines of the lost runs, `crashes` 1 and 2, and both
-hosts listed as down without an order for either. The platform allows a third start.
+within a second, is not reckoned with. Proof: the lines of the lost runs, `crashes` 1 and 2, and
+both hosts listed as down without an order for either. The platform allows a third start.
 """
 
 from __future__ import annotations
 
 from foxtrestle.scheduling.model import Shape, Step
-from tests.scheduling_fakes import NOW, enter, make_fleet, make_job
+from tests.scheduling_fakes import enter, make_fleet, make_job
 from tests.test_crashes import lose, place
 
 
