--- a/src/foxtrestle/scheduling/hosts.py
+++ b/src/foxtrestle/scheduling/hosts.py
@@ -99,8 +99,8 @@
 def has_silent(fleet: Fleet, now: float) -> bool:
     """Tell whether a worker that carries tasks has not answered for a while.
 
-    Asked more freely than `is_silent`, as nobody is given up for it: it costs reads of the list, and
-    a list that is young also tells sooner which hosts are off and may be fetched.
+    Asked more freely than `is_silent`, as nobody is given up for it: it costs reads of the list,
+    and a list that is young also tells sooner which hosts are off and may be fetched.
     """
     return any(
         worker.runs and not worker.gone and now - worker.contact_at > SILENT_S
--- a/src/foxtrestle/scheduling/order_budget.py
+++ b/src/foxtrestle/scheduling/order_budget.py
@@ -13,8 +13,8 @@
 """Share of the platform's rate that controllers take together. The rest is for orders that are sent
 again as they had no answer."""
 BURST_S: Final = 5.0
-"""Seconds' worth of orders that may be given at once, after as long without any: the platform bears
-bursts (76 orders in one second of a fleet of 272 hosts, none refused), and a refusal ends them."""
+"""Seconds' worth of orders that may be given at once, after as long without any: the platform
+bears bursts (76 orders in one second of 272 hosts, none refused), and a refusal ends them."""
 
 
 class OrderBudget:
