Name the steps of the one reader, and the controllers of a budget, as what they are

scheduling/division had a second Turn beside that of scheduling/turns, and the budget of orders called its controllers readers, a word of the host list. Names only; no behaviour, no assertion changed. Checks: formatter, linter, types; tests/test_division, test_layout_start, test_order_budget: 16 passed.

--- a/src/foxtrestle/control/layout_claim.py
+++ b/src/foxtrestle/control/layout_claim.py
@@ -12,7 +12,7 @@
 from foxtrestle.clock import read_clock
 from foxtrestle.control.keys import LAYOUT, LAYOUT_READER
 from foxtrestle.control.log import log
-from foxtrestle.scheduling.division import Claim, SeenClaim, Turn, choose_turn
+from foxtrestle.scheduling.division import Claim, ReaderStep, SeenClaim, choose_step
 from foxtrestle.store import ABSENT, Conflict, Transaction
 
 if TYPE_CHECKING:
@@ -48,10 +48,10 @@
         if seen is None:
             await asyncio.sleep(random.uniform(0.0, SPREAD_S))
             seen = await self._look()
-        turn = choose_turn(seen, self._own)
-        if turn is Turn.CLAIM:
+        step = choose_step(seen, self._own)
+        if step is ReaderStep.CLAIM:
             return await self._claim(seen)
-        return turn is Turn.READ
+        return step is ReaderStep.READ
 
     async def _look(self) -> SeenClaim | None:
         record = await self._store.get(LAYOUT_READER)
--- a/src/foxtrestle/scheduling/division.py
+++ b/src/foxtrestle/scheduling/division.py
@@ -36,7 +36,7 @@
     """Seconds for which this node has seen it unchanged."""
 
 
-class Turn(StrEnum):
+class ReaderStep(StrEnum):
     """What a node does that does not know the division."""
 
     READ = "read"
@@ -58,7 +58,7 @@
     """What was counted."""
 
 
-def choose_turn(seen: SeenClaim | None, own: str) -> Turn:
+def choose_step(seen: SeenClaim | None, own: str) -> ReaderStep:
     """Return what a node does next.
 
     Args:
@@ -66,10 +66,10 @@
         own: Name of this node as a reader.
     """
     if seen is None:
-        return Turn.CLAIM
+        return ReaderStep.CLAIM
     if seen.reader == own:
-        return Turn.READ
-    return Turn.CLAIM if seen.seen_s > CLAIM_S else Turn.WAIT
+        return ReaderStep.READ
+    return ReaderStep.CLAIM if seen.seen_s > CLAIM_S else ReaderStep.WAIT
 
 
 def propose_by_hosts(hosts: int) -> Proposal:
--- a/src/foxtrestle/scheduling/order_budget.py
+++ b/src/foxtrestle/scheduling/order_budget.py
@@ -27,14 +27,14 @@
 
     __slots__ = ("_at", "_credit", "_per_s")
 
-    def __init__(self, per_s: float, readers: int) -> None:
+    def __init__(self, per_s: float, controllers: int) -> None:
         """Create a budget with all that may be given at once.
 
         Args:
             per_s: Orders that the platform takes from all nodes together, per second.
-            readers: Controllers that give orders.
+            controllers: Controllers that give orders.
         """
-        self._per_s = per_s * ORDER_SHARE / readers
+        self._per_s = per_s * ORDER_SHARE / controllers
         self._credit = self._most
         self._at: float | None = None
 
--- a/tests/test_division.py
+++ b/tests/test_division.py
@@ -25,9 +25,9 @@
 from foxtrestle.scheduling.division import (
     CLAIM_S,
     Claim,
+    ReaderStep,
     SeenClaim,
-    Turn,
-    choose_turn,
+    choose_step,
     propose_by_hosts,
     propose_by_workers,
 )
@@ -75,11 +75,11 @@
 def test_a_node_reads_under_its_own_claim_alone(
     own: str, other: str, revision: int, seen_s: float
 ) -> None:
-    assert choose_turn(None, own) is Turn.CLAIM
-    assert choose_turn(SeenClaim(own, revision, seen_s), own) is Turn.READ
+    assert choose_step(None, own) is ReaderStep.CLAIM
+    assert choose_step(SeenClaim(own, revision, seen_s), own) is ReaderStep.READ
     if other != own:
-        turn = choose_turn(SeenClaim(other, revision, seen_s), own)
-        assert turn is (Turn.CLAIM if seen_s > CLAIM_S else Turn.WAIT)
+        step = choose_step(SeenClaim(other, revision, seen_s), own)
+        assert step is (ReaderStep.CLAIM if seen_s > CLAIM_S else ReaderStep.WAIT)
 
 
 @given(st.integers(0, 60_000))
