Tell which life of a worker answers, and what of its ends was known

An entry and a worker's answers say when the life began; the adapter decodes it. An answer from another life under a known id is told with what was acknowledged and taken in of the former and what the new one lists; a run that is not listed any more with the same numbers. By these the hypotheses of the incident differ: an end skipped as known stands in the list, one that was never shown does not, and a lost record shows no other life.

--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -153,6 +153,7 @@
     async def _take(self, report: WorkerReport, sent_at: float) -> None:
         worker = self._worker
         now = read_clock()
+        self._note_life(report, now)
         if worker.silence is not None:
             log("worker.answers", worker=worker.info.id)
         worker.note_answer(now)
@@ -191,6 +192,17 @@
             self._wake()
             await self._record({end.key.job for end in report.ends}, report)
 
+    def _note_life(self, report: WorkerReport, now: float) -> None:
+        """Tell of an answer from another life, and what the one before it left."""
+        worker = self._worker
+        if report.born_ms and worker.born_ms not in {0, report.born_ms}:
+            log("worker.other-life", worker=worker.info.id, born_ms=report.born_ms,
+                former_ms=worker.born_ms, acknowledged=worker.acknowledged,
+                seen_end=worker.seen_end, ends=[end.number for end in report.ends][:20],
+                running=len(report.running), runs=len(worker.runs),
+                heard_s=round(now - worker.contact_at, 3))  # fmt: skip
+        worker.born_ms = report.born_ms or worker.born_ms
+
     def _is_due(self, stop: StopOrder, now: float) -> bool:
         """Tell whether an unwanted run is to be stopped now, no stop for it being under way."""
         run = stop.key, stop.run
@@ -231,7 +243,9 @@
             if worker.known and not (0 < run.confirmed_at < sent_at):
                 continue
             log("run.absent", job=key.job, step=key.step, index=key.number, run=number,
-                worker=worker.info.id, state=run.state)  # fmt: skip
+                worker=worker.info.id, state=run.state, confirmed=run.confirmed_at > 0,
+                acknowledged=worker.acknowledged, seen_end=worker.seen_end,
+                ends=[end.number for end in report.ends][:20])  # fmt: skip
             task, _ = found
             drop_run(task, number, worker)
             requeue(self._fleet.jobs[key.job], task, now)
--- a/src/foxtrestle/control/roster.py
+++ b/src/foxtrestle/control/roster.py
@@ -130,7 +130,7 @@
             worker.lapse_at = self._started_at + TAKEOVER_S
             self._fleet.workers[info.id] = worker
             log("worker.seen", worker=info.id, pool=info.pool, host=info.host,
-                address=info.address)  # fmt: skip
+                address=info.address, born_ms=info.born_ms)  # fmt: skip
         elif info.draining != worker.info.draining:
             log("worker.draining" if info.draining else "worker.ready", worker=info.id)
         worker.info = info
--- a/src/foxtrestle/explain.py
+++ b/src/foxtrestle/explain.py
@@ -12,7 +12,14 @@
 SUBJECTS: Final = ("job", "worker", "host", "wave")
 """Fields that name what a line is about."""
 WORKER_TROUBLE: Final = frozenset(
-    {"worker.silent", "worker.released", "worker.entry-gone", "worker.draining", "host.ordered"}
+    {
+        "worker.silent",
+        "worker.other-life",
+        "worker.released",
+        "worker.entry-gone",
+        "worker.draining",
+        "host.ordered",
+    }
 )
 """Events of a worker that explain what became of a job's runs there."""
 GENERAL_TROUBLE: Final = frozenset(
@@ -48,6 +55,7 @@
     "start.refused": "step {step} task {index}: {worker} refused run {run}: {reason}",
     "start.unanswered": "a start on {worker} had no answer ({reason})",
     "worker.silent": "worker {worker} stopped answering ({reason})",
+    "worker.other-life": "worker {worker} started again; it was heard {heard_s} s before",
     "worker.released": "what ran on worker {worker} was given up: {reason}",
     "worker.entry-gone": "worker {worker} left the store",
     "host.planned": "host {host} is emptied for pool {pool}, wave {wave}",
--- a/src/foxtrestle/platform/workers.py
+++ b/src/foxtrestle/platform/workers.py
@@ -58,6 +58,7 @@
     capacity: Capacity = msgspec.field(default_factory=Capacity)
     labels: tuple[str, ...] = ()
     machine: str = ""
+    born: int = 0
 
 
 class _Answer(msgspec.Struct):
@@ -66,6 +67,7 @@
     # The type of a row's entries differs: [task, run, saved, percent, usage].
     running: list[list[Any]] = []
     endTime: list[list[Any]] = []
+    born: int = 0
 
 
 def decode_worker(key: str, value: bytes) -> WorkerInfo:
@@ -84,6 +86,7 @@
         room=entry.capacity.to_shape(),
         labels=entry.labels,
         host=entry.machine,
+        born_ms=entry.born,
     )
 
 
@@ -210,7 +213,7 @@
     except (ValueError, IndexError, TypeError) as error:
         reason = f"row of a report: {error}"
         raise MalformedAnswer(reason, step="workers.hold", peer=worker) from error
-    return WorkerReport(int(answer.clockMs), running, ends)
+    return WorkerReport(int(answer.clockMs), running, ends, answer.born)
 
 
 __all__ = ["CallError", "OrderRefused", "OtherLife", "WorkerCalls", "decode_worker"]
--- a/src/foxtrestle/scheduling/model.py
+++ b/src/foxtrestle/scheduling/model.py
@@ -218,7 +218,7 @@
     """A worker's description of itself; one life of a host."""
 
     id: str
-    """Name of this life; another after a crash."""
+    """Name of the worker; a life after a crash may bear the same."""
     pool: str
     """Pool it is in."""
     address: str
@@ -233,6 +233,8 @@
     """Kind and rack."""
     host: str = ""
     """The host; empty if it did not say."""
+    born_ms: int = 0
+    """Wall time at which the life began, milliseconds, by the worker; 0 if it did not say."""
     readable: bool = True
     """Whether its newest entry can be read; if not, it gets nothing new, and what runs there goes
     on."""
@@ -309,6 +311,8 @@
     """Everything that runs there."""
     ends: tuple[EndedRun, ...] = ()
     """Ends not acknowledged yet, oldest first, 500 at most."""
+    born_ms: int = 0
+    """Wall time at which the life that answers began, milliseconds; 0 if it did not say."""
 
 
 class StartOrder(msgspec.Struct, frozen=True):
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -212,6 +212,7 @@
     __slots__ = (
         "acknowledged",
         "alive_at",
+        "born_ms",
         "clock_offset_ms",
         "contact_at",
         "cordoned",
@@ -242,6 +243,18 @@
         """Its description."""
         self.revision = revision
         """Store revision of its entry; of two workers of a host the newer has the higher."""
+        self.gone = False
+        """Whether its entry has disappeared."""
+        self.cordoned = False
+        """Whether its host is being emptied."""
+        self._begin_life(info.born_ms, now)
+
+    def _begin_life(self, born_ms: int, now: float) -> None:
+        """Set what is known of one life to what is known at its beginning."""
+        self.born_ms = born_ms
+        """Wall time at which its life began, milliseconds, by itself; 0 if it did not say."""
+        self.first_seen = now
+        """Monotonic time at which it was first seen, seconds."""
         self.runs: dict[tuple[TaskKey, int], Run] = {}
         """Runs that may be there."""
         self.used = Shape()
@@ -259,18 +272,12 @@
         """Whether it has answered this controller, so that all that runs there is known."""
         self.known_at = -1e9
         """Monotonic time at which it first did, seconds."""
-        self.gone = False
-        """Whether its entry has disappeared."""
-        self.cordoned = False
-        """Whether its host is being emptied."""
         self.contact_at = -1e9
         """Monotonic time of its last answer, seconds."""
         self.alive_at = -1e9
         """Monotonic time at which it is last known to have lived, seconds."""
         self.silence: Silence | None = None
         """How it fell silent; None while it answers."""
-        self.first_seen = now
-        """Monotonic time at which it was first seen, seconds."""
         self.lapse_at = 0.0
         """Monotonic time after which nothing that was leased there runs, seconds."""
         self.clock_offset_ms = 0.0
