--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -143,6 +143,7 @@
         self._rng = random.Random(seed)
         self._stack: AsyncExitStack | None = None
         self._lives = 0
+        self._last_birth_ms = 0
         self._late: set[asyncio.Task[None]] = set()
 
     # Operators.
@@ -167,14 +168,35 @@
         socket = bind(LOOPBACK, 0)
         address = f"{LOOPBACK}:{socket.getsockname()[1]}"
         info = WorkerInfo(
-            worker_id, host.pool, address, "z", False, self._room, ("a", "r1"), host.name
-        )
+            worker_id, host.pool, address, "z", False, self._room, ("a", "r1"), host.name,
+            self._find_birth(),
+        )  # fmt: skip
         worker = SimulatedWorker(info, lambda: time.monotonic() * 1000, self._describe)
         await self._stack.enter_async_context(listen(self._build_worker(worker), [socket]))
         self.workers[worker_id] = worker
         host.worker = worker_id
         self.write_entry(worker)
 
+    def _find_birth(self) -> int:
+        """Return the present wall time, later than that of any birth before, milliseconds."""
+        self._last_birth_ms = max(int(time.time() * 1000), self._last_birth_ms + 1)
+        return self._last_birth_ms
+
+    async def restart_worker(self, worker_id: str, away_s: float = 0.0) -> None:
+        """Crash a worker; it starts again under its id and at its address, and knows nothing.
+
+        Args:
+            worker_id: The worker.
+            away_s: Seconds for which it does not answer before it starts again.
+        """
+        worker = self.workers[worker_id]
+        worker.restart(worker.born_ms)
+        self.faults.silent_workers.add(worker_id)
+        await asyncio.sleep(away_s)
+        worker.restart(self._find_birth())
+        self.faults.silent_workers.discard(worker_id)
+        self.write_entry(worker)
+
     def write_entry(self, worker: SimulatedWorker, state: str = "ready") -> None:
         """Write a worker's entry."""
         info = worker.info
@@ -186,6 +208,7 @@
             "capacity": {"cpu": info.room.cpu, "memMb": info.room.memory_mb, "gpu": info.room.gpu},
             "labels": list(info.labels),
             "machine": info.host,
+            "born": worker.born_ms,
         }
         self.write(f"servers/{info.id}", entry)
 
@@ -341,13 +364,17 @@
                 if worker.dead or meant != worker.info.id:
                     return Response(status_code=421)
                 body = msgspec.json.decode(await request.body())
+                lives = worker.lives
                 try:
                     answer, status = await act(body), 200
                 except Refused as refusal:
                     answer, status = {"reason": str(refusal)}, 409
+                if worker.lives != lives:
+                    # The life that would have answered is over.
+                    await asyncio.sleep(3600)
                 if worker.dead:
                     return Response(status_code=421)
-                clock = {"clockMs": int(time.monotonic() * 1000)}
+                clock = {"clockMs": int(worker.read_clock_ms())}
                 return JSONResponse(clock | answer, status_code=status)
 
             return Route(f"/-/{path}", serve, methods=["POST"])
@@ -382,6 +409,7 @@
                 await asyncio.sleep(POLL_S)
                 report = worker.report()
             return {
+                "born": report.born_ms,
                 "running": [
                     [format_task(one.key), one.run, one.checkpoint, one.percent, one.usage]
                     for one in report.running
--- a/src/foxtrestle/standins/worker.py
+++ b/src/foxtrestle/standins/worker.py
@@ -44,7 +44,7 @@
 
 
 class SimulatedWorker:
-    """One life of a worker."""
+    """A worker, in one life after the other."""
 
     def __init__(
         self,
@@ -66,30 +66,54 @@
         """
         self.info = info
         """What it says of itself."""
-        self.running: dict[tuple[TaskKey, int], SimulatedRun] = {}
+        self.running: dict[tuple[TaskKey, int], SimulatedRun]
         """Runs under way."""
-        self.ends: list[EndedRun] = []
+        self.ends: list[EndedRun]
         """Ends not acknowledged."""
         self.noted: list[EndedRun] = []
         """Ends that were acknowledged."""
         self.noted_at: list[float] = []
         """Monotonic time at which each of them was, seconds."""
-        self.highest_token = 0
-        """Highest token seen."""
+        self.highest_token: int
+        """Highest token that its present life has seen."""
         self.starts: list[tuple[TaskKey, int, float]] = []
         """Every run that was begun, with the clock."""
         self.started_at: list[float] = []
         """Monotonic time at which each of them was, seconds; alike for all workers."""
         self.dead = False
-        """Whether this life is over."""
-        self._clock_ms = clock_ms
+        """Whether its last life is over."""
+        self.lives = 1
+        """Lives that it has begun."""
+        self.born_ms = info.born_ms
+        """Wall time at which its present life began, milliseconds; 0 if it does not say."""
+        self._host_clock_ms = clock_ms
         self._describe = describe
         self.guards_room = guards_room
         """Whether it refuses what does not fit."""
         self._stop_ms = stop_ms
+        self._clock_base_ms = 0.0
+        self._begin_life()
+
+    def _begin_life(self) -> None:
+        """Set what a life knows at its beginning: nothing."""
+        self.running = {}
+        self.ends = []
+        self.highest_token = 0
         self._barred: dict[TaskKey, int] = {}
         self._expires_ms = 0.0
         self._next_end = 1
+        self._forgotten = 0
+
+    def restart(self, born_ms: int) -> None:
+        """Begin another life under the same id; what ran is gone, and the clock begins anew."""
+        self._clock_base_ms = self._host_clock_ms()
+        self._begin_life()
+        self.lives += 1
+        self.born_ms = born_ms
+
+    def read_clock_ms(self) -> float:
+        """Return its steady clock, milliseconds."""
+        return self._host_clock_ms() - self._clock_base_ms
 
     def start(self, key: TaskKey, run: int, token: int, expires_ms: float, text: str = "") -> None:
         """Begin a run.
@@ -99,7 +123,7 @@
         """
         self.advance()
         self._fence(token)
-        if expires_ms <= self._clock_ms():
+        if expires_ms <= self.read_clock_ms():
             raise Refused("late")
         self._expires_ms = max(self._expires_ms, expires_ms)
         if (key, run) in self.running:
@@ -109,7 +133,7 @@
         shape, work_ms, ends = self._describe(key)
         if self.guards_room and not self._fits(shape):
             raise Refused("room")
-        now = self._clock_ms()
+        now = self.read_clock_ms()
         self.running[key, run] = SimulatedRun(key, run, shape, now, work_ms, ends, text)
         self.starts.append((key, run, now))
         self.started_at.append(time.monotonic())
@@ -120,31 +144,40 @@
         self._fence(token)
         held = self.running.get((key, run))
         if held is not None and not held.stopped_ms:
-            held.stopped_ms = self._clock_ms() + self._stop_ms
+            held.stopped_ms = self.read_clock_ms() + self._stop_ms
             self.advance()
         self._barred[key] = max(self._barred.get(key, 0), run)
 
     def hold(self, token: int, acknowledged: int, expires_ms: float | None) -> WorkerReport:
-        """Extend the lease, forget acknowledged ends, and tell what runs and has ended."""
+        """Extend the lease, forget acknowledged ends, and tell what runs and has ended.
+
+        The worst that the pages allow: a number once acknowledged holds for the whole life, so an
+        end that comes after it with a number up to it is never listed.
+        """
         self.advance()
         self._fence(token)
         if expires_ms is not None:
             self._expires_ms = max(self._expires_ms, expires_ms)
-        noted = [end for end in self.ends if end.number <= acknowledged]
+        self._forgotten = max(self._forgotten, acknowledged)
+        self._forget()
+        return self.report()
+
+    def _forget(self) -> None:
+        """Forget the ends that are acknowledged."""
+        noted = [end for end in self.ends if end.number <= self._forgotten]
         self.noted += noted
         self.noted_at += [time.monotonic()] * len(noted)
-        self.ends = [end for end in self.ends if end.number > acknowledged]
-        return self.report()
+        self.ends = [end for end in self.ends if end.number > self._forgotten]
 
     def report(self) -> WorkerReport:
         """Tell what runs and what has ended."""
         self.advance()
-        now = self._clock_ms()
+        now = self.read_clock_ms()
         running = tuple(
             RunningTask(one.key, one.run, "", self._percent(one, now))
             for one in self.running.values()
         )
-        return WorkerReport(int(now), running, tuple(self.ends[:500]))
+        return WorkerReport(int(now), running, tuple(self.ends[:500]), self.born_ms)
 
     def _percent(self, run: SimulatedRun, now: float) -> int:
         if run.work_ms == float("inf"):
@@ -153,7 +186,7 @@
 
     def advance(self) -> None:
         """End what has worked long enough or was stopped, and everything once the lease is over."""
-        now = self._clock_ms()
+        now = self.read_clock_ms()
         for (key, run), one in list(self.running.items()):
             if one.stopped_ms and one.stopped_ms <= min(now, self._expires_ms):
                 self._end(key, run, "stopped")
@@ -169,6 +202,7 @@
         self._barred[key] = max(self._barred.get(key, 0), run)
         self.ends.append(EndedRun(self._next_end, key, run, kind, ""))
         self._next_end += 1
+        self._forget()
 
     def _fence(self, token: int) -> None:
         if token < self.highest_token:
