Keep the lives of a worker apart

Callers saw work that must run once run up to four times: its end was acknowledged, and it was started again. Cause: what a controller knows of a worker was kept by its id, which outlives a crash. The newest end taken in and the number acknowledged were the former life's; a new life counts from 1, so its ends were skipped, or forgotten before they were listed, and the run counted as lost.

All that holds for one life is now forgotten in one place (Worker.begin_life, which also makes a new worker) when an answer shows another birth, so no field can be left over. Calls name a worker by its id alone and may reach a life that they were not meant for; therefore an end is acknowledged once, just after an answer, in a call that does not wait (scheduling/lives); what the new life lists stays, starts that may still come are stopped there before their task is placed anew, and nothing is placed until its own entry is read. What ran on the former life counts as lost with a crash.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -87,8 +87,9 @@
         self._started_at = read_clock()
         self._ledger = Ledger(store, self.fleet, term, self._measures)
         self._roster = Roster(
-            self.fleet, term.partition, self._hold, self._note_loss, self._measures
-        )
+            self.fleet, term.partition, self._hold, self._note_loss, self._measures,
+            settings.bounds.longest_hold_s,
+        )  # fmt: skip
         self._orders = Orders(self.fleet, term, workers, self.wake, self._roster.lose)
         self._hosts = HostOrders(
             self.fleet,
@@ -277,7 +278,8 @@
     async def _hold(self, worker: Worker) -> None:
         link = WorkerLink(
             self.fleet, worker, self._term, self._calls, self._ledger, self._orders,
-            self.wake, self._roster.lose, self._settings.bounds.pace_s, self._measures,
+            self.wake, self._roster.lose, self._roster.begin_life, self._settings.bounds.pace_s,
+            self._measures,
         )  # fmt: skip
         await link.run()
 
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -250,8 +250,7 @@
                 run=stop.run, worker=stop.worker, wave=plan.wave)  # fmt: skip
             found = self._fleet.find_run(stop.key, stop.run)
             if found is not None:
-                found[1].move("stop")
-                found[1].confirmed_at = 0.0
+                found[1].begin_stop()
             self._background.spawn(self._orders.stop(stop))
 
     def _plan_waves(
--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -13,6 +13,12 @@
 from foxtrestle.platform.workers import OrderRefused, OtherLife
 from foxtrestle.scheduling.crashes import PROBATION_S
 from foxtrestle.scheduling.eligibility import HOLD_WAIT_S, is_suspect
+from foxtrestle.scheduling.lives import (
+    LATE_S,
+    choose_acknowledgement,
+    is_other_life,
+    list_bars,
+)
 from foxtrestle.scheduling.losses import LossReason
 from foxtrestle.scheduling.pacing import choose_paces
 from foxtrestle.scheduling.runs import confirm_listing, drop_run, record_end, requeue
@@ -75,6 +81,7 @@
         orders: Orders,
         wake: Callable[[], None],
         lose_worker: Callable[[Worker, LossReason], None],
+        begin_life: Callable[[Worker, WorkerReport, float], None],
         pace_s: float,
         measures: Measures,
     ) -> None:
@@ -87,6 +94,7 @@
         self._orders = orders
         self._wake = wake
         self._lose_worker = lose_worker
+        self._begin_life = begin_life
         self._pace_s = pace_s
         self._measures = measures
         self._unrecorded = False
@@ -98,8 +106,9 @@
         worker = self._worker
         while self._term.may_hold():
             sent_at = read_clock()
+            told = choose_acknowledgement(worker, sent_at)
             try:
-                report = await self._hold(sent_at)
+                report = await self._hold(sent_at, told)
             except OtherLife:
                 self._lose_worker(worker, LossReason.OTHER_LIFE)
                 return
@@ -110,18 +119,23 @@
                 log("hold.refused", worker=worker.info.id, reason=refusal.refusal)
                 await asyncio.sleep(RETRY_S)
             except CallError as error:
+                if told and not is_cut_off(error):
+                    worker.unsure_until = sent_at + LATE_S
                 if self._note_silence(error):
                     return
                 await asyncio.sleep(RETRY_S)
             else:
-                await self._take(report, sent_at)
+                await self._take(report, sent_at, told)
 
-    async def _hold(self, sent_at: float) -> WorkerReport:
+    async def _hold(self, sent_at: float, told: int) -> WorkerReport:
         worker = self._worker
         fresh = sent_at - worker.contact_at < HOLD_WAIT_S * 2
         wait_s = PROBATION_S if worker.trials else HOLD_WAIT_S
         settled = worker.known and worker.silence is None and not self._unrecorded
-        wait_ms = int(wait_s * 1000) if settled and fresh else 0
+        # One that acknowledges ends does not wait: unanswered for a second, it would leave open
+        # whether a later life of the worker may still be told to forget, each time one crashes.
+        may_wait = settled and fresh and worker.acknowledged <= worker.forgotten
+        wait_ms = int(wait_s * 1000) if may_wait else 0
         expires_ms = None
         if worker.known and sent_at - worker.contact_at < EXTEND_SILENCE_S:
             expires_ms = compute_expiry_ms(worker, sent_at)
@@ -129,7 +143,7 @@
         return await self._calls.hold(
             worker.info,
             self._term.number,
-            worker.acknowledged,
+            told,
             expires_ms=expires_ms,
             wait_ms=wait_ms,
         )
@@ -150,16 +164,23 @@
             return worker.gone
         return False
 
-    async def _take(self, report: WorkerReport, sent_at: float) -> None:
+    async def _take(self, report: WorkerReport, sent_at: float, told: int) -> None:
         worker = self._worker
         now = read_clock()
-        self._note_life(report, now)
+        jobs: set[str] = set()
+        stops: list[StopOrder] = []
+        if is_other_life(worker, report):
+            self._begin_life(worker, report, sent_at)
+            self._stopped_at.clear()
+            self._unrecorded = False
+            stops += list_bars(worker, now)
+        else:
+            worker.forgotten = max(worker.forgotten, told)
+        worker.born_ms = report.born_ms or worker.born_ms
         if worker.silence is not None:
             log("worker.answers", worker=worker.info.id)
         worker.note_answer(now)
         worker.clock_offset_ms = report.clock_ms - now * 1000
-        jobs: set[str] = set()
-        stops: list[StopOrder] = []
         suspected = is_suspect(worker)
         for end in report.ends:
             if end.number <= worker.seen_end:
@@ -183,26 +204,16 @@
                 # Earlier controllers are fenced off from here on: what they leased ends soon.
                 worker.lapse_at = compute_lapse(now)
                 log("worker.known", worker=worker.info.id, runs=len(worker.runs))
+                stops += list_bars(worker, now)
                 self._wake()
         for stop in stops:
             self._spawn_stop(stop)
         for pace in choose_paces(self._fleet, worker, self._pace_s, now):
             self._background.spawn(self._orders.pace(pace, worker))
-        if report.ends or jobs:
+        if any(end.number > worker.acknowledged for end in report.ends):
             self._wake()
             await self._record({end.key.job for end in report.ends}, report)
 
-    def _note_life(self, report: WorkerReport, now: float) -> None:
-        """Tell of an answer from another life, and what the one before it left."""
-        worker = self._worker
-        if report.born_ms and worker.born_ms not in {0, report.born_ms}:
-            log("worker.other-life", worker=worker.info.id, born_ms=report.born_ms,
-                former_ms=worker.born_ms, acknowledged=worker.acknowledged,
-                seen_end=worker.seen_end, ends=[end.number for end in report.ends][:20],
-                running=len(report.running), runs=len(worker.runs),
-                heard_s=round(now - worker.contact_at, 3))  # fmt: skip
-        worker.born_ms = report.born_ms or worker.born_ms
-
     def _is_due(self, stop: StopOrder, now: float) -> bool:
         """Tell whether an unwanted run is to be stopped now, no stop for it being under way."""
         run = stop.key, stop.run
--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -9,6 +9,7 @@
 from foxtrestle.control.spawn import Spawner
 from foxtrestle.platform.http import CallError, MalformedAnswer, NoAnswer
 from foxtrestle.platform.workers import OrderRefused, OtherLife
+from foxtrestle.scheduling.lives import note_start
 from foxtrestle.scheduling.losses import LossReason
 from foxtrestle.scheduling.model import StartOrder
 from foxtrestle.scheduling.runs import drop_run, requeue
@@ -40,9 +41,9 @@
 """Seconds a worker that refused for want of room gets nothing new."""
 
 
-def compute_lapse(sent_at: float) -> float:
+def compute_lapse(sent_at: float, hold_s: float = HOLD_S) -> float:
     """Return the time after which a lease extended at `sent_at` has certainly lapsed."""
-    return sent_at + HOLD_S * CLOCK_DRIFT + LAPSE_MARGIN_S
+    return sent_at + hold_s * CLOCK_DRIFT + LAPSE_MARGIN_S
 
 
 def compute_expiry_ms(worker: Worker, now: float) -> int:
@@ -102,6 +103,7 @@
             task.key, run.number, entry.job.spec.text, self._term.number, task.checkpoint, ticket
         )
         sent = False
+        place = task.key, run.number
         for _ in range(ATTEMPTS):
             if not self._term.is_valid() or task.runs.get(run.number) is not run:
                 return
@@ -110,14 +112,17 @@
             now = read_clock()
             worker.lapse_at = max(worker.lapse_at, compute_lapse(now))
             run.sent_at = run.sent_at or now
+            note_start(worker, place, now)
             try:
                 await self._calls.start(
                     worker.info, order, compute_expiry_ms(worker, now), CALL_TIMEOUT_S
                 )
             except OrderRefused as refusal:
+                self._note_answered(worker, place, sent=sent)
                 if self._take_refusal(task, run, worker, refusal, sent=sent):
                     return
             except OtherLife:
+                self._note_answered(worker, place, sent=sent)
                 self._lose_worker(worker, LossReason.OTHER_LIFE)
                 return
             except (NoAnswer, MalformedAnswer) as error:
@@ -125,13 +130,20 @@
                 log("start.unanswered", job=task.key.job, worker=worker.info.id,
                     reason=error.reason)  # fmt: skip
             except CallError as error:
+                self._note_answered(worker, place, sent=sent)
                 log("start.failed", job=task.key.job, worker=worker.info.id, reason=error.reason)
             else:
+                self._note_answered(worker, place, sent=sent)
                 self._confirm(run)
                 worker.alive_at = run.confirmed_at
                 return
         await self._give_up(task, run, worker, sent=sent)
 
+    def _note_answered(self, worker: Worker, place: tuple[TaskKey, int], *, sent: bool) -> None:
+        """Note that no copy of a start is under way, unless an earlier one had no answer."""
+        if not sent:
+            worker.unanswered.pop(place, None)
+
     def _confirm(self, run: Run) -> None:
         if run.state == "recorded":
             run.move("confirm")
@@ -202,8 +214,7 @@
         """Stop a run; its end, or its absence from a later list, settles it."""
         if run.state == "ended":
             return
-        run.move("stop")
-        run.confirmed_at = 0.0
+        run.begin_stop()
         run.sending = True
         try:
             if await self._send_stop(worker, task.key, run.number):
--- a/src/foxtrestle/control/roster.py
+++ b/src/foxtrestle/control/roster.py
@@ -10,10 +10,11 @@
 from foxtrestle.clock import read_clock
 from foxtrestle.control.following import list_as_changes
 from foxtrestle.control.log import log, log_failure
-from foxtrestle.control.orders import CLOCK_DRIFT, HOLD_S, LAPSE_MARGIN_S
+from foxtrestle.control.orders import CLOCK_DRIFT, HOLD_S, LAPSE_MARGIN_S, compute_lapse
 from foxtrestle.control.ownership import GRACE_WITHOUT_STORE_S, LEASE_S
 from foxtrestle.platform.workers import ENTRIES, CallError, decode_worker
 from foxtrestle.scheduling.hosts import find_dead
+from foxtrestle.scheduling.lives import adopt_doubts, begin_next_life, list_doubts
 from foxtrestle.scheduling.losses import LossReason, is_crash
 from foxtrestle.scheduling.model import Shape, WorkerInfo
 from foxtrestle.scheduling.runs import release_worker
@@ -24,6 +25,8 @@
     from collections.abc import Callable, Coroutine
 
     from foxtrestle.control.measures import Measures
+    from foxtrestle.scheduling.lives import Doubts
+    from foxtrestle.scheduling.model import WorkerReport
     from foxtrestle.scheduling.partitions import Partition
     from foxtrestle.scheduling.runs import Release, StopOrder
     from foxtrestle.scheduling.state import Fleet
@@ -32,6 +35,8 @@
 TAKEOVER_S: Final = LEASE_S + GRACE_WITHOUT_STORE_S + HOLD_S * CLOCK_DRIFT + LAPSE_MARGIN_S
 """Seconds after a takeover during which a worker out of reach may still run what an earlier
 controller placed: that one may have gone on extending leases until its grace was over."""
+TOLD_ENDS: Final = 20
+"""Most numbers of ends in one line of the log."""
 
 
 class Roster:
@@ -44,6 +49,7 @@
         hold: Callable[[Worker], Coroutine[None, None, None]],
         note_loss: Callable[[list[StopOrder]], None],
         measures: Measures,
+        longest_hold_s: float = HOLD_S,
     ) -> None:
         """Create a roster without workers.
 
@@ -53,6 +59,8 @@
             hold: Holds a worker's lease until its life or the term is over.
             note_loss: Called after a worker was given up, with what is to be stopped for it.
             measures: Where lost runs are counted.
+            longest_hold_s: Seconds for which a worker takes a lease at the most, whatever it is
+                told.
         """
         self.links: dict[str, asyncio.Task[None]] = {}
         """Tasks that hold leases, by worker."""
@@ -61,7 +69,9 @@
         self._hold = hold
         self._note_loss = note_loss
         self._measures = measures
-        self._ended_lives: set[str] = set()
+        self._longest_hold_s = longest_hold_s
+        self._over: dict[str, set[int]] = {}
+        self._doubts: dict[str, Doubts] = {}
         self._unreadable: dict[str, int] = {}
         self._started_at = read_clock()
 
@@ -107,8 +117,7 @@
         Returns:
             Whether there were any.
         """
-        held = self._fleet.workers.keys() | self._ended_lives
-        fresh = [one for one in listing.records if one.key.removeprefix(ENTRIES) not in held]
+        fresh = [one for one in listing.records if self._is_missed(one)]
         now = read_clock()
         for record in fresh:
             self._take_entry(record, now)
@@ -116,21 +125,33 @@
             log("control.swept", prefix=ENTRIES, changes=len(fresh))
         return bool(fresh)
 
+    def _is_missed(self, record: Record) -> bool:
+        worker_id = record.key.removeprefix(ENTRIES)
+        if worker_id in self._fleet.workers:
+            return False
+        if worker_id not in self._over:
+            return True
+        try:
+            return not self._is_over(decode_worker(record.key, record.value))
+        except CallError:
+            # Told when the entry came.
+            return False
+
+    def _is_over(self, info: WorkerInfo) -> bool:
+        """Tell whether an entry is of a life that is over: it may be listed or written again."""
+        return info.born_ms in self._over.get(info.id, ())
+
     def _take_entry(self, record: Record, now: float) -> None:
         try:
             info = decode_worker(record.key, record.value)
         except CallError as error:
             self._note_unreadable(record, error)
             return
-        if info.id in self._ended_lives or not self._partition.owns(info.host or info.id):
+        if self._is_over(info) or not self._partition.owns(info.host or info.id):
             return
         worker = self._fleet.workers.get(info.id)
         if worker is None:
-            worker = Worker(info, record.revision, now)
-            worker.lapse_at = self._started_at + TAKEOVER_S
-            self._fleet.workers[info.id] = worker
-            log("worker.seen", worker=info.id, pool=info.pool, host=info.host,
-                address=info.address, born_ms=info.born_ms)  # fmt: skip
+            worker = self._add_worker(info, record.revision, now)
         elif info.draining != worker.info.draining:
             log("worker.draining" if info.draining else "worker.ready", worker=info.id)
         worker.info = info
@@ -138,6 +159,17 @@
         worker.gone = False
         self._link(worker)
 
+    def _add_worker(self, info: WorkerInfo, revision: int, now: float) -> Worker:
+        worker = Worker(info, revision, now)
+        worker.lapse_at = self._started_at + TAKEOVER_S
+        doubts = self._doubts.pop(info.id, None)
+        if doubts is not None:
+            adopt_doubts(worker, doubts)
+        self._fleet.workers[info.id] = worker
+        log("worker.seen", worker=info.id, pool=info.pool, host=info.host, address=info.address,
+            born_ms=info.born_ms)  # fmt: skip
+        return worker
+
     def _note_unreadable(self, record: Record, error: CallError) -> None:
         """Keep a worker from new work whose entry another writer has made unreadable.
 
@@ -165,25 +197,75 @@
         unanswered = worker.silence is not None
         worker.note_silence(now)
         crashed = is_crash(self._fleet, worker, reason)
+        doubts = list_doubts(worker, now)
         release = release_worker(self._fleet, worker, now, crashed=crashed)
         self._tell_lost(release, worker, reason, crashed=crashed)
         worker.known = False
+        self._tell_released(release, worker, reason, crashed=crashed, unanswered=unanswered)
+        if reason != LossReason.LAPSED:
+            self._over.setdefault(worker.info.id, set()).add(worker.born_ms)
+        if worker.gone or reason != LossReason.LAPSED:
+            self._remove(worker, doubts)
+        self._note_loss(release.stops)
+
+    def _remove(self, worker: Worker, doubts: Doubts) -> None:
+        """Forget a worker, unless its entry tells of a life that has not answered yet."""
+        gone = worker.gone
+        worker.gone = True
+        self._doubts[worker.info.id] = doubts
+        self._fleet.workers.pop(worker.info.id, None)
+        link = self.links.pop(worker.info.id, None)
+        # A link that has found out by itself ends by itself.
+        if link is not None and link is not asyncio.current_task():
+            link.cancel()
+        if not gone and not self._is_over(worker.info):
+            self._link(self._add_worker(worker.info, worker.revision, read_clock()))
+
+    def begin_life(self, worker: Worker, report: WorkerReport, sent_at: float) -> None:
+        """Take up a worker's next life, which has answered under the id of the former."""
+        now = read_clock()
+        reason = LossReason.RESTARTED
+        unanswered = worker.silence is not None
+        worker.note_silence(now)
+        crashed = is_crash(self._fleet, worker, reason)
+        log("worker.other-life", worker=worker.info.id, born_ms=report.born_ms,
+            former_ms=worker.born_ms, acknowledged=worker.acknowledged, seen_end=worker.seen_end,
+            ends=[end.number for end in report.ends][:TOLD_ENDS], running=len(report.running),
+            runs=len(worker.runs), unanswered=len(worker.unanswered),
+            heard_s=round(now - worker.contact_at, 3))  # fmt: skip
+        self._over.setdefault(worker.info.id, set()).add(worker.born_ms)
+        alive_at = max(worker.contact_at, worker.alive_at)
+        release = begin_next_life(self._fleet, worker, report, sent_at, now, crashed=crashed)
+        self._tell_lost(release, worker, reason, crashed=crashed)
+        self._tell_released(
+            release, worker, reason, crashed=crashed, unanswered=unanswered, alive_at=alive_at
+        )
+        # Its answer has shown our token, so all that runs there is known. A call meant for the
+        # former life names an end of the lease by the former clock, which may be far ahead.
+        worker.known = True
+        worker.known_at = now
+        worker.lapse_at = compute_lapse(now, self._longest_hold_s)
+        self._note_loss(release.stops)
+
+    def _tell_released(
+        self,
+        release: Release,
+        worker: Worker,
+        reason: LossReason,
+        *,
+        crashed: bool,
+        unanswered: bool,
+        alive_at: float | None = None,
+    ) -> None:
+        """Tell that a life is given up, why, and how old what shows it is."""
+        now = read_clock()
+        heard_at = max(worker.contact_at, worker.alive_at) if alive_at is None else alive_at
         listed_at = self._fleet.listed_at
         log("worker.released", worker=worker.info.id, host=worker.info.host, reason=reason,
             crashed=crashed, runs=len(release.lost), unanswered=unanswered,
-            heard_s=round(now - max(worker.contact_at, worker.alive_at), 3),
+            heard_s=round(now - heard_at, 3),
             list_age_s=round(now - listed_at, 3) if listed_at is not None else None,
             )  # fmt: skip
-        if reason != LossReason.LAPSED:
-            self._ended_lives.add(worker.info.id)
-        if worker.gone or reason != LossReason.LAPSED:
-            worker.gone = True
-            self._fleet.workers.pop(worker.info.id, None)
-            link = self.links.pop(worker.info.id, None)
-            # A link that has found out by itself ends by itself.
-            if link is not None and link is not asyncio.current_task():
-                link.cancel()
-        self._note_loss(release.stops)
 
     def lose_dead(self, now: float) -> None:
         """Give up workers without a link whose lease has lapsed, and those whose host is over."""
--- a/src/foxtrestle/scheduling/losses.py
+++ b/src/foxtrestle/scheduling/losses.py
@@ -19,6 +19,8 @@
     """This controller has moved its host, or has it maintained."""
     OTHER_LIFE = "another life at its address"
     """A call to it was answered by another."""
+    RESTARTED = "another life under its id"
+    """A call to it was answered by a life that began later."""
     NEW_WORKER = "its host has a new worker"
     """The host list names another for its host."""
     HOST_DOWN = "its host is down"
@@ -37,7 +39,14 @@
     "upkeep": LossReason.HOST_MAINTAINED,
 }
 """What a host's state tells of a worker there that does not answer."""
-CRASHES: Final = frozenset({LossReason.OTHER_LIFE, LossReason.NEW_WORKER, LossReason.HOST_DOWN})
+CRASHES: Final = frozenset(
+    {
+        LossReason.OTHER_LIFE,
+        LossReason.RESTARTED,
+        LossReason.NEW_WORKER,
+        LossReason.HOST_DOWN,
+    }
+)
 """What shows a crash, unless the worker was about to leave. A lapsed lease does not: the worker may
 be cut off and live. A host that is gone was taken away."""
 
--- a/src/foxtrestle/scheduling/runs.py
+++ b/src/foxtrestle/scheduling/runs.py
@@ -11,7 +11,7 @@
 from foxtrestle.scheduling.state import Run, Task
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from foxtrestle.scheduling.model import EndedRun, Job, RunningTask
     from foxtrestle.scheduling.state import Fleet, JobEntry, Worker
@@ -272,8 +272,16 @@
     """Orders to stop what else runs of these jobs."""
 
 
-def release_worker(fleet: Fleet, worker: Worker, now: float, *, crashed: bool = False) -> Release:
-    """Give up all runs of a worker that is certainly over.
+def release_worker(
+    fleet: Fleet,
+    worker: Worker,
+    now: float,
+    *,
+    crashed: bool = False,
+    staying: Collection[tuple[TaskKey, int]] = (),
+    barred: Collection[tuple[TaskKey, int]] = (),
+) -> Release:
+    """Give up all runs of a worker's life that is certainly over.
 
     Args:
         fleet: The state.
@@ -281,14 +289,22 @@
         now: Monotonic time, seconds.
         crashed: Whether it crashed, for which a task that ran there may be at fault. A crash lists
             no ends, so without a count of its own such a task was started 100 times and more.
+        staying: Runs that are not given up, as the worker's next life may have them.
+        barred: Lost runs whose tasks wait until the next life has been told to stop them.
     """
-    lost = _list_lost(fleet, worker)
+    lost = [one for one in _list_lost(fleet, worker) if _get_place(one) not in staying]
     given_up = note_crash(lost) if crashed else []
     for one in lost:
         key = one.task.key
+        fleet.mark(key.job)
+        if _get_place(one) in barred:
+            one.run.begin_stop()
+            continue
         drop_run(one.task, one.run.number, worker)
         requeue(fleet.jobs[key.job], one.task, now)
-        fleet.mark(key.job)
+    for held in fleet.tickets.values():
+        # Permissions hold for one life of a worker.
+        held.pop(worker.info.id, None)
     worker.runs.clear()
     worker.trials.clear()
     stops: list[StopOrder] = []
@@ -297,6 +313,10 @@
     return Release(lost, given_up, stops)
 
 
+def _get_place(lost: LostRun) -> tuple[TaskKey, int]:
+    return lost.task.key, lost.run.number
+
+
 def _list_lost(fleet: Fleet, worker: Worker) -> list[LostRun]:
     lost = []
     for key, run in fleet.list_runs(worker.info.id):
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -80,6 +80,11 @@
         """Follow the chart."""
         self.state = RUN_CHART.move(self.state, event)
 
+    def begin_stop(self) -> None:
+        """Have it stopped; no stop has been answered yet."""
+        self.move("stop")
+        self.confirmed_at = 0.0
+
 
 class Task:
     """One task of a job."""
@@ -216,9 +221,11 @@
         "clock_offset_ms",
         "contact_at",
         "cordoned",
+        "doubtful_until",
         "failed_at",
         "failed_jobs",
         "first_seen",
+        "forgotten",
         "full_until",
         "gone",
         "info",
@@ -233,7 +240,9 @@
         "silence",
         "successes",
         "trials",
+        "unanswered",
         "unknown_runs",
+        "unsure_until",
         "used",
     )
 
@@ -247,27 +256,15 @@
         """Whether its entry has disappeared."""
         self.cordoned = False
         """Whether its host is being emptied."""
-        self._begin_life(info.born_ms, now)
+        self.begin_life(info.born_ms, now)
 
-    def _begin_life(self, born_ms: int, now: float) -> None:
-        """Set what is known of one life to what is known at its beginning."""
+    def begin_life(self, born_ms: int, now: float) -> None:
+        """Forget all that holds for one life only; the next shares nothing with it."""
         self.born_ms = born_ms
         """Wall time at which its life began, milliseconds, by itself; 0 if it did not say."""
         self.first_seen = now
         """Monotonic time at which it was first seen, seconds."""
-        self.runs: dict[tuple[TaskKey, int], Run] = {}
-        """Runs that may be there."""
-        self.used = Shape()
-        """Room that they take."""
-        self.trials: set[tuple[TaskKey, int]] = set()
-        """Those of its runs that are on probation; it gets nothing else meanwhile."""
-        self.unknown_runs = 0
-        """Runs that it listed last and that are not among `runs`; how much room they take is not
-        known."""
-        self.lasting = 0
-        """Lasting tasks that may be there."""
-        self.lasting_used = Shape()
-        """Room that they take, which does not come free by itself."""
+        self._forget_runs()
         self.known = False
         """Whether it has answered this controller, so that all that runs there is known."""
         self.known_at = -1e9
@@ -284,6 +281,16 @@
         """Its clock less ours when its answer arrived, milliseconds."""
         self.acknowledged = 0
         """Newest end that is recorded."""
+        self.forgotten = 0
+        """Newest end that it was told to forget, in a call that it answered."""
+        self.unanswered: dict[tuple[TaskKey, int], float] = {}
+        """Starts of which a copy had no answer, or none yet, each with the monotonic time at which
+        it was first sent, seconds: a later life may carry them out."""
+        self.unsure_until = 0.0
+        """Monotonic time until which an acknowledgement sent to it may still be carried out."""
+        self.doubtful_until = 0.0
+        """Monotonic time until which one sent to a former life may be, so that nothing is started:
+        what ended here meanwhile might be forgotten unseen."""
         self.failed_jobs: set[str] = set()
         """Jobs that failed there since its last success; not those whose tasks are at fault."""
         self.failed_at = -1e9
@@ -295,6 +302,21 @@
         self.seen_end = 0
         """Newest end taken in, recorded or not."""
 
+    def _forget_runs(self) -> None:
+        self.runs: dict[tuple[TaskKey, int], Run] = {}
+        """Runs that may be there."""
+        self.used = Shape()
+        """Room that they take."""
+        self.trials: set[tuple[TaskKey, int]] = set()
+        """Those of its runs that are on probation; it gets nothing else meanwhile."""
+        self.unknown_runs = 0
+        """Runs that it listed last and that are not among `runs`; how much room they take is not
+        known."""
+        self.lasting = 0
+        """Lasting tasks that may be there."""
+        self.lasting_used = Shape()
+        """Room that they take, which does not come free by itself."""
+
     def note_answer(self, now: float) -> None:
         """Note that it answers."""
         self.contact_at = now
@@ -313,6 +335,10 @@
             if cut_off:
                 self.alive_at = now
 
+    def is_described(self) -> bool:
+        """Tell whether its entry is of the life that answers; another may have other room."""
+        return not self.info.born_ms or self.born_ms in {0, self.info.born_ms}
+
     def has_fresh(self, now: float, seconds: float) -> bool:
         """Tell whether a run was placed there within the last seconds."""
         return any(now - run.placed_at < seconds for run in self.runs.values())
--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -190,7 +190,7 @@
             away_s: Seconds for which it does not answer before it starts again.
         """
         worker = self.workers[worker_id]
-        worker.restart(worker.born_ms)
+        worker.crash()
         self.faults.silent_workers.add(worker_id)
         await asyncio.sleep(away_s)
         worker.restart(self._find_birth())
--- a/src/foxtrestle/standins/worker.py
+++ b/src/foxtrestle/standins/worker.py
@@ -104,8 +104,13 @@
         self._next_end = 1
         self._forgotten = 0
 
+    def crash(self) -> None:
+        """End its life with all that runs; what was not acknowledged is never told."""
+        self.running.clear()
+        self.ends.clear()
+
     def restart(self, born_ms: int) -> None:
-        """Begin another life under the same id; what ran is gone, and the clock begins anew."""
+        """Begin another life under the same id, which knows nothing; its clock begins anew."""
         self._clock_base_ms = self._host_clock_ms()
         self._begin_life()
         self.lives += 1
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -218,6 +218,14 @@
     assert play.lost_workers == PROVEN_CRASHES
 
 
+SHOWING_CRASHES = {
+    LossReason.HOST_DOWN,
+    LossReason.NEW_WORKER,
+    LossReason.OTHER_LIFE,
+    LossReason.RESTARTED,
+}
+
+
 def fall_silent(worker: Worker, after_s: float = 0.01) -> None:
     worker.note_silence(NOW + after_s, cut_off=True)
 
@@ -226,7 +234,7 @@
     fleet = make_fleet(1)
     worker = fleet.workers["w-main-0"]
     fall_silent(worker)
-    for reason in (LossReason.HOST_DOWN, LossReason.NEW_WORKER, LossReason.OTHER_LIFE):
+    for reason in SHOWING_CRASHES:
         assert is_crash(fleet, worker, reason)
 
 
@@ -234,11 +242,7 @@
     fleet = make_fleet(1)
     worker = fleet.workers["w-main-0"]
     fall_silent(worker)
-    others = set(LossReason) - {
-        LossReason.HOST_DOWN,
-        LossReason.NEW_WORKER,
-        LossReason.OTHER_LIFE,
-    }
+    others = set(LossReason) - SHOWING_CRASHES
     assert not any(is_crash(fleet, worker, reason) for reason in others)
     plan = HostPlan(worker.info.host, "other", 0, worker.info.id, NOW)
     plan.move("empty", NOW)
