Test that a host serves again under the id of the worker that was given up

Looked for elsewhere: a worker that had been given up (its host down, moved or maintained) was remembered as over by its id, so the next one under that id was never asked, and its host stood idle for the term. The stand-in's hosts may keep their workers' ids.

--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -75,6 +75,8 @@
         """Whether the host list refuses every call with 503."""
         self.crashing: set[TaskKey] = set()
         """Tasks that crash each worker that starts them."""
+        self.keeps_ids = False
+        """Whether the next worker of a host bears the id of the one before, at its address."""
         self.back_s = 0.3
         """Seconds after which the host of a crashed worker has a new one."""
 
@@ -163,6 +165,10 @@
 
     async def _begin_life(self, host: SimulatedHost) -> None:
         assert self._stack is not None
+        former = self._find_former(host) if self.faults.keeps_ids else None
+        if former is not None:
+            self._begin_again(former, host)
+            return
         self._lives += 1
         worker_id = f"i-{self._lives:04d}"
         socket = bind(LOOPBACK, 0)
@@ -177,6 +183,19 @@
         host.worker = worker_id
         self.write_entry(worker)
 
+    def _find_former(self, host: SimulatedHost) -> SimulatedWorker | None:
+        return next((one for one in self.past_workers if one.info.host == host.name), None)
+
+    def _begin_again(self, worker: SimulatedWorker, host: SimulatedHost) -> None:
+        """Begin a worker's next life, after its host was away."""
+        self.past_workers.remove(worker)
+        worker.info = msgspec.structs.replace(worker.info, pool=host.pool)
+        worker.dead = False
+        worker.restart(self._find_birth())
+        self.workers[worker.info.id] = worker
+        host.worker = worker.info.id
+        self.write_entry(worker)
+
     def _find_birth(self) -> int:
         """Return the present wall time, later than that of any birth before, milliseconds."""
         self._last_birth_ms = max(int(time.time() * 1000), self._last_birth_ms + 1)
