Let a host's plan name a life of its worker, not its id

Callers would have waited: a host that was maintained or moved counted as away until the lagging list said that it is up, up to 2.5 s longer, if its next worker had the former's id; and an answer to an order that came late gave up that next worker, which lived. Cause: the plan kept the worker's id. It keeps the birth as well now, so any other life is the next one, whatever its id.

--- a/src/foxtrestle/control/host_ordering.py
+++ b/src/foxtrestle/control/host_ordering.py
@@ -111,7 +111,8 @@
         log("host.ordered", host=plan.host, pool=plan.pool, wave=plan.wave, term=self._term.number)
         plan.move("accepted", now)
         worker = self._fleet.workers.get(plan.old_worker)
-        if worker is not None:
+        if worker is not None and plan.is_of(worker):
+            # The answer may come late, when the worker's next life has answered already.
             self._lose_worker(worker, LossReason.ORDERED_AWAY)
         if plan.wave:
             entry = self._fleet.waves[plan.wave]
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -217,7 +217,7 @@
                 return
         if worker is not None:
             worker.cordoned = True
-            plan.old_worker = worker.info.id
+            plan.note_worker(worker)
         if not self._budget.take(now):
             return
         plan.move("empty", now)
@@ -322,10 +322,10 @@
         return find_fitting_needs(self._fleet, views, host, now) if host is not None else []
 
     def _plan(self, view: HostView, pool: str, wave: int, now: float) -> None:
-        old = view.worker.info.id if view.worker is not None else view.info.worker
-        plan = HostPlan(view.info.name, pool, wave, old, now)
+        plan = HostPlan(view.info.name, pool, wave, view.info.worker, now)
         self._fleet.plans[plan.host] = plan
         if view.worker is not None:
+            plan.note_worker(view.worker)
             view.worker.cordoned = True
         log("host.planned", host=plan.host, pool=pool, wave=wave,
             runs=len(view.worker.runs) if view.worker is not None else 0)  # fmt: skip
--- a/src/foxtrestle/scheduling/hosts.py
+++ b/src/foxtrestle/scheduling/hosts.py
@@ -38,7 +38,7 @@
 class HostPlan:
     """What is to become of one host."""
 
-    __slots__ = ("changed_at", "host", "old_worker", "pool", "state", "wave")
+    __slots__ = ("changed_at", "host", "old_birth_ms", "old_worker", "pool", "state", "wave")
 
     def __init__(self, host: str, pool: str, wave: int, old_worker: str, now: float) -> None:
         """Create a plan that begins with emptying the host."""
@@ -50,11 +50,24 @@
         """Number of the wave it is maintained for; 0 for a move."""
         self.old_worker = old_worker
         """Id of its worker before the order; empty if it had none."""
+        self.old_birth_ms = 0
+        """When the life of that worker began; 0 if it is not known."""
         self.state = PLAN_CHART.start
         """State in the chart `plan`."""
         self.changed_at = now
         """Monotonic time of the last change of state, seconds."""
 
+    def note_worker(self, worker: Worker) -> None:
+        """Note which life the host's worker is in before the order."""
+        self.old_worker = worker.info.id
+        self.old_birth_ms = worker.born_ms
+
+    def is_of(self, worker: Worker) -> bool:
+        """Tell whether a worker is in the life that it had before the order, as far as is known."""
+        if worker.info.id != self.old_worker:
+            return False
+        return self.old_birth_ms in {0, worker.born_ms}
+
     def move(self, event: str, now: float) -> None:
         """Follow the chart."""
         self.state = PLAN_CHART.move(self.state, event)
@@ -187,7 +200,7 @@
     if plan is None:
         return True
     worker = view.worker
-    if worker is not None and not worker.gone and worker.info.id != plan.old_worker:
+    if worker is not None and not worker.gone and not plan.is_of(worker):
         return True
     if not plan.wave and view.info.pool == plan.pool and view.info.state == "up":
         # The list lags by less than a move takes, so this is from after the order.
--- a/tests/test_kept_ids.py
+++ b/tests/test_kept_ids.py
@@ -2,13 +2,17 @@
 
 Found while looking for other places that took an id for a life. The worker of a host that was
 ordered away, or was down, was remembered as over by its id, so the next one was never asked again,
-and its host stood idle for the rest of the term.
+and its host stood idle for the rest of the term; a host counted as away until the platform's list,
+which lags, said otherwise, as long as its worker had the id that it had before the order. And an
+answer to an order that came late gave up the worker that had come after it.
 """
 
 from __future__ import annotations
 
+from foxtrestle.scheduling.hosts import HostPlan, is_back, view_hosts
 from foxtrestle.scheduling.model import Shape
 from foxtrestle.standins.site import Site
+from tests.scheduling_fakes import NOW, make_fleet
 from tests.test_node import (
     Client,
     count_starts,
@@ -63,3 +67,29 @@
         await wait_for(lambda: site.hosts["h0"].maintained == 1 and site.hosts["h0"].worker)
         assert site.workers[site.hosts["h0"].worker].lives == 2
         await see_both_serve(site, client)
+
+
+def test_a_host_is_back_with_its_worker_s_next_life() -> None:
+    fleet = make_fleet(1)
+    [worker] = fleet.workers.values()
+    worker.begin_life(1_000, NOW)
+    plan = HostPlan(worker.info.host, "main", 1, worker.info.id, NOW)
+    plan.note_worker(worker)
+    plan.move("empty", NOW)
+    plan.move("accepted", NOW)
+    fleet.plans[plan.host] = plan
+    view = view_hosts(fleet)[worker.info.host]
+    assert not is_back(view, 2.0, NOW + 0.1), "the life that was there before the order"
+    worker.begin_life(3_000, NOW + 2.1)
+    assert is_back(view, 2.0, NOW + 2.1)
+
+
+def test_a_late_answer_to_an_order_does_not_give_up_the_next_life() -> None:
+    fleet = make_fleet(1)
+    [worker] = fleet.workers.values()
+    worker.begin_life(1_000, NOW)
+    plan = HostPlan(worker.info.host, "main", 0, worker.info.id, NOW)
+    plan.note_worker(worker)
+    assert plan.is_of(worker)
+    worker.begin_life(3_000, NOW + 2.0)
+    assert not plan.is_of(worker)
