Soak: workers that start again under their ids

Their choices come from a source of their own, so the other choices of a seed stay as they were. With half of the seeds the hosts' next workers keep the ids too. A late start that meets a life which nobody has called yet is dropped, as nothing could bar it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -96,7 +96,9 @@
     def __init__(self, seed: int, seconds: float, folder: Path) -> None:
         """Create a soak that has not begun."""
         self.rng = random.Random(seed)
-        """Source of every choice."""
+        """Source of every choice but those about workers that start again."""
+        self.restart_rng = random.Random(f"restarts {seed}")
+        """Source of these, so that the others are the same for a seed as before there were any."""
         self.site = Site(describe=describe_task, seed=seed)
         """The platform."""
         self.watcher = Watcher(self.site)
@@ -131,6 +133,8 @@
             watch = asyncio.create_task(self.watcher.run())
             stack.callback(watch.cancel)
             await asyncio.sleep(3.0)
+            restarts = asyncio.create_task(self._restart_workers())
+            stack.callback(restarts.cancel)
             await self._play(session)
             states = await self._settle(session)
             self.watcher.finish(states)
@@ -325,6 +329,19 @@
         host.state = "up"
         await self.site._begin_life(host)
 
+    async def _restart_workers(self) -> None:
+        """Have workers start again under their ids, at once or after their leases have lapsed."""
+        rng = self.restart_rng
+        end = time.monotonic() + self._seconds
+        self.site.faults.keeps_ids = rng.random() < 0.5
+        while time.monotonic() < end:
+            await asyncio.sleep(rng.uniform(0.3, 3.0))
+            if self.site.workers:
+                worker = rng.choice(sorted(self.site.workers))
+                away_s = rng.choice([rng.uniform(0.25, 1.5), rng.uniform(4.0, 8.0)])
+                self._faults += 1
+                self._spawn(self.site.restart_worker(worker, away_s))
+
     async def _begin_wave(self) -> None:
         self._waves += 1
         limit = self.rng.randint(1, 3)
--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -212,8 +212,10 @@
         worker.crash()
         self.faults.silent_workers.add(worker_id)
         await asyncio.sleep(away_s)
-        worker.restart(self._find_birth())
         self.faults.silent_workers.discard(worker_id)
+        if worker.dead:
+            return
+        worker.restart(self._find_birth())
         self.write_entry(worker)
 
     def write_entry(self, worker: SimulatedWorker, state: str = "ready") -> None:
@@ -399,7 +401,12 @@
             return Route(f"/-/{path}", serve, methods=["POST"])
 
         async def start(body: dict[str, Any]) -> dict[str, Any]:
+            lives = worker.lives
+
             def begin() -> None:
+                if worker.lives != lives and not worker.highest_token:
+                    # Nothing could bar it from a life that nobody has called yet.
+                    return
                 worker.start(
                     parse_task(body["task"]),
                     body["runId"],
