Take the birth that an entry tells of for that of a worker read of in records only

A worker that a record names, without an entry, has no birth; its entry gives it one. Otherwise, given up with no birth known, its entry would have been taken for a next life's once.

--- a/src/foxtrestle/control/roster.py
+++ b/src/foxtrestle/control/roster.py
@@ -154,6 +154,7 @@
         elif info.draining != worker.info.draining:
             log("worker.draining" if info.draining else "worker.ready", worker=info.id)
         worker.info = info
+        worker.born_ms = worker.born_ms or info.born_ms
         worker.revision = record.revision
         worker.gone = False
         self._link(worker)
