Jobs, workers and the state of a fleet in a module each

scheduling/state held all of them in 461 lines, and its types were imported by what it imports for types; a task had to be imported inside a function. Now jobs (Run, Task, JobEntry), workers (Worker, Silence) and state (Fleet, WaveEntry), 188, 174 and 114 lines; the first two import no decision.

--- a/benches/decisions.py
+++ b/benches/decisions.py
@@ -8,6 +8,7 @@
 
 from benches.report import print_figure
 from foxtrestle.scheduling.hosts import view_hosts
+from foxtrestle.scheduling.jobs import JobEntry
 from foxtrestle.scheduling.model import (
     FleetConfiguration,
     HostInfo,
@@ -23,7 +24,8 @@
 from foxtrestle.scheduling.placing import choose_placements
 from foxtrestle.scheduling.runs import add_job, release_steps
 from foxtrestle.scheduling.scaling import choose_moves
-from foxtrestle.scheduling.state import Fleet, JobEntry, Worker
+from foxtrestle.scheduling.state import Fleet
+from foxtrestle.scheduling.workers import Worker
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -27,6 +27,7 @@
 from foxtrestle.platform.workers import ENTRIES
 from foxtrestle.scheduling.checks import check_send, check_start
 from foxtrestle.scheduling.hosts import is_worker_overdue
+from foxtrestle.scheduling.jobs import JobEntry
 from foxtrestle.scheduling.model import Job
 from foxtrestle.scheduling.partitions import share_configuration
 from foxtrestle.scheduling.placing import choose_placements
@@ -40,7 +41,7 @@
     release_steps,
 )
 from foxtrestle.scheduling.shares import Shares
-from foxtrestle.scheduling.state import Fleet, JobEntry, Worker
+from foxtrestle.scheduling.state import Fleet
 
 if TYPE_CHECKING:
     from foxtrestle.control.ownership import Term
@@ -50,10 +51,11 @@
     from foxtrestle.platform.hosts import HostCalls
     from foxtrestle.platform.store import PlatformStore
     from foxtrestle.platform.workers import WorkerCalls
+    from foxtrestle.scheduling.jobs import Run, Task
     from foxtrestle.scheduling.model import FleetConfiguration
     from foxtrestle.scheduling.placing import Placement
     from foxtrestle.scheduling.runs import StopOrder
-    from foxtrestle.scheduling.state import Run, Task
+    from foxtrestle.scheduling.workers import Worker
     from foxtrestle.store import Change, Listing, Record
 
 Start: TypeAlias = "tuple[Task, Run, Worker]"
--- a/src/foxtrestle/control/host_ordering.py
+++ b/src/foxtrestle/control/host_ordering.py
@@ -22,7 +22,8 @@
     from foxtrestle.platform.hosts import HostCalls
     from foxtrestle.scheduling.hosts import HostPlan
     from foxtrestle.scheduling.order_budget import OrderBudget
-    from foxtrestle.scheduling.state import Fleet, Worker
+    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.workers import Worker
 
 ATTEMPTS: Final = 4
 """How often an order without an answer is sent again; repeating one does nothing more."""
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -51,8 +51,9 @@
     from foxtrestle.scheduling.losses import LossReason
     from foxtrestle.scheduling.model import Wave
     from foxtrestle.scheduling.needs import PoolNeed
-    from foxtrestle.scheduling.state import Fleet, Worker
+    from foxtrestle.scheduling.state import Fleet
     from foxtrestle.scheduling.turns import Turn
+    from foxtrestle.scheduling.workers import Worker
 
 RETRY_S: Final = 0.3
 """Mean pause after a failed read, seconds."""
--- a/src/foxtrestle/control/ledger.py
+++ b/src/foxtrestle/control/ledger.py
@@ -28,7 +28,8 @@
     from foxtrestle.control.measures import Measures
     from foxtrestle.control.ownership import Term
     from foxtrestle.platform.store import PlatformStore
-    from foxtrestle.scheduling.state import Fleet, JobEntry
+    from foxtrestle.scheduling.jobs import JobEntry
+    from foxtrestle.scheduling.state import Fleet
 
 MAX_ENTRIES: Final = 30
 """Conditions, writes and removals of jobs in one transaction: the platform allows 32, the lock and
--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -27,9 +27,11 @@
     from foxtrestle.control.orders import Orders
     from foxtrestle.control.ownership import Term
     from foxtrestle.platform.workers import WorkerCalls
+    from foxtrestle.scheduling.jobs import Run
     from foxtrestle.scheduling.model import TaskKey, WorkerReport
     from foxtrestle.scheduling.runs import StopOrder
-    from foxtrestle.scheduling.state import Fleet, Run, Worker
+    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.workers import Worker
 
 RETRY_S: Final = 0.2
 """Seconds between holds while a worker does not answer."""
--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -18,10 +18,12 @@
 
     from foxtrestle.control.ownership import Term
     from foxtrestle.platform.workers import WorkerCalls
+    from foxtrestle.scheduling.jobs import Run, Task
     from foxtrestle.scheduling.model import TaskKey
     from foxtrestle.scheduling.pacing import PaceOrder
     from foxtrestle.scheduling.runs import StopOrder
-    from foxtrestle.scheduling.state import Fleet, Run, Task, Worker
+    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.workers import Worker
 
 HOLD_S: Final = 5.0
 """Seconds for which everything on a worker is leased at a time. Long enough for a new controller
--- a/src/foxtrestle/control/pool_loads.py
+++ b/src/foxtrestle/control/pool_loads.py
@@ -10,8 +10,9 @@
 
 if TYPE_CHECKING:
     from foxtrestle.scheduling.hosts import HostView
+    from foxtrestle.scheduling.jobs import JobEntry
     from foxtrestle.scheduling.needs import PoolNeed
-    from foxtrestle.scheduling.state import Fleet, JobEntry
+    from foxtrestle.scheduling.state import Fleet
 
 KNOWN_BEFORE_S: Final = 1.5
 """Seconds before its start of which a controller knows the arrivals: few jobs end sooner, and those
--- a/src/foxtrestle/control/roster.py
+++ b/src/foxtrestle/control/roster.py
@@ -18,7 +18,7 @@
 from foxtrestle.scheduling.losses import LossReason, is_crash
 from foxtrestle.scheduling.model import Shape, WorkerInfo
 from foxtrestle.scheduling.runs import release_worker
-from foxtrestle.scheduling.state import Worker
+from foxtrestle.scheduling.workers import Worker
 from foxtrestle.store import Change
 
 if TYPE_CHECKING:
--- a/src/foxtrestle/scheduling/candidates.py
+++ b/src/foxtrestle/scheduling/candidates.py
@@ -17,9 +17,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
+    from foxtrestle.scheduling.jobs import Task
     from foxtrestle.scheduling.model import Step
-    from foxtrestle.scheduling.state import Task, Worker
     from foxtrestle.scheduling.turns import Turn, Where
+    from foxtrestle.scheduling.workers import Worker
 
 ANY_CPU: Final = -1_000_000_000
 """Cpu that a task needs free which uses what others leave, thousandths of a core: below any amount
--- a/src/foxtrestle/scheduling/checks.py
+++ b/src/foxtrestle/scheduling/checks.py
@@ -8,7 +8,9 @@
 
 if TYPE_CHECKING:
     from foxtrestle.scheduling.hosts import HostView
-    from foxtrestle.scheduling.state import Fleet, Task, WaveEntry, Worker
+    from foxtrestle.scheduling.jobs import Task
+    from foxtrestle.scheduling.state import Fleet, WaveEntry
+    from foxtrestle.scheduling.workers import Worker
 
 
 def check_start(fleet: Fleet, task: Task, worker: Worker) -> str:
--- a/src/foxtrestle/scheduling/crashes.py
+++ b/src/foxtrestle/scheduling/crashes.py
@@ -13,7 +13,8 @@
 import msgspec
 
 if TYPE_CHECKING:
-    from foxtrestle.scheduling.state import Run, Task, Worker
+    from foxtrestle.scheduling.jobs import Run, Task
+    from foxtrestle.scheduling.workers import Worker
 
 MAX_CRASHES: Final = 4
 """Crashes under a task after which it is given up, whatever ran beside it. The platform allows two
--- a/src/foxtrestle/scheduling/eligibility.py
+++ b/src/foxtrestle/scheduling/eligibility.py
@@ -8,7 +8,7 @@
     from collections.abc import Collection
 
     from foxtrestle.scheduling.model import Shape, Step
-    from foxtrestle.scheduling.state import Worker
+    from foxtrestle.scheduling.workers import Worker
 
 SUSPECT_JOBS: Final = 2
 """Jobs that failed on a worker, without a success between, after which it is avoided. One failure
--- a/src/foxtrestle/scheduling/fitting.py
+++ b/src/foxtrestle/scheduling/fitting.py
@@ -20,7 +20,8 @@
     from collections.abc import Iterable
 
     from foxtrestle.scheduling.hosts import HostView
-    from foxtrestle.scheduling.state import Fleet, JobEntry, Task
+    from foxtrestle.scheduling.jobs import JobEntry, Task
+    from foxtrestle.scheduling.state import Fleet
 
 GROW_S: Final = 2.0
 """Seconds of waiting after which tasks that only some hosts can run get one such host more: as long
--- a/src/foxtrestle/scheduling/hosts.py
+++ b/src/foxtrestle/scheduling/hosts.py
@@ -14,7 +14,8 @@
 
 if TYPE_CHECKING:
     from foxtrestle.scheduling.model import HostInfo
-    from foxtrestle.scheduling.state import Fleet, Worker
+    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.workers import Worker
 
 PLAN_CHART: Final = load_chart("plan")
 """States of a plan."""
--- a/src/foxtrestle/scheduling/lives.py
+++ b/src/foxtrestle/scheduling/lives.py
@@ -16,7 +16,8 @@
 if TYPE_CHECKING:
     from foxtrestle.scheduling.model import WorkerReport
     from foxtrestle.scheduling.runs import Release
-    from foxtrestle.scheduling.state import Fleet, Worker
+    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.workers import Worker
 
 FRESH_ANSWER_S: Final = 0.2
 """Seconds for which an answer shows which life is there; a process needs longer to start again."""
--- a/src/foxtrestle/scheduling/load.py
+++ b/src/foxtrestle/scheduling/load.py
@@ -13,8 +13,8 @@
     from collections.abc import Sequence
 
     from foxtrestle.scheduling.durations import Durations
+    from foxtrestle.scheduling.jobs import JobEntry
     from foxtrestle.scheduling.model import Shape
-    from foxtrestle.scheduling.state import JobEntry
 
 WINDOW_S: Final = 2.0
 """Seconds over which peaks are taken; an unneeded host costs less for that long than two moves do.
--- a/src/foxtrestle/scheduling/losses.py
+++ b/src/foxtrestle/scheduling/losses.py
@@ -7,7 +7,8 @@
 
 if TYPE_CHECKING:
     from foxtrestle.scheduling.model import HostState
-    from foxtrestle.scheduling.state import Fleet, Worker
+    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.workers import Worker
 
 
 class LossReason(StrEnum):
--- a/src/foxtrestle/scheduling/maintaining.py
+++ b/src/foxtrestle/scheduling/maintaining.py
@@ -12,8 +12,10 @@
     from collections.abc import Collection, Iterable
 
     from foxtrestle.scheduling.hosts import HostView
+    from foxtrestle.scheduling.jobs import Run, Task
     from foxtrestle.scheduling.model import FleetConfiguration
-    from foxtrestle.scheduling.state import Fleet, Run, Task, WaveEntry, Worker
+    from foxtrestle.scheduling.state import Fleet, WaveEntry
+    from foxtrestle.scheduling.workers import Worker
 
 URGENT_S: Final = 4.0
 """Seconds for which an emptied host's other tasks may run on before they are stopped."""
--- a/src/foxtrestle/scheduling/pacing.py
+++ b/src/foxtrestle/scheduling/pacing.py
@@ -8,7 +8,8 @@
 
 if TYPE_CHECKING:
     from foxtrestle.scheduling.model import TaskKey
-    from foxtrestle.scheduling.state import Fleet, Worker
+    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.workers import Worker
 
 TIGHT_SHARE: Final = 0.9
 """Share of its latency target from which a serving task counts as under pressure."""
--- a/src/foxtrestle/scheduling/placing.py
+++ b/src/foxtrestle/scheduling/placing.py
@@ -16,8 +16,10 @@
     from collections.abc import Callable, Iterable
 
     from foxtrestle.scheduling.durations import Durations
-    from foxtrestle.scheduling.state import Fleet, JobEntry, Task, Worker
+    from foxtrestle.scheduling.jobs import JobEntry, Task
+    from foxtrestle.scheduling.state import Fleet
     from foxtrestle.scheduling.urgency import Urgency
+    from foxtrestle.scheduling.workers import Worker
 
 Allow: TypeAlias = "Callable[[Task, Worker], bool]"
 """Tells whether a policy lets a task run on a worker."""
--- a/src/foxtrestle/scheduling/progress.py
+++ b/src/foxtrestle/scheduling/progress.py
@@ -6,14 +6,16 @@
 
 import msgspec
 
+from foxtrestle.scheduling.jobs import Run, Task
 from foxtrestle.scheduling.model import JobState, TaskKey
 from foxtrestle.scheduling.runs import attach_run, release_steps
-from foxtrestle.scheduling.state import Run, Worker
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from foxtrestle.scheduling.state import Fleet, JobEntry, Task
+    from foxtrestle.scheduling.jobs import JobEntry
+    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.workers import Worker
 
 FindWorker: TypeAlias = "Callable[[str, str], Worker]"
 """Returns a worker by its id and its host."""
@@ -164,8 +166,6 @@
 
 
 def _restore_rest(entry: JobEntry, record: TaskRecord, now: float, find_worker: FindWorker) -> None:
-    from foxtrestle.scheduling.state import Task  # noqa: PLC0415 - a type above
-
     key = TaskKey(entry.job.id, record.repetition, record.step, record.number)
     task = Task(key, entry.job.spec.steps[record.step], now)
     entry.tasks[key] = task
--- a/src/foxtrestle/scheduling/runs.py
+++ b/src/foxtrestle/scheduling/runs.py
@@ -7,14 +7,16 @@
 import msgspec
 
 from foxtrestle.scheduling.crashes import LostRun, describe_loss, note_crash, note_life
+from foxtrestle.scheduling.jobs import Run, Task
 from foxtrestle.scheduling.model import TaskKey
-from foxtrestle.scheduling.state import Run, Task
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
+    from foxtrestle.scheduling.jobs import JobEntry
     from foxtrestle.scheduling.model import EndedRun, Job, RunningTask
-    from foxtrestle.scheduling.state import Fleet, JobEntry, Worker
+    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.workers import Worker
 
 
 class StopOrder(msgspec.Struct, frozen=True):
--- a/src/foxtrestle/scheduling/turns.py
+++ b/src/foxtrestle/scheduling/turns.py
@@ -19,8 +19,9 @@
     from collections.abc import Iterator
 
     from foxtrestle.scheduling.hosts import HostView
+    from foxtrestle.scheduling.jobs import JobEntry
     from foxtrestle.scheduling.model import Shape, Step
-    from foxtrestle.scheduling.state import Fleet, JobEntry
+    from foxtrestle.scheduling.state import Fleet
 
 Where: TypeAlias = tuple[str, int, int]
 """Names a step of a job: job, repetition, step."""
--- a/src/foxtrestle/scheduling/urgency.py
+++ b/src/foxtrestle/scheduling/urgency.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     from foxtrestle.scheduling.durations import Durations
-    from foxtrestle.scheduling.state import JobEntry
+    from foxtrestle.scheduling.jobs import JobEntry
 
 LATE_FACTOR: Final = 3.0
 """Multiple of the latency objective up to which a late job is still worth something; set by the
--- /dev/null
+++ b/src/foxtrestle/scheduling/workers.py
@@ -0,0 +1,174 @@
+"""Workers, what the controller has placed on them, and how they answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from foxtrestle.scheduling.model import Shape
+
+if TYPE_CHECKING:
+    from foxtrestle.scheduling.jobs import Run
+    from foxtrestle.scheduling.model import Step, TaskKey, WorkerInfo
+
+
+class Silence(msgspec.Struct, frozen=True):
+    """How a worker fell silent."""
+
+    since: float
+    """Monotonic time of the first call without an answer, seconds."""
+    leaving: bool
+    """Whether it had said before that it leaves, or its entry had gone."""
+    cut_off: bool
+    """Whether a connection broke, rather than that an answer did not come in time."""
+
+
+class Worker:
+    """A worker and what the controller has placed on it."""
+
+    __slots__ = (
+        "acknowledged",
+        "alive_at",
+        "born_ms",
+        "clock_offset_ms",
+        "contact_at",
+        "cordoned",
+        "failed_at",
+        "failed_jobs",
+        "fenced",
+        "first_seen",
+        "forgotten",
+        "full_until",
+        "gone",
+        "info",
+        "known",
+        "known_at",
+        "lapse_at",
+        "lasting",
+        "lasting_used",
+        "revision",
+        "runs",
+        "seen_end",
+        "silence",
+        "successes",
+        "token",
+        "trials",
+        "unknown_runs",
+        "used",
+    )
+
+    def __init__(self, info: WorkerInfo, revision: int, now: float) -> None:
+        """Create a worker that nothing is placed on and that has not answered yet."""
+        self.info = info
+        """Its description."""
+        self.revision = revision
+        """Store revision of its entry; of two workers of a host the newer has the higher."""
+        self.gone = False
+        """Whether its entry has disappeared."""
+        self.cordoned = False
+        """Whether its host is being emptied."""
+        self.token = 0
+        """Fencing token of the calls to its present life; 0 for the number of the term."""
+        self.fenced = True
+        """Whether that is above all tokens that its former lives were sent."""
+        self.begin_life(info.born_ms, now)
+
+    def begin_life(self, born_ms: int, now: float) -> None:
+        """Forget all that holds for one life only; the next shares nothing with it."""
+        self.born_ms = born_ms
+        """Wall time at which its life began, milliseconds, by itself; 0 if it did not say."""
+        self.first_seen = now
+        """Monotonic time at which it was first seen, seconds."""
+        self._forget_runs()
+        self.known = False
+        """Whether it has answered this controller, so that all that runs there is known."""
+        self.known_at = -1e9
+        """Monotonic time at which it first did, seconds."""
+        self.contact_at = -1e9
+        """Monotonic time of its last answer, seconds."""
+        self.alive_at = -1e9
+        """Monotonic time at which it is last known to have lived, seconds."""
+        self.silence: Silence | None = None
+        """How it fell silent; None while it answers."""
+        self.lapse_at = 0.0
+        """Monotonic time after which nothing that was leased there runs, seconds."""
+        self.clock_offset_ms = 0.0
+        """Its clock less ours when its answer arrived, milliseconds."""
+        self.acknowledged = 0
+        """Newest end that is recorded."""
+        self.forgotten = 0
+        """Newest end that it was told to forget, in a call that it answered."""
+        self.failed_jobs: set[str] = set()
+        """Jobs that failed there since its last success; not those whose tasks are at fault."""
+        self.failed_at = -1e9
+        """Monotonic time of the last failed run there, seconds."""
+        self.successes = 0
+        """Runs that ended `done` there."""
+        self.full_until = 0.0
+        """Monotonic time before which it gets nothing new because it refused for want of room."""
+        self.seen_end = 0
+        """Newest end taken in, recorded or not."""
+
+    def _forget_runs(self) -> None:
+        self.runs: dict[tuple[TaskKey, int], Run] = {}
+        """Runs that may be there."""
+        self.used = Shape()
+        """Room that they take."""
+        self.trials: set[tuple[TaskKey, int]] = set()
+        """Those of its runs that are on probation; it gets nothing else meanwhile."""
+        self.unknown_runs = 0
+        """Runs that it listed last and that are not among `runs`; how much room they take is not
+        known."""
+        self.lasting = 0
+        """Lasting tasks that may be there."""
+        self.lasting_used = Shape()
+        """Room that they take, which does not come free by itself."""
+
+    def note_answer(self, now: float) -> None:
+        """Note that it answers."""
+        self.contact_at = now
+        self.alive_at = now
+        self.silence = None
+
+    def note_silence(self, now: float, *, cut_off: bool = False) -> None:
+        """Note that a call had no answer; what is known at the first tells a crash from leaving.
+
+        Args:
+            now: Monotonic time, seconds.
+            cut_off: Whether the connection broke, which tells that the worker lived until now.
+        """
+        if self.silence is None:
+            self.silence = Silence(now, self.gone or self.info.draining, cut_off)
+            if cut_off:
+                self.alive_at = now
+
+    def is_described(self) -> bool:
+        """Tell whether its entry is of the life that answers; another may have other room."""
+        return not self.info.born_ms or self.born_ms in {0, self.info.born_ms}
+
+    def has_fresh(self, now: float, seconds: float) -> bool:
+        """Tell whether a run was placed there within the last seconds."""
+        return any(now - run.placed_at < seconds for run in self.runs.values())
+
+    def fits(self, shape: Shape, *, fills: bool) -> bool:
+        """Tell whether there is room for a task."""
+        return self.info.room.minus(self.used).holds(shape, fills=fills)
+
+    def is_overfull(self) -> bool:
+        """Tell whether what may run there takes more than its room, which may have shrunk."""
+        return not self.info.room.holds(self.used)
+
+    def take(self, step: Step) -> None:
+        """Count a task in."""
+        self.used = self.used.plus(step.taken)
+        if step.lasting:
+            self.lasting += 1
+            self.lasting_used = self.lasting_used.plus(step.taken)
+
+    def give(self, step: Step) -> None:
+        """Count a task out."""
+        self.used = self.used.minus(step.taken)
+        if step.lasting:
+            self.lasting -= 1
+            self.lasting_used = self.lasting_used.minus(step.taken)
--- a/tests/plain_placing.py
+++ b/tests/plain_placing.py
@@ -13,8 +13,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from foxtrestle.scheduling.jobs import JobEntry, Task
     from foxtrestle.scheduling.model import Step
-    from foxtrestle.scheduling.state import Fleet, JobEntry, Task, Worker
+    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.workers import Worker
 
 Allow: TypeAlias = "Callable[[Task, Worker], bool]"
 
--- a/tests/scheduling_fakes.py
+++ b/tests/scheduling_fakes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from foxtrestle.scheduling.jobs import JobEntry
 from foxtrestle.scheduling.model import (
     EndedRun,
     FleetConfiguration,
@@ -16,7 +17,8 @@
     WorkerInfo,
 )
 from foxtrestle.scheduling.runs import add_job, release_steps
-from foxtrestle.scheduling.state import Fleet, JobEntry, Worker
+from foxtrestle.scheduling.state import Fleet
+from foxtrestle.scheduling.workers import Worker
 
 ROOM = Shape(32_000, 131_072, 0)
 NOW = 1000.0
--- a/tests/test_checks_and_log.py
+++ b/tests/test_checks_and_log.py
@@ -18,7 +18,9 @@
 from tests.scheduling_fakes import NOW, enter, make_fleet, make_job
 
 if TYPE_CHECKING:
-    from foxtrestle.scheduling.state import Fleet, JobEntry, Task, Worker
+    from foxtrestle.scheduling.jobs import JobEntry, Task
+    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.workers import Worker
 
 
 def set_up(step: Step | None = None) -> tuple[Fleet, JobEntry, Task, Worker]:
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -12,6 +12,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from foxtrestle.control.orders import CLOCK_DRIFT, HOLD_S, compute_lapse
+from foxtrestle.scheduling.jobs import JobEntry
 from foxtrestle.scheduling.lives import (
     FRESH_ANSWER_S,
     begin_next_life,
@@ -30,7 +31,7 @@
     release_steps,
     release_worker,
 )
-from foxtrestle.scheduling.state import Fleet, JobEntry
+from foxtrestle.scheduling.state import Fleet
 from foxtrestle.standins.worker import LONGEST_HOLD_MS, Refused, SimulatedWorker
 from tests.properties import scale
 from tests.scheduling_fakes import make_configuration, make_job
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -20,6 +20,7 @@
     PROVEN_CRASHES,
 )
 from foxtrestle.scheduling.hosts import HostPlan
+from foxtrestle.scheduling.jobs import JobEntry
 from foxtrestle.scheduling.losses import LossReason, is_crash
 from foxtrestle.scheduling.model import RunningTask, Shape, Step
 from foxtrestle.scheduling.placing import choose_placements
@@ -31,13 +32,14 @@
     record_end,
     release_worker,
 )
-from foxtrestle.scheduling.state import Fleet, JobEntry
+from foxtrestle.scheduling.state import Fleet
 from tests.properties import scale
 from tests.scheduling_fakes import NOW, add_worker, end, enter, make_fleet, make_job
 from tests.test_node import name
 
 if TYPE_CHECKING:
-    from foxtrestle.scheduling.state import Task, Worker
+    from foxtrestle.scheduling.jobs import Task
+    from foxtrestle.scheduling.workers import Worker
 
 SMALL = Shape(1000, 100)
 STEP_S = 0.05
--- a/tests/test_entries_of_lives.py
+++ b/tests/test_entries_of_lives.py
@@ -23,7 +23,7 @@
 from tests.scheduling_fakes import enter, make_configuration, make_job
 
 if TYPE_CHECKING:
-    from foxtrestle.scheduling.state import Worker
+    from foxtrestle.scheduling.workers import Worker
 
 FIRST, SECOND, THIRD = 1_000, 2_000, 3_000
 
--- a/tests/test_host_decisions.py
+++ b/tests/test_host_decisions.py
@@ -16,6 +16,7 @@
     is_worker_overdue,
     view_hosts,
 )
+from foxtrestle.scheduling.jobs import JobEntry
 from foxtrestle.scheduling.load import WINDOW_S, PoolLoad, RecentPeak
 from foxtrestle.scheduling.maintaining import (
     PLACE_WAIT_S,
@@ -36,7 +37,7 @@
     count_available,
     share_hosts,
 )
-from foxtrestle.scheduling.state import Fleet, JobEntry, WaveEntry
+from foxtrestle.scheduling.state import Fleet, WaveEntry
 from tests.scheduling_fakes import NOW, ROOM, add_worker, enter, make_fleet, make_job
 
 STOP_S = 0.9
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -18,7 +18,8 @@
 from tests.scheduling_fakes import NOW, enter, make_fleet, make_job
 
 if TYPE_CHECKING:
-    from foxtrestle.scheduling.state import Fleet, JobEntry
+    from foxtrestle.scheduling.jobs import JobEntry
+    from foxtrestle.scheduling.state import Fleet
 
 
 class Calls:
--- a/tests/test_organisation_machine.py
+++ b/tests/test_organisation_machine.py
@@ -14,18 +14,19 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
 from foxtrestle.scheduling.access import Access, Address, Denial, admit
+from foxtrestle.scheduling.jobs import JobEntry
 from foxtrestle.scheduling.model import Organisation, Shape, Step
 from foxtrestle.scheduling.organisations import digest_key
 from foxtrestle.scheduling.placing import choose_placements
 from foxtrestle.scheduling.progress import decode_progress, encode_progress, restore
 from foxtrestle.scheduling.quotas import Quotas
 from foxtrestle.scheduling.runs import add_job, place_run, record_end
-from foxtrestle.scheduling.state import Fleet, JobEntry
+from foxtrestle.scheduling.state import Fleet
 from tests.properties import scale
 from tests.scheduling_fakes import NOW, add_worker, end, make_configuration, make_job
 
 if TYPE_CHECKING:
-    from foxtrestle.scheduling.state import Task
+    from foxtrestle.scheduling.jobs import Task
 
 ORGANISATIONS = ("acme", "other")
 KEYS = ("k0", "k1", "k2", "k3")
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -13,7 +13,8 @@
 from tests.scheduling_fakes import NOW, enter, make_fleet, make_job
 
 if TYPE_CHECKING:
-    from foxtrestle.scheduling.state import Fleet, Worker
+    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.workers import Worker
 
 PACE_S = 0.1
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -17,7 +17,8 @@
 from tests.scheduling_fakes import NOW, ROOM, add_worker, end, enter, make_fleet, make_job
 
 if TYPE_CHECKING:
-    from foxtrestle.scheduling.state import Fleet, JobEntry
+    from foxtrestle.scheduling.jobs import JobEntry
+    from foxtrestle.scheduling.state import Fleet
 
 
 def place(fleet: Fleet) -> list[str]:
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from foxtrestle.scheduling.jobs import JobEntry
 from foxtrestle.scheduling.model import RunningTask, Step, TaskKey
 from foxtrestle.scheduling.placing import choose_placements
 from foxtrestle.scheduling.progress import decode_progress, encode_progress, restore
@@ -13,7 +14,7 @@
     release_steps,
     release_worker,
 )
-from foxtrestle.scheduling.state import Fleet, JobEntry
+from foxtrestle.scheduling.state import Fleet
 from tests.scheduling_fakes import NOW, add_worker, end, enter, make_fleet, make_job
 
 
--- a/tests/test_shrinking_room.py
+++ b/tests/test_shrinking_room.py
@@ -30,7 +30,9 @@
 from tests.test_node import count_starts, name, running, short_times, wait_for
 
 if TYPE_CHECKING:
-    from foxtrestle.scheduling.state import Fleet, Run, Task, Worker
+    from foxtrestle.scheduling.jobs import Run, Task
+    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.workers import Worker
 
 __all__ = ["short_times"]
 
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import hypothesis.strategies as st
 import msgspec
 import pytest
@@ -21,7 +23,7 @@
 from foxtrestle.scheduling.placing import RESERVE_S, RETURN_S, choose_placements
 from foxtrestle.scheduling.runs import place_run, record_end
 from foxtrestle.scheduling.scaling import HostMove, choose_drops, choose_moves
-from foxtrestle.scheduling.state import Fleet, JobEntry, Worker
+from foxtrestle.scheduling.state import Fleet
 from foxtrestle.scheduling.turns import take_turn
 from tests.properties import scale
 from tests.scheduling_fakes import (
@@ -35,6 +37,10 @@
     make_job,
 )
 
+if TYPE_CHECKING:
+    from foxtrestle.scheduling.jobs import JobEntry
+    from foxtrestle.scheduling.workers import Worker
+
 SMALL = Shape(1000, 100)
 MIDDLE = Shape(20_000, 100)
 BIG = Shape(48_000, 100)
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -19,7 +19,8 @@
 from tests.scheduling_fakes import NOW, ROOM, add_worker, enter, make_fleet, make_job
 
 if TYPE_CHECKING:
-    from foxtrestle.scheduling.state import Fleet, JobEntry
+    from foxtrestle.scheduling.jobs import JobEntry
+    from foxtrestle.scheduling.state import Fleet
     from foxtrestle.scheduling.turns import Turn
 
 MIDDLE = Shape(20_000, 100)
