--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -43,6 +43,8 @@
 """Seconds to wait for ends to be recorded before the lease is extended again."""
 MAX_ENDS: Final = 500
 """Ends that a worker lists at once; set by the platform."""
+TOLD_ENDS: Final = 20
+"""Most numbers of ends in one line of the log."""
 RESTOP_S: Final = 1.0
 """Seconds after which a stop that was answered and had no effect is sent again."""
 
@@ -66,6 +68,11 @@
     return False
 
 
+def list_ends(report: WorkerReport) -> list[int]:
+    """List the numbers of a report's first ends, for a line of the log."""
+    return [end.number for end in report.ends[:TOLD_ENDS]]
+
+
 class WorkerLink:
     """Keeps one worker's lease and the picture of what runs there."""
 
@@ -201,7 +208,8 @@
             if not worker.known:
                 worker.known = True
                 worker.known_at = now
-                # Earlier controllers are fenced off from here on: what they leased ends soon.
+                # Earlier controllers are fenced off from here on: what they leased ends soon. A
+                # later life may have taken a longer lease from a call that was not meant for it.
                 former = worker.lapse_at if worker.token else 0.0
                 worker.lapse_at = max(compute_lapse(now), former)
                 log("worker.known", worker=worker.info.id, runs=len(worker.runs))
@@ -256,7 +264,7 @@
             log("run.absent", job=key.job, step=key.step, index=key.number, run=number,
                 worker=worker.info.id, state=run.state, confirmed=run.confirmed_at > 0,
                 acknowledged=worker.acknowledged, seen_end=worker.seen_end,
-                ends=[end.number for end in report.ends][:20])  # fmt: skip
+                ends=list_ends(report))  # fmt: skip
             task, _ = found
             drop_run(task, number, worker)
             requeue(self._fleet.jobs[key.job], task, now)
--- a/src/foxtrestle/control/roster.py
+++ b/src/foxtrestle/control/roster.py
@@ -9,6 +9,7 @@
 
 from foxtrestle.clock import read_clock
 from foxtrestle.control.following import list_as_changes
+from foxtrestle.control.link import list_ends
 from foxtrestle.control.log import log, log_failure
 from foxtrestle.control.orders import CLOCK_DRIFT, HOLD_S, LAPSE_MARGIN_S, compute_lapse
 from foxtrestle.control.ownership import GRACE_WITHOUT_STORE_S, LEASE_S
@@ -34,8 +35,6 @@
 TAKEOVER_S: Final = LEASE_S + GRACE_WITHOUT_STORE_S + HOLD_S * CLOCK_DRIFT + LAPSE_MARGIN_S
 """Seconds after a takeover during which a worker out of reach may still run what an earlier
 controller placed: that one may have gone on extending leases until its grace was over."""
-TOLD_ENDS: Final = 20
-"""Most numbers of ends in one line of the log."""
 
 
 class Roster:
@@ -230,7 +229,7 @@
         crashed = is_crash(self._fleet, worker, reason)
         log("worker.other-life", worker=worker.info.id, born_ms=report.born_ms,
             former_ms=worker.born_ms, acknowledged=worker.acknowledged, seen_end=worker.seen_end,
-            ends=[end.number for end in report.ends][:TOLD_ENDS], running=len(report.running),
+            ends=list_ends(report), running=len(report.running),
             runs=len(worker.runs), heard_s=round(now - worker.contact_at, 3))  # fmt: skip
         self._note_over(worker)
         alive_at = max(worker.contact_at, worker.alive_at)
