--- a/tests/test_given_up_absence.py
+++ b/tests/test_given_up_absence.py
@@ -1,11 +1,11 @@
 """Giving up one task of a lasting job keeps to what may be absent of its step.
 
-Seen: a step of four lasting tasks, of which one may be away, lost three of them within 0.8 s, all of
-them on sound workers. Its fourth task had met three crashes of workers by chance, 2.5 s apart; it
-was given up, the job told failed, and the other three stopped at once. Cause: ending a job stops all
-that runs of it, and only stops for maintenance ask what may be absent. Proved by the lines of that
-job: three runs lost with `crashed`, `task.given-up`, and three runs ended `stopped` in the same
-second, the first 14 ms before the job was told failed.
+Seen: a step of four lasting tasks, of which one may be away, lost three of them within 0.8 s, all
+of them on sound workers. Its fourth task had met three crashes of workers by chance, 2.5 s apart;
+it was given up, the job told failed, and the other three stopped at once. Cause: ending a job
+stops all that runs of it, and only stops for maintenance ask what may be absent. Proved by the
+lines of that job: three runs lost with `crashed`, `task.given-up`, and three runs ended `stopped`
+in the same second, the first 14 ms before the job was told failed.
 """
 
 from __future__ import annotations
