--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -201,12 +201,15 @@
         self._last_birth_ms = max(int(time.time() * 1000), self._last_birth_ms + 1)
         return self._last_birth_ms
 
-    async def restart_worker(self, worker_id: str, away_s: float = 0.0) -> None:
+    async def restart_worker(
+        self, worker_id: str, away_s: float = 0.0, *, tells: bool = True
+    ) -> None:
         """Crash a worker; it starts again under its id and at its address, and knows nothing.
 
         Args:
             worker_id: The worker.
             away_s: Seconds for which it does not answer before it starts again.
+            tells: Whether its entry is written at once; else the former life's stays.
         """
         worker = self.workers[worker_id]
         if worker.down:
@@ -217,7 +220,8 @@
         if worker.dead:
             return
         worker.restart(self._find_birth())
-        self.write_entry(worker)
+        if tells:
+            self.write_entry(worker)
 
     def write_entry(self, worker: SimulatedWorker, state: str = "ready") -> None:
         """Write a worker's entry."""
