Soak: one process a node, and none after its end

Traced: 7 nodes of ended soaks still ran, one with its store's port at 45875; a socket bound to that port was asked for the lock within a second. Two overlapping faults had started one node twice, and the soak ends only the process that it knows.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -61,6 +61,7 @@
         self._settings = folder / f"{name}.toml"
         self._log = folder / f"{name}.log"
         self._process: asyncio.subprocess.Process | None = None
+        self._starting = False
         ready = find_free_port()
         self._settings.write_text(
             f'nodeName = "{name}"\nzone = "z"\n'
@@ -69,9 +70,22 @@
         )
 
     async def start(self) -> None:
-        """Start the process."""
+        """Start the process, unless it runs: two faults that overlap may both start it again.
+
+        Of two, one would outlive the soak, and ask whoever has its store's port next for the lock.
+        """
+        running = self._process is not None and self._process.returncode is None
+        if running or self._starting or self.ended:
+            return
+        self._starting = True
+        try:
+            self._process = await self._launch()
+        finally:
+            self._starting = False
+
+    async def _launch(self) -> asyncio.subprocess.Process:
         with self._log.open("ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
+            return await asyncio.create_subprocess_exec(
                 sys.executable,
                 "src/foxtrestled_node.py",
                 stdout=log,
