--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -62,6 +62,8 @@
         self._log = folder / f"{name}.log"
         self._process: asyncio.subprocess.Process | None = None
         self._starting = False
+        self.ended = False
+        """Whether it is not started any more, as the run is over."""
         ready = find_free_port()
         self._settings.write_text(
             f'nodeName = "{name}"\nzone = "z"\n'
@@ -157,6 +159,7 @@
         return self.watcher.violations
 
     async def _end(self, node: NodeProcess) -> None:
+        node.ended = True
         node.send(signal.SIGCONT)
         node.send(signal.SIGKILL)
         await node.wait()
