--- a/tests/test_soak_nodes.py
+++ b/tests/test_soak_nodes.py
@@ -1,9 +1,10 @@
 """The soak starts one process a node, and none after its end.
 
-Seen: another test waited 15 s for its node to take control. A node of a soak that had ended held the
-lock of that test's store: two faults had started the same node at once, the soak knew of one of the
-two processes, and the other asked for ever whoever got the port of its store, by chance the test.
-Proved by a socket bound to that port: the left process asked it for the lock within a second.
+Seen: another test waited 15 s for its node to take control. A node of a soak that had ended held
+the lock of that test's store: two faults had started the same node at once, the soak knew of one
+of the two processes, and the other asked for ever whoever got the port of its store, by chance
+the test. Proved by a socket bound to that port: the left process asked it for the lock within a
+second.
 """
 
 from __future__ import annotations
