Choose a worker's fencing token, and the end of a lease, in one place each

The link chose the token as the orders do, word for word; it asks them now. The time after a takeover was computed beside compute_lapse; it calls it (11.7 s before and after). No behaviour changed.

--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -150,7 +150,7 @@
             worker.lapse_at = max(worker.lapse_at, compute_lapse(sent_at))
         return await self._calls.hold(
             worker.info,
-            worker.token or self._term.number,
+            self._orders.get_token(worker),
             told,
             expires_ms=expires_ms,
             wait_ms=wait_ms,
--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -100,7 +100,7 @@
             # The job was cancelled while this start waited for its record, and is settled.
             return
         ticket = self._fleet.find_ticket(task.key, worker.info.id, read_clock())
-        token = self._get_token(worker)
+        token = self.get_token(worker)
         order = StartOrder(
             task.key, run.number, entry.job.spec.text, token, task.checkpoint, ticket
         )
@@ -140,7 +140,8 @@
             run.move("confirm")
         run.confirmed_at = read_clock()
 
-    def _get_token(self, worker: Worker) -> int:
+    def get_token(self, worker: Worker) -> int:
+        """Return the fencing token of calls to a worker's present life."""
         return worker.token or self._term.number
 
     def _take_fence(self, worker: Worker, token: int) -> None:
@@ -148,7 +149,7 @@
 
         The first answer of that life under its own token tells what runs there.
         """
-        if token >= self._get_token(worker):
+        if token >= self.get_token(worker):
             self._term.lose("a worker has seen a higher term")
 
     def _take_refusal(
@@ -242,7 +243,7 @@
                 order.key,
                 order.run,
                 order.percent,
-                self._get_token(worker),
+                self.get_token(worker),
                 CALL_TIMEOUT_S,
             )
         except (OrderRefused, OtherLife, CallError) as error:
@@ -256,7 +257,7 @@
         for _ in range(ATTEMPTS):
             if not self._term.is_valid():
                 return False
-            token = self._get_token(worker)
+            token = self.get_token(worker)
             try:
                 await self._calls.stop(worker.info, key, number, token, CALL_TIMEOUT_S)
             except OrderRefused as refusal:
--- a/src/foxtrestle/control/roster.py
+++ b/src/foxtrestle/control/roster.py
@@ -11,7 +11,7 @@
 from foxtrestle.control.following import list_as_changes
 from foxtrestle.control.link import list_ends
 from foxtrestle.control.log import log, log_failure
-from foxtrestle.control.orders import CLOCK_DRIFT, HOLD_S, LAPSE_MARGIN_S, compute_lapse
+from foxtrestle.control.orders import HOLD_S, compute_lapse
 from foxtrestle.control.ownership import GRACE_WITHOUT_STORE_S, LEASE_S
 from foxtrestle.platform.workers import ENTRIES, CallError, decode_worker
 from foxtrestle.scheduling.hosts import find_dead
@@ -32,7 +32,7 @@
     from foxtrestle.scheduling.state import Fleet
     from foxtrestle.store import Listing, Record
 
-TAKEOVER_S: Final = LEASE_S + GRACE_WITHOUT_STORE_S + HOLD_S * CLOCK_DRIFT + LAPSE_MARGIN_S
+TAKEOVER_S: Final = compute_lapse(LEASE_S + GRACE_WITHOUT_STORE_S)
 """Seconds after a takeover during which a worker out of reach may still run what an earlier
 controller placed: that one may have gone on extending leases until its grace was over."""
 
