--- a/src/foxtrestle/node/settings.py
+++ b/src/foxtrestle/node/settings.py
@@ -40,6 +40,9 @@
     """Seconds for which a serving task may be over its target because of others."""
     heartbeat_s: float = 1.5
     """Seconds between two heartbeats of a worker; its entry goes after three missed ones."""
+    drain_zone_s: float | None = None
+    """Seconds after which nothing starts in an availability zone that operators drain; None where
+    they drain none."""
 
 
 class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -65,6 +68,14 @@
     """Orders for hosts that the platform takes from all nodes together, per second."""
     host_reads_per_s: float = 64.0
     """Pages of the host list that the platform gives to all nodes together, per second."""
+    store_reads_per_s: float = 2000.0
+    """Reading calls that the store takes from all nodes together, per second."""
+    store_writes_per_s: float = 400.0
+    """Writing calls that the store takes from all nodes together, per second."""
+    zones: tuple[str, ...] = ()
+    """Availability zones of the deployment; empty if they are not told."""
+    zones_lost: int = 0
+    """Availability zones whose loss at once is to be borne."""
     processor_share: float = 1.0
     """Cores that this process may use."""
     link_mbps: float = 1000.0
--- a/src/foxtrestle/platform/settings.py
+++ b/src/foxtrestle/platform/settings.py
@@ -46,6 +46,7 @@
     notice_ms: float = 4500
     pace_ms: float = 100
     harm_ms: float = 4000
+    evacuateMs: float | None = None  # only where operators drain whole zones
 
 
 class _Platform(msgspec.Struct):
@@ -55,6 +56,10 @@
     reads_per_s: float = 2000
 
 
+class _Tolerance(msgspec.Struct):
+    zones: int = 0
+
+
 class _Cloud(msgspec.Struct):
     address: str = ""
     dutyPerS: float = 64.0
@@ -69,6 +74,8 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     cloudApi: _Cloud = msgspec.field(default_factory=_Cloud)
+    faultTolerance: _Tolerance = msgspec.field(default_factory=_Tolerance)
+    zones: dict[str, str] = {}  # region of each zone
     advice: str = ""
     heartbeatMs: float = 1500
 
@@ -106,6 +113,10 @@
             lease_min_s=raw.platform.ttl_min_ms / 1000,
             host_orders_per_s=raw.cloudApi.dutyPerS,
             host_reads_per_s=raw.cloudApi.ratePerS,
+            store_reads_per_s=raw.platform.reads_per_s,
+            store_writes_per_s=raw.platform.writes_per_s,
+            zones=tuple(raw.zones),
+            zones_lost=raw.faultTolerance.zones,
             processor_share=raw.limits.cpuShare * raw.limits.cores,
             link_mbps=raw.limits.linkMbps,
             bounds=Bounds(
@@ -125,6 +136,11 @@
                 pace_s=bounds.pace_ms / 1000,
                 harm_s=bounds.harm_ms / 1000,
                 heartbeat_s=raw.heartbeatMs / 1000,
+                drain_zone_s=_to_seconds(bounds.evacuateMs),
             ),
         )
     )
+
+
+def _to_seconds(milliseconds: float | None) -> float | None:
+    return None if milliseconds is None else milliseconds / 1000
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -129,6 +129,15 @@
     assert "front" in str(broken.failure()[0])
 
 
+def test_settings_tell_zones_and_how_many_may_be_lost_only_where_they_hold_them() -> None:
+    plain = parse_settings(SETTINGS).unwrap()
+    assert (plain.zones, plain.zones_lost, plain.bounds.drain_zone_s) == ((), 0, None)
+    text = SETTINGS + "evacuateMs = 5000\n[zones]\na = 'r'\nb = 'r'\n[faultTolerance]\nzones = 1\n"
+    settings = parse_settings(text).unwrap()
+    assert (settings.zones, settings.zones_lost) == (("a", "b"), 1)
+    assert settings.bounds.drain_zone_s == 5.0
+
+
 def test_a_settings_file_that_cannot_be_read_is_named(tmp_path: Path) -> None:
     result = read_settings(tmp_path / "none.toml")
     assert isinstance(result, Failure)
