Give up a lasting task alone: the rest of its step serves on

Cause: ending the job of a lasting task that was given up stopped all its other tasks at once, beyond what may be absent. Change: given up is a state of the task, kept in its job's record; its job goes on until it is cancelled, and fails once no task is left that may run. What does not last, and gangs, fail as before. Hosts for a label are not kept for such a task.

--- a/src/foxtrestle/scheduling/checks.py
+++ b/src/foxtrestle/scheduling/checks.py
@@ -23,7 +23,7 @@
         "unasked": entry.ended,
         "twice": task.done or (bool(task.runs) and not step.speculative),
         "attempts": not step.lasting and task.failures >= entry.job.max_attempts,
-        "crashes": task.crashes >= MAX_CRASHES,
+        "crashes": task.given_up or task.crashes >= MAX_CRASHES,
         "order": not all(_is_done(fleet, task, other) for other in step.depends_on),
         "room": not worker.fits(step.shape, fills=step.fills),
         "pool": worker.info.pool != entry.job.pool,
--- a/src/foxtrestle/scheduling/fitting.py
+++ b/src/foxtrestle/scheduling/fitting.py
@@ -114,7 +114,7 @@
     for entry in entries:
         spread = max(spread, *(_find_spread(step, label) for step in entry.job.spec.steps))
         for task in entry.tasks.values():
-            if task.step.label != label or task.done:
+            if task.step.label != label or task.done or task.given_up:
                 continue
             tasks += 1
             load += measure_share(task.step.shape, host)
--- a/src/foxtrestle/scheduling/jobs.py
+++ b/src/foxtrestle/scheduling/jobs.py
@@ -85,6 +85,7 @@
         "done",
         "failed_on",
         "failures",
+        "given_up",
         "key",
         "probation",
         "runs",
@@ -113,6 +114,8 @@
         """Longest that a run of it had lived at a crash, seconds."""
         self.probation = False
         """Whether it may have caused a crash and has not shown otherwise."""
+        self.given_up = False
+        """Whether it is not started again, as workers crash under it."""
         self.done = False
         """Whether a run ended `done`."""
         self.checkpoint = ""
--- a/src/foxtrestle/scheduling/progress.py
+++ b/src/foxtrestle/scheduling/progress.py
@@ -48,6 +48,8 @@
     """Whether it may have caused a crash and has not shown otherwise."""
     crash_age_s: float = 0.0
     """Longest that a run of it had lived at a crash, seconds."""
+    given_up: bool = False
+    """Whether it is not started again, as workers crash under it."""
 
 
 class Progress(msgspec.Struct, frozen=True):
@@ -95,6 +97,7 @@
         task.accusations,
         task.probation,
         task.crash_age_s,
+        task.given_up,
     )
 
 
@@ -151,6 +154,9 @@
     task.accusations = record.accusations
     task.probation = record.probation
     task.crash_age_s = record.crash_age_s
+    if record.given_up:
+        task.given_up = True
+        entry.ready.pop(task.key, None)
     if record.done:
         task.done = True
         entry.open_tasks[record.repetition, record.step] -= 1
--- a/src/foxtrestle/scheduling/runs.py
+++ b/src/foxtrestle/scheduling/runs.py
@@ -207,8 +207,8 @@
 
 
 def requeue(entry: JobEntry, task: Task, now: float) -> None:
-    """Let a task wait for its next start, if no run of it is left."""
-    if task.runs or task.done or entry.ended:
+    """Let a task wait for its next start, if no run of it is left and it may have another."""
+    if task.runs or task.done or task.given_up or entry.ended:
         return
     task.waiting_since = now
     entry.ready[task.key] = task
@@ -269,9 +269,9 @@
     lost: list[LostRun]
     """Runs that went with it."""
     given_up: list[Task]
-    """Tasks that are not started again, and whose jobs have failed."""
+    """Tasks that are not started again."""
     stops: list[StopOrder]
-    """Orders to stop what else runs of these jobs."""
+    """Orders to stop what else runs of the jobs that have failed for it."""
 
 
 def release_worker(
@@ -312,10 +312,40 @@
     worker.trials.clear()
     stops: list[StopOrder] = []
     for task in given_up:
-        stops += end_job(fleet, fleet.jobs[task.key.job], "failed")
+        stops += _give_up(fleet, fleet.jobs[task.key.job], task)
     return Release(lost, given_up, stops)
 
 
+def _give_up(fleet: Fleet, entry: JobEntry, task: Task) -> list[StopOrder]:
+    """Give a task up for good, and its job if nothing else of that can go on without it.
+
+    The other tasks of a lasting step serve on, each by itself, until the client cancels the job.
+    Ended with the job, a step of four that may miss one lost three sound tasks at once.
+
+    Returns:
+        Orders to stop what else runs of a job that has failed for it.
+    """
+    task.given_up = True
+    entry.ready.pop(task.key, None)
+    fleet.mark(entry.job.id)
+    alone = task.step.lasting and not task.step.gang
+    if alone and _has_others(entry):
+        return []
+    return end_job(fleet, entry, "failed")
+
+
+def _has_others(entry: JobEntry) -> bool:
+    """Tell whether a job has a task that may run now or once its time has come."""
+    if any(not (task.done or task.given_up) for task in entry.tasks.values()):
+        return True
+    return any(
+        (repetition, number) not in entry.released
+        and all(_is_step_done(entry, repetition, other) for other in step.depends_on)
+        for repetition in range(entry.count_repetitions())
+        for number, step in enumerate(entry.job.spec.steps)
+    )
+
+
 def _get_place(lost: LostRun) -> tuple[TaskKey, int]:
     return lost.task.key, lost.run.number
 
