Acknowledge ends by holds that do not wait

Cause: the first hold after ends were recorded acknowledged them and also waited for the next end. Such a call is under way for a second; it came to the worker's next life, which then forgot ends that it had never told. Change: a hold waits only if no end is owed an acknowledgement, so that one that waits acknowledges nothing. The stand-in's waiting holds can be slow on their way.

--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -145,8 +145,10 @@
         fresh = sent_at - worker.contact_at < HOLD_WAIT_S * 2
         wait_s = PROBATION_S if worker.trials else HOLD_WAIT_S
         settled = worker.known and worker.silence is None and not self._unrecorded
-        # What is not told yet, as the last answer is too old for that, is told after the next one.
-        owes = worker.acknowledged > max(worker.forgotten, told)
+        # A call that waits is under way for long enough to meet the worker's next life, which would
+        # forget ends that it has not told. What the last answer is too old for is told after the
+        # next one.
+        owes = worker.acknowledged > worker.forgotten
         wait_ms = int(wait_s * 1000) if settled and fresh and not owes else 0
         expires_ms = None
         if worker.known and sent_at - worker.contact_at < EXTEND_SILENCE_S:
--- a/src/foxtrestle/scheduling/lives.py
+++ b/src/foxtrestle/scheduling/lives.py
@@ -34,7 +34,7 @@
 
     Each number is told once, and only just after an answer. A number that is told to a later life
     has it forget ends that nobody has seen: tasks that had ended well were then started again, up
-    to three times each.
+    to three times each. For that, too, the call that tells one must not wait at the worker.
     """
     if worker.acknowledged <= worker.forgotten or worker.silence is not None:
         return 0
--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -65,6 +65,8 @@
         """Share of starts that are not answered and carried out later."""
         self.late_s = 0.5
         """Seconds by which such a start is late."""
+        self.slow_waits_s = 0.0
+        """Seconds that a hold that waits is on its way; it comes to the life that is there then."""
         self.lost_host_orders = 0.0
         """Share of host orders that take effect and are not answered."""
         self.refused_lists = 0
@@ -384,12 +386,14 @@
         def route(path: str, act: Callable[[dict[str, Any]], Awaitable[dict[str, Any]]]) -> Route:
             async def serve(request: Request) -> Response:
                 self.calls[path] += 1
+                body = msgspec.json.decode(await request.body())
+                if body.get("waitMs"):
+                    await asyncio.sleep(self.faults.slow_waits_s)
                 if worker.down or worker.info.id in self.faults.silent_workers:
                     await asyncio.sleep(3600)
                 meant = request.headers.get("Foxtrestle-Target-Instance", worker.info.id)
                 if worker.dead or meant != worker.info.id:
                     return Response(status_code=421)
-                body = msgspec.json.decode(await request.body())
                 lives = worker.lives
                 try:
                     answer, status = await act(body), 200
