Drain an availability zone: nothing starts on its workers by whichever way a task comes to start

Cause: operators' requests to drain a zone were read and passed over, their end too; `zone` decided nothing. Change: the mirror of operators' keys keeps the drained zones, with the age up to which they are known; each round marks the workers (`scheduling/draining`), and placements, both checks of a start and each further attempt of one ask the mark. Where a request may be unknown for as long as the bound, nothing starts anywhere. The stand-in's hosts have zones. Conclusion: hosts of the zone are still counted as room, and nothing that runs there is moved; both come next.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -26,6 +26,7 @@
 from foxtrestle.control.sweep import SWEEP_S, sweep
 from foxtrestle.platform.workers import ENTRIES
 from foxtrestle.scheduling.checks import check_send, check_start
+from foxtrestle.scheduling.draining import note_drained, take_news
 from foxtrestle.scheduling.hosts import is_worker_overdue
 from foxtrestle.scheduling.jobs import JobEntry
 from foxtrestle.scheduling.model import Job
@@ -94,7 +95,9 @@
             self.fleet, term.partition, self._hold, self._note_loss, self._measures,
             settings.bounds.longest_hold_s,
         )  # fmt: skip
-        self._orders = Orders(self.fleet, term, workers, self.wake, self._roster.lose)
+        self._orders = Orders(
+            self.fleet, term, workers, self.wake, self._roster.lose, self._is_drained
+        )
         self._hosts = HostOrders(
             self.fleet,
             term,
@@ -313,6 +316,9 @@
         for entry in self.fleet.active.values():
             release_steps(entry, wall_ms, now)
         self._roster.lose_dead(now)
+        if not note_drained(self.fleet, self._operators.find_drained(now)):
+            # Any zone may be drained.
+            return
         if self._ledger.away_since or not self._term.is_valid():
             # What is started must be recorded first, and cannot be now.
             return
@@ -333,8 +339,14 @@
             self._shared = share_configuration(self._term.partition, whole) if whole else None
         return self._shared
 
+    def _is_drained(self, worker: Worker) -> bool:
+        """Tell whether a worker's zone is drained, by what is known now."""
+        take_news(self.fleet, self._operators.find_drained(read_clock()))
+        return worker.drained
+
     def _look_again(self, starts: list[Start]) -> list[Start]:
         """Return those of the starts of one placement that may still be sent; of a gang all."""
+        take_news(self.fleet, self._operators.find_drained(read_clock()))
         reasons = [check_send(worker) for _, _, worker in starts]
         barred = next((reason for reason in reasons if reason), "")
         sent = []
--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from operator import attrgetter
 from typing import TYPE_CHECKING, Final
 
 from foxtrestle.clock import read_clock
@@ -9,6 +10,7 @@
 from foxtrestle.control.spawn import Spawner
 from foxtrestle.platform.http import CallError, MalformedAnswer, NoAnswer
 from foxtrestle.platform.workers import OrderRefused, OtherLife
+from foxtrestle.scheduling.checks import DRAINED
 from foxtrestle.scheduling.losses import LossReason
 from foxtrestle.scheduling.model import StartOrder
 from foxtrestle.scheduling.runs import drop_run, requeue
@@ -52,6 +54,11 @@
     return int(now * 1000 + worker.clock_offset_ms + HOLD_S * 1000)
 
 
+def _is_wanted(task: Task, run: Run) -> bool:
+    """Tell whether a run is still to be started."""
+    return task.runs.get(run.number) is run and run.state == "recorded"
+
+
 class Orders:
     """Sends starts and stops and tells the state what became of them."""
 
@@ -62,6 +69,7 @@
         calls: WorkerCalls,
         wake: Callable[[], None],
         lose_worker: Callable[[Worker, LossReason], None],
+        is_drained: Callable[[Worker], bool] = attrgetter("drained"),
     ) -> None:
         """Create a sender for one term.
 
@@ -71,12 +79,14 @@
             calls: Client of the workers.
             wake: Has the controller decide again.
             lose_worker: Called when a worker's life is certainly over.
+            is_drained: Tells whether a worker's zone is drained, by what is known at the call.
         """
         self._fleet = fleet
         self._term = term
         self._calls = calls
         self._wake = wake
         self._lose_worker = lose_worker
+        self._is_drained = is_drained
         self._background = Spawner()
 
     async def start(self, task: Task, run: Run, worker: Worker) -> None:
@@ -106,9 +116,10 @@
         )
         sent = False
         for _ in range(ATTEMPTS):
-            if not self._term.is_valid() or task.runs.get(run.number) is not run:
+            if not self._term.is_valid() or not _is_wanted(task, run):
                 return
-            if run.state != "recorded":
+            if self._is_drained(worker):
+                await self._hold_back(task, run, worker, sent=sent)
                 return
             now = read_clock()
             worker.lapse_at = max(worker.lapse_at, compute_lapse(now))
@@ -135,6 +146,15 @@
                 return
         await self._give_up(task, run, worker, sent=sent)
 
+    async def _hold_back(self, task: Task, run: Run, worker: Worker, *, sent: bool) -> None:
+        """Settle a start whose zone has been drained before it was answered."""
+        if not sent:
+            self.withhold(task, run, worker, DRAINED)
+            return
+        log("start.withheld", job=task.key.job, step=task.key.step, index=task.key.number,
+            run=run.number, worker=worker.info.id, reason=DRAINED, sent=True)  # fmt: skip
+        await self.stop_run(task, run, worker)
+
     def _confirm(self, run: Run) -> None:
         if run.state == "recorded":
             run.move("confirm")
--- a/src/foxtrestle/node/operators.py
+++ b/src/foxtrestle/node/operators.py
@@ -8,13 +8,16 @@
 
 from foxtrestle.clock import read_clock
 from foxtrestle.control.log import Outage, log
+from foxtrestle.node.drained_zones import DrainedZones
 from foxtrestle.platform.http import MalformedAnswer
 from foxtrestle.platform.operators import (
     CONFIGURATION,
     OPERATORS,
     WAVES,
+    ZONE_DRAINS,
     decode_configuration,
     decode_wave,
+    decode_zone_drain,
 )
 from foxtrestle.platform.store import WATCH_WAIT_S
 from foxtrestle.scheduling.access import Denial, admit
@@ -62,20 +65,29 @@
 
 
 class OperatorMirror:
-    """The newest configuration and the waves, kept by one watch."""
-
-    def __init__(self, store: PlatformStore, on_change: Callable[[], None], apply_s: float) -> None:
+    """The newest configuration, the waves and the drained zones, kept by one watch."""
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        on_change: Callable[[], None],
+        apply_s: float,
+        zones: DrainedZones | None = None,
+    ) -> None:
         """Create a mirror that knows nothing yet.
 
         Args:
             store: The platform's store.
             on_change: Called after each change.
             apply_s: Seconds after which a new configuration must be in force.
+            zones: Drained zones, to be kept; None for a deployment that drains none.
         """
         self.configuration: FleetConfiguration | None = None
         """The newest configuration; None before the first."""
         self.waves: dict[int, tuple[Wave, float]] = {}
         """Waves by number, with the monotonic time at which each was first seen."""
+        self.zones = zones or DrainedZones()
+        """Zones that are drained."""
         self.complete_at = -1e9
         """Monotonic time up to which no change is missing for certain, seconds."""
         self._current_s = apply_s - APPLY_MARGIN_S
@@ -118,10 +130,17 @@
         """Tell whether every configuration that must be in force by now is known."""
         return read_clock() - self.complete_at < self._current_s
 
+    def find_drained(self, now: float) -> frozenset[str] | None:
+        """Return the zones that are drained; None if that is not certain enough to start a task."""
+        return self.zones.find(self.complete_at, now)
+
     async def _read_all(self) -> int:
         sent_at = read_clock()
         listing = await self._store.scan(OPERATORS)
         self.complete_at = sent_at
+        # What was taken away while nothing was heard is in no change.
+        keys = (record.key for record in listing.records if record.key.startswith(ZONE_DRAINS))
+        self.zones.keep({key.removeprefix(ZONE_DRAINS) for key in keys}, listing.revision)
         self._take([Change(record.key, record, record.revision) for record in listing.records])
         return listing.revision
 
@@ -134,6 +153,7 @@
     def _take(self, changes: list[Change]) -> None:
         for change in changes:
             if change.record is None:
+                self._note_gone(change)
                 continue
             try:
                 self._install(change.key, change.record)
@@ -145,9 +165,17 @@
         if changes:
             self._on_change()
 
+    def _note_gone(self, change: Change) -> None:
+        if change.key.startswith(ZONE_DRAINS):
+            zone = change.key.removeprefix(ZONE_DRAINS)
+            self.zones.end(zone, change.revision, read_clock() - self.complete_at)
+
     def _install(self, key: str, record: Record) -> None:
         if key == CONFIGURATION:
             self._install_configuration(record)
+        elif key.startswith(ZONE_DRAINS):
+            zone = decode_zone_drain(key)
+            self.zones.begin(zone, record.revision, read_clock() - self.complete_at)
         elif key.startswith(WAVES):
             wave = decode_wave(key, record.value)
             if wave.number not in self.waves:
--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -18,6 +18,7 @@
 from foxtrestle.control.measures import Measures
 from foxtrestle.control.ownership import Ownership, compute_race_delay
 from foxtrestle.listener import bind, listen
+from foxtrestle.node.drained_zones import DrainedZones
 from foxtrestle.node.health import StoreHealth
 from foxtrestle.node.intake import Intake
 from foxtrestle.node.loop_lag import watch_loop
@@ -94,7 +95,7 @@
                 advice = AdviceCalls(settings.advice_address, connections)
             hosts = HostCalls(settings.hosts_address, settings.name, connections, STORE_TIMEOUT_S)
             measures = Measures()
-            self.operators = OperatorMirror(store, self._wake_controllers, settings.bounds.apply_s)
+            self.operators = self._build_mirror(store)
             self.health = StoreHealth(store)
 
             async def control(term: Term) -> None:
@@ -147,6 +148,11 @@
             await asyncio.gather(*closing, asyncio.sleep(LOOK_AWAY_S))
         log("node.stopped")
 
+    def _build_mirror(self, store: PlatformStore) -> OperatorMirror:
+        bounds = self.settings.bounds
+        zones = DrainedZones(self.settings.zones, bounds.drain_zone_s)
+        return OperatorMirror(store, self._wake_controllers, bounds.apply_s, zones)
+
     def _build_ownerships(
         self, store: PlatformStore, control: Callable[[Term], Awaitable[None]]
     ) -> list[Ownership]:
--- a/src/foxtrestle/platform/operators.py
+++ b/src/foxtrestle/platform/operators.py
@@ -23,6 +23,10 @@
 """Key of the configuration."""
 WAVES: Final = "op/wave/"
 """Prefix of the waves."""
+ZONE_DRAINS: Final = "op/evacuate/"
+"""Prefix of the requests to drain a zone; the key is the request, whatever its value."""
+LONGEST_ZONE: Final = 200
+"""Characters of a zone's name at the most; a longer one is none of the platform's."""
 WAVE_STATUS: Final = "status/wave/"
 """Prefix of what the system tells about waves."""
 
@@ -144,6 +148,19 @@
     return Wave(raw.wave, raw.machines, raw.withinS, raw.upperLimit)
 
 
+def decode_zone_drain(key: str) -> str:
+    """Return the zone that a request to drain one names.
+
+    Raises:
+        MalformedAnswer: The key names none.
+    """
+    zone = key.removeprefix(ZONE_DRAINS)
+    if not zone.strip() or len(zone) > LONGEST_ZONE:
+        reason = "no zone is named" if not zone.strip() else "the zone's name is too long"
+        raise MalformedAnswer(reason, step="operators.decode", peer=key[:LONGEST_ZONE])
+    return zone
+
+
 def encode_wave_status(*, completed: bool) -> bytes:
     """Encode what operators are told about a wave."""
     return msgspec.json.encode({"state": "completed" if completed else "running"})
--- a/src/foxtrestle/scheduling/checks.py
+++ b/src/foxtrestle/scheduling/checks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from foxtrestle.scheduling.crashes import MAX_CRASHES
 
@@ -12,6 +12,9 @@
     from foxtrestle.scheduling.state import Fleet, WaveEntry
     from foxtrestle.scheduling.workers import Worker
 
+DRAINED: Final = "zone drained"
+"""Why nothing is started on a worker in a drained zone."""
+
 
 def check_start(fleet: Fleet, task: Task, worker: Worker) -> str:
     """Return what a start would break; empty if nothing."""
@@ -27,6 +30,7 @@
         "order": not all(_is_done(fleet, task, other) for other in step.depends_on),
         "room": not worker.fits(step.shape, fills=step.fills),
         "pool": worker.info.pool != entry.job.pool,
+        DRAINED: worker.drained,
         "label": bool(step.label) and step.label not in worker.info.labels,
     }
     return next((name for name, broken in faults.items() if broken), "")
@@ -40,6 +44,8 @@
     """
     if worker.is_overfull():
         return "room"
+    if worker.drained:
+        return DRAINED
     if worker.info.draining:
         return "draining"
     if not worker.known or not worker.is_described():
--- /dev/null
+++ b/src/foxtrestle/scheduling/draining.py
@@ -0,0 +1,57 @@
+"""Availability zones that operators drain: whether anything may start on a worker.
+
+Every way in which a task comes to start asks the mark that is set here: placements, the check of a
+decided start, the check of a recorded one, and each further attempt of a start without an answer.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.workers import Worker
+
+
+def note_drained(fleet: Fleet, zones: frozenset[str] | None) -> bool:
+    """Take in which zones are drained now, and mark all workers.
+
+    Args:
+        fleet: The state.
+        zones: Zones that are drained; None if that is not known for certain.
+
+    Returns:
+        Whether anything may start at all.
+    """
+    marked = bool(fleet.drained) or not fleet.drains_known
+    fleet.drains_known = zones is not None
+    if zones is not None:
+        fleet.drained = zones
+    if marked or fleet.drained or not fleet.drains_known:
+        for worker in fleet.workers.values():
+            mark(fleet, worker)
+    return fleet.drains_known
+
+
+def take_news(fleet: Fleet, zones: frozenset[str] | None) -> None:
+    """Take in which zones are drained if that has changed since the last round.
+
+    Args:
+        fleet: The state.
+        zones: Zones that are drained; None if that is not known for certain.
+    """
+    before = fleet.drained if fleet.drains_known else None
+    if zones != before:
+        note_drained(fleet, zones)
+
+
+def mark(fleet: Fleet, worker: Worker) -> None:
+    """Mark one worker by the zone that its entry names; if it names none, by its host's."""
+    host = fleet.hosts.get(worker.info.host)
+    zone = worker.info.zone or (host.zone if host is not None else "")
+    worker.drained = is_drained(fleet, zone)
+
+
+def is_drained(fleet: Fleet, zone: str) -> bool:
+    """Tell whether a zone is drained, or may be as far as is known."""
+    return not fleet.drains_known or zone in fleet.drained
--- a/src/foxtrestle/scheduling/eligibility.py
+++ b/src/foxtrestle/scheduling/eligibility.py
@@ -44,6 +44,7 @@
         and worker.info.readable
         and worker.is_described()
         and not worker.cordoned
+        and not worker.drained
         and not worker.unknown_runs
         and not worker.info.draining
         and now >= worker.full_until
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -65,6 +65,10 @@
         self.listed_at: float | None = None
         """Monotonic time at which the newest list was asked for, seconds; None while there was
         none, and for hosts that come from elsewhere."""
+        self.drained: frozenset[str] = frozenset()
+        """Availability zones that operators drain."""
+        self.drains_known = True
+        """Whether that is certain; if not, any zone may be drained."""
         self.waves: dict[int, WaveEntry] = {}
         """Waves by number."""
         self.plans: dict[str, HostPlan] = {}
--- a/src/foxtrestle/scheduling/workers.py
+++ b/src/foxtrestle/scheduling/workers.py
@@ -34,6 +34,7 @@
         "clock_offset_ms",
         "contact_at",
         "cordoned",
+        "drained",
         "failed_at",
         "failed_jobs",
         "fenced",
@@ -68,6 +69,8 @@
         """Whether its entry has disappeared."""
         self.cordoned = False
         """Whether its host is being emptied."""
+        self.drained = False
+        """Whether its zone is drained, or may be; set by `draining`."""
         self.token = 0
         """Fencing token of the calls to its present life; 0 for the number of the term."""
         self.fenced = True
--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -88,6 +88,8 @@
     """Name of the host."""
     pool: str
     """Pool it is in."""
+    zone: str = "z"
+    """Availability zone."""
     state: str = "up"
     """As the platform lists it."""
     worker: str = ""
@@ -154,11 +156,19 @@
         """Write a key as operators do."""
         self.engine.commit(Transaction({}, {key: msgspec.json.encode(value)}))
 
+    def drain_zone(self, zone: str) -> None:
+        """Ask that a zone gets nothing new."""
+        self.write(f"op/evacuate/{zone}", {})
+
+    def open_zone(self, zone: str) -> None:
+        """Take that request away."""
+        self.engine.commit(Transaction({}, {}, (f"op/evacuate/{zone}",)))
+
     # Workers and hosts.
 
-    async def add_host(self, name: str, pool: str) -> None:
+    async def add_host(self, name: str, pool: str, zone: str = "z") -> None:
         """Add a host; it gets a worker unless its pool is off."""
-        host = SimulatedHost(name, pool)
+        host = SimulatedHost(name, pool, zone)
         self.hosts[name] = host
         if pool != self._reserve:
             await self._begin_life(host)
@@ -174,7 +184,7 @@
         socket = bind(LOOPBACK, 0)
         address = f"{LOOPBACK}:{socket.getsockname()[1]}"
         info = WorkerInfo(
-            worker_id, host.pool, address, "z", False, self._room, ("a", "r1"), host.name,
+            worker_id, host.pool, address, host.zone, False, self._room, ("a", "r1"), host.name,
             self._find_birth(),
         )  # fmt: skip
         worker = SimulatedWorker(info, lambda: time.monotonic() * 1000, self._describe)
@@ -477,6 +487,7 @@
                     "machine": host.name,
                     "pool": host.pool,
                     "state": host.state,
+                    "zone": host.zone,
                     "capacity": {"cpu": self._room.cpu, "memMb": self._room.memory_mb, "gpu": 0},
                     "id": host.worker or None,
                 }
--- /dev/null
+++ b/tests/test_zone_drain.py
@@ -0,0 +1,459 @@
+"""Draining an availability zone: nothing starts there, whichever way a task comes to start."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import hypothesis.strategies as st
+import msgspec
+import pytest
+from hypothesis import given, settings
+
+from foxtrestle.clock import read_clock
+from foxtrestle.control.measures import Measures
+from foxtrestle.control.orders import ATTEMPTS, Orders
+from foxtrestle.control.ownership import Term
+from foxtrestle.control.roster import Roster
+from foxtrestle.node import drained_zones as drained_zones_module
+from foxtrestle.node import operators as operators_module
+from foxtrestle.node.drained_zones import START_MARGIN_S, DrainedZones
+from foxtrestle.node.operators import OperatorMirror
+from foxtrestle.platform.http import NoAnswer
+from foxtrestle.platform.operators import LONGEST_ZONE, OPERATORS, ZONE_DRAINS
+from foxtrestle.platform.workers import ENTRIES
+from foxtrestle.scheduling.checks import DRAINED, check_send, check_start
+from foxtrestle.scheduling.draining import mark, note_drained, take_news
+from foxtrestle.scheduling.eligibility import is_usable
+from foxtrestle.scheduling.lives import begin_next_life
+from foxtrestle.scheduling.model import Shape, Step, WorkerReport
+from foxtrestle.scheduling.partitions import Partition
+from foxtrestle.scheduling.placing import choose_placements
+from foxtrestle.scheduling.runs import place_run
+from foxtrestle.store import Change, Compacted, Listing, Record
+from tests.properties import scale
+from tests.scheduling_fakes import NOW, add_worker, enter, make_fleet, make_job
+from tests.test_other_writers import ENTRY
+
+if TYPE_CHECKING:
+    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.workers import Worker
+
+DRAIN_S = 5.0
+ZONES = ("z0", "z1", "z2")
+Lines = list[tuple[str, dict[str, Any]]]
+
+
+@pytest.fixture
+def lines(monkeypatch: pytest.MonkeyPatch) -> Lines:
+    """What is logged about operators' keys and zones."""
+    told: Lines = []
+
+    def note(event: str, **fields: Any) -> None:
+        told.append((event, fields))
+
+    monkeypatch.setattr(drained_zones_module, "log", note)
+    monkeypatch.setattr(operators_module, "log", note)
+    return told
+
+
+def list_events(lines: Lines) -> list[str]:
+    return [event for event, _ in lines]
+
+
+def spread_over_zones(*zones: str) -> Fleet:
+    """Make a fleet with a worker in each of some zones."""
+    fleet = make_fleet(0)
+    for number, zone in enumerate(zones):
+        move_to_zone(add_worker(fleet, f"w{number}"), zone)
+    return fleet
+
+
+def move_to_zone(worker: Worker, zone: str) -> None:
+    worker.info = msgspec.structs.replace(worker.info, zone=zone)
+
+
+def place(fleet: Fleet) -> list[str]:
+    """Decide once; return the zones in which tasks were placed."""
+    zones = []
+    for placement in choose_placements(fleet, NOW):
+        for task, worker in placement.members:
+            place_run(fleet, task, worker, placement.run, NOW)
+            zones.append(worker.info.zone)
+    return zones
+
+
+# What operators wrote.
+
+
+class Keys:
+    """Operators' keys, as a store tells of them to a mirror."""
+
+    def __init__(self, named: tuple[str, ...] = ZONES, drain_s: float | None = DRAIN_S) -> None:
+        self.mirror = OperatorMirror(
+            None,  # type: ignore[arg-type]
+            lambda: None,
+            2.0,
+            DrainedZones(named, drain_s),
+        )
+        self.mirror.complete_at = read_clock()
+        self.revision = 1
+
+    def put(self, zone: str, value: bytes = b"{}") -> None:
+        self.revision += 1
+        key = ZONE_DRAINS + zone
+        self.mirror._take([Change(key, Record(key, value, self.revision), self.revision)])
+
+    def remove(self, zone: str) -> None:
+        self.revision += 1
+        self.mirror._take([Change(ZONE_DRAINS + zone, None, self.revision)])
+
+    def find(self) -> frozenset[str] | None:
+        return self.mirror.find_drained(read_clock())
+
+
+def test_a_key_drains_its_zone_until_it_is_taken_away(lines: Lines) -> None:
+    keys = Keys()
+    assert keys.find() == frozenset()
+    keys.put("z1")
+    assert keys.find() == {"z1"}
+    keys.remove("z1")
+    assert keys.find() == frozenset()
+    assert list_events(lines) == ["zone.draining", "zone.open"]
+    assert lines[0][1] == {"zone": "z1", "revision": 2, "known_s": pytest.approx(0.0, abs=0.5)}
+
+
+def test_a_request_taken_back_and_made_again_within_one_answer_is_in_force() -> None:
+    keys = Keys()
+    key = ZONE_DRAINS + "z1"
+    changes = [
+        Change(key, Record(key, b"{}", 5), 5),
+        Change(key, None, 6),
+        Change(key, Record(key, b"{}", 7), 7),
+    ]
+    keys.mirror._take(changes)
+    assert keys.mirror.zones.drains["z1"].revision == 7
+    keys.mirror._take([Change(key, None, 8)])
+    assert keys.find() == frozenset()
+
+
+def test_several_zones_are_drained_apart() -> None:
+    keys = Keys()
+    keys.put("z0")
+    keys.put("z2")
+    assert keys.find() == {"z0", "z2"}
+    assert not keys.mirror.zones.has_all()
+    keys.put("z1")
+    assert keys.mirror.zones.has_all()
+    keys.remove("z0")
+    assert keys.find() == {"z1", "z2"}
+
+
+@pytest.mark.parametrize("value", [b"", b"null", b"[1]", b"\xff\xfe", b'{"until": "never"}'])
+def test_the_key_is_the_request_whatever_its_value(value: bytes) -> None:
+    keys = Keys()
+    keys.put("z1", value)
+    assert keys.find() == {"z1"}
+
+
+@pytest.mark.parametrize("zone", ["", " ", "z" * (LONGEST_ZONE + 1)])
+def test_a_key_without_a_zone_is_passed_over_and_told_once(zone: str, lines: Lines) -> None:
+    keys = Keys()
+    key = ZONE_DRAINS + zone
+    for _ in range(2):
+        keys.mirror._take([Change(key, Record(key, b"{}", 3), 3)])
+    assert keys.find() == frozenset()
+    [(event, fields)] = lines
+    assert event == "operators.unreadable"
+    assert fields["key"] == key
+    assert "zone" in fields["reason"]
+    keys.mirror._take([Change(key, None, 4)])
+    assert list_events(lines) == ["operators.unreadable"]
+
+
+def test_a_zone_that_the_settings_do_not_name_is_told_and_obeyed(lines: Lines) -> None:
+    keys = Keys()
+    keys.put("elsewhere")
+    assert list_events(lines) == ["zone.draining", "zone.unknown"]
+    assert keys.find() == {"elsewhere"}
+    fleet = spread_over_zones("elsewhere", "z0")
+    note_drained(fleet, keys.find())
+    enter(fleet, make_job(Step(count=4)))
+    assert set(place(fleet)) == {"z0"}
+
+
+class LossyStore:
+    """A store that drops its history, and answers with what it holds then."""
+
+    def __init__(self) -> None:
+        self.keys: set[str] = {ZONE_DRAINS + "z0"}
+        self.revision = 1
+        self.polls = 0
+
+    async def scan(self, prefix: str) -> Listing:
+        assert prefix == OPERATORS
+        records = tuple(Record(key, b"{}", self.revision) for key in sorted(self.keys))
+        return Listing(records, self.revision)
+
+    async def poll(self, prefix: str, after: int, wait_s: float) -> tuple[list[Change], int]:
+        self.polls += 1
+        if self.polls == 1:
+            # Between the request and this answer it was taken away, and another was made.
+            self.keys = {ZONE_DRAINS + "z2"}
+            self.revision += 7
+            raise Compacted("gone", step="poll", peer="store")
+        raise StopFollowing
+
+
+class StopFollowing(Exception):
+    pass
+
+
+async def test_a_request_taken_away_in_a_history_that_is_gone_has_ended() -> None:
+    store: Any = LossyStore()
+    mirror = OperatorMirror(store, lambda: None, 2.0, DrainedZones(ZONES, DRAIN_S))
+    with pytest.raises(StopFollowing):
+        await mirror.follow()
+    assert mirror.find_drained(read_clock()) == {"z2"}
+
+
+# Not knowing.
+
+
+def test_where_a_request_may_be_unknown_for_too_long_nothing_is_known(lines: Lines) -> None:
+    zones = DrainedZones(ZONES, DRAIN_S)
+    zones.begin("z0", 1, 0.0)
+    lines.clear()
+    assert zones.find(100.0, 100.0 + DRAIN_S - START_MARGIN_S - 0.01) == {"z0"}
+    assert zones.find(100.0, 100.0 + DRAIN_S - START_MARGIN_S) is None
+    assert zones.find(100.0, 100.0 + 2 * DRAIN_S) is None
+    assert zones.find(110.0, 111.0) == {"z0"}
+    assert lines == [
+        ("zones.unknown", {"age_s": DRAIN_S - START_MARGIN_S}),
+        ("zones.known", {"age_s": 1.0}),
+    ]
+
+
+def test_a_deployment_whose_operators_drain_no_zones_never_waits_for_knowledge() -> None:
+    assert Keys((), None).mirror.zones.find(-1e9, 0.0) == frozenset()
+    assert OperatorMirror(None, lambda: None, 2.0).find_drained(1e9) == frozenset()  # type: ignore[arg-type]
+    assert not DrainedZones().has_all()
+
+
+def test_nothing_starts_anywhere_while_any_zone_may_be_drained() -> None:
+    fleet = spread_over_zones(*ZONES)
+    enter(fleet, make_job(Step(count=4)))
+    assert not note_drained(fleet, None)
+    assert place(fleet) == []
+    assert all(check_send(worker) == DRAINED for worker in fleet.workers.values())
+    assert note_drained(fleet, frozenset({"z1"}))
+    assert set(place(fleet)) <= {"z0", "z2"}
+
+
+# Deciding.
+
+
+def test_no_task_is_placed_in_a_drained_zone_and_all_are_again_when_it_is_open() -> None:
+    fleet = spread_over_zones("z0", "z1")
+    note_drained(fleet, frozenset({"z0"}))
+    enter(fleet, make_job(Step(count=40, shape=Shape(1000, 100))))
+    assert set(place(fleet)) == {"z1"}
+    enter(fleet, make_job(Step(count=4, shape=Shape(1000, 100)), id="1" * 16))
+    note_drained(fleet, frozenset())
+    assert set(place(fleet)) == {"z0"}
+
+
+@pytest.mark.parametrize(("drained", "whole"), [({"z0"}, False), ({"z3"}, True)])
+def test_a_gang_is_placed_whole_outside_drained_zones_or_not_at_all(
+    drained: set[str], whole: bool
+) -> None:
+    fleet = spread_over_zones("z0", "z1", "z2")
+    note_drained(fleet, frozenset(drained))
+    enter(fleet, make_job(Step(count=3, gang=True, max_per_worker=1)))
+    assert len(place(fleet)) == (3 if whole else 0)
+
+
+def test_lasting_tasks_and_retries_are_not_placed_in_a_drained_zone() -> None:
+    fleet = spread_over_zones("z0")
+    note_drained(fleet, frozenset({"z0"}))
+    enter(fleet, make_job(Step(lasting=True)))
+    retried = enter(fleet, make_job(Step(), id="1" * 16))
+    [task] = retried.tasks.values()
+    task.failures = 1
+    assert place(fleet) == []
+
+
+def test_a_decided_and_a_recorded_start_are_both_held_back() -> None:
+    fleet = spread_over_zones("z0")
+    entry = enter(fleet, make_job())
+    [task] = entry.tasks.values()
+    worker = fleet.workers["w0"]
+    assert not check_start(fleet, task, worker)
+    assert not check_send(worker)
+    note_drained(fleet, frozenset({"z0"}))
+    assert check_start(fleet, task, worker) == DRAINED
+    assert check_send(worker) == DRAINED
+
+
+def test_the_next_life_of_a_worker_in_a_drained_zone_gets_nothing() -> None:
+    fleet = spread_over_zones("z0")
+    note_drained(fleet, frozenset({"z0"}))
+    worker = fleet.workers["w0"]
+    begin_next_life(fleet, worker, WorkerReport(0, born_ms=77), NOW, NOW, crashed=False)
+    assert worker.born_ms == 77
+    assert worker.drained
+    worker.note_answer(NOW)
+    assert not is_usable(worker, NOW)
+
+
+async def hold_nothing(worker: Worker) -> None:
+    return None
+
+
+def make_roster(fleet: Fleet) -> Roster:
+    return Roster(fleet, Partition(), hold_nothing, lambda stops: None, Measures())
+
+
+def make_entry(zone: str, revision: int) -> Change:
+    key = ENTRIES + "w-new"
+    value = msgspec.json.encode(ENTRY | {"zone": zone})
+    return Change(key, Record(key, value, revision), revision)
+
+
+async def test_a_worker_is_marked_as_its_entry_comes_and_when_its_zone_changes() -> None:
+    fleet = make_fleet(0)
+    note_drained(fleet, frozenset({"z0"}))
+    roster = make_roster(fleet)
+    roster.take([make_entry("z0", 5)])
+    worker = fleet.workers["w-new"]
+    assert worker.drained
+    roster.take([make_entry("z1", 6)])
+    assert not worker.drained
+    roster.take([make_entry("z0", 7)])
+    assert worker.drained
+
+
+async def test_a_takeover_reads_workers_before_it_knows_the_zones_and_starts_nothing() -> None:
+    """The new controller has a state of its own, in which no round has marked anything yet."""
+    fleet = make_fleet(0)
+    make_roster(fleet).take([make_entry("z0", 5)])
+    worker = fleet.workers["w-new"]
+    worker.known = True
+    worker.contact_at = NOW
+    enter(fleet, make_job())
+    take_news(fleet, frozenset({"z0"}))
+    assert check_send(worker) == DRAINED
+    assert place(fleet) == []
+
+
+def test_a_worker_that_names_no_zone_is_in_that_of_its_host() -> None:
+    fleet = spread_over_zones("")
+    note_drained(fleet, frozenset({"z"}))
+    assert fleet.hosts["h-w0"].zone == "z"
+    assert fleet.workers["w0"].drained
+
+
+def test_what_has_not_changed_marks_no_worker_anew() -> None:
+    fleet = spread_over_zones("z0")
+    take_news(fleet, frozenset({"z0"}))
+    worker = fleet.workers["w0"]
+    assert worker.drained
+    worker.drained = False
+    take_news(fleet, frozenset({"z0"}))
+    assert not worker.drained
+    mark(fleet, worker)
+    assert worker.drained
+
+
+# Sending.
+
+
+class UnansweredCalls:
+    """Workers that answer no start; their zone is drained before the second attempt."""
+
+    def __init__(self, drain: Any) -> None:
+        self.starts = 0
+        self.stops = 0
+        self._drain = drain
+
+    async def start(self, *_: Any) -> int:
+        self.starts += 1
+        self._drain()
+        raise NoAnswer("silent", step="start", peer="w")
+
+    async def stop(self, *_: Any) -> int:
+        self.stops += 1
+        return 0
+
+
+def make_orders(fleet: Fleet, calls: Any) -> Orders:
+    term = Term(1, Record("lock", b"", 1), float("inf"))
+    return Orders(fleet, term, calls, lambda: None, lambda worker, why: None)
+
+
+@pytest.mark.parametrize("drained", [False, True])
+async def test_a_start_without_an_answer_is_not_sent_again_into_a_drained_zone(
+    drained: bool,
+) -> None:
+    fleet = spread_over_zones("z0")
+    [task] = enter(fleet, make_job()).tasks.values()
+    worker = fleet.workers["w0"]
+    run = place_run(fleet, task, worker, 1, NOW)
+    zones = frozenset({"z0"}) if drained else frozenset()
+    calls = UnansweredCalls(lambda: note_drained(fleet, zones))
+    await make_orders(fleet, calls).start(task, run, worker)
+    assert calls.starts == (1 if drained else ATTEMPTS)
+    assert calls.stops == 1, "the first may still arrive"
+    assert run.state == "stopping"
+
+
+async def test_a_start_that_was_never_sent_is_dropped_and_its_task_waits_again() -> None:
+    fleet = spread_over_zones("z0")
+    entry = enter(fleet, make_job())
+    [task] = entry.tasks.values()
+    worker = fleet.workers["w0"]
+    run = place_run(fleet, task, worker, 1, NOW)
+    note_drained(fleet, frozenset({"z0"}))
+    calls = UnansweredCalls(lambda: None)
+    await make_orders(fleet, calls).start(task, run, worker)
+    assert (calls.starts, calls.stops) == (0, 0)
+    assert task.key in entry.ready
+    assert not worker.runs
+
+
+# Whatever is drained and placed.
+
+
+@settings(max_examples=scale(100), deadline=None)
+@given(
+    zones=st.lists(st.sampled_from(ZONES), min_size=1, max_size=6),
+    rounds=st.lists(
+        st.tuples(
+            st.none() | st.frozensets(st.sampled_from(ZONES)),
+            st.integers(1, 8),
+            st.booleans(),
+            st.booleans(),
+            st.sampled_from((0, 1)),
+        ),
+        max_size=8,
+    ),
+)
+def test_nothing_is_ever_placed_in_a_drained_zone(
+    zones: list[str],
+    rounds: list[tuple[frozenset[str] | None, int, bool, bool, int]],
+) -> None:
+    fleet = spread_over_zones(*zones)
+    for number, (drained, count, gang, lasting, apart) in enumerate(rounds):
+        step = Step(
+            count=count,
+            shape=Shape(6000, 1000),
+            gang=gang and not lasting,
+            lasting=lasting,
+            max_per_worker=apart,
+        )
+        enter(fleet, make_job(step, id=f"{number:016x}"))
+        note_drained(fleet, drained)
+        placed = place(fleet)
+        if drained is None:
+            assert placed == []
+        else:
+            assert not drained & set(placed)
--- /dev/null
+++ b/tests/test_zone_drain_nodes.py
@@ -0,0 +1,180 @@
+"""Whole nodes while operators drain an availability zone."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from foxtrestle.control.ledger import Ledger
+from foxtrestle.scheduling.model import Shape
+from foxtrestle.standins.site import Site
+from tests import test_node as test_node_module
+from tests.test_node import count_starts, name, running, short_times, wait_for
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    import pytest
+
+    from foxtrestle.control.controller import Controller
+    from tests.test_node import Client, RunningNode
+
+__all__ = ["short_times"]
+
+ZONES = ("z", "z1")
+
+
+@asynccontextmanager
+async def draining(
+    monkeypatch: pytest.MonkeyPatch, site: Site, nodes: int = 1, drain_s: float = 5.0
+) -> AsyncIterator[tuple[Client, list[RunningNode]]]:
+    """Run nodes whose operators drain zones, over a worker in each of two zones."""
+
+    def describe(**values: Any) -> Any:
+        bounds = msgspec.structs.replace(values.pop("bounds"), drain_zone_s=drain_s)
+        return NodeSettings(bounds=bounds, zones=ZONES, **values)
+
+    NodeSettings = test_node_module.NodeSettings
+    monkeypatch.setattr(test_node_module, "NodeSettings", describe)
+    async with running(site, nodes, hosts=1) as (client, started):
+        await site.add_host("h-z1", "main", "z1")
+        await wait_for(lambda: any(has_workers(one, 2) for one in started))
+        yield client, started
+
+
+def has_workers(one: RunningNode, count: int) -> bool:
+    controller = one.node.controller
+    if controller is None:
+        return False
+    return sum(worker.known for worker in controller.fleet.workers.values()) == count
+
+
+def find_controller(nodes: list[RunningNode]) -> Controller:
+    return next(one.node.controller for one in nodes if one.node.controller is not None)
+
+
+def list_zones(site: Site) -> set[str]:
+    return {worker.info.zone for worker in site.list_workers() if worker.starts}
+
+
+async def wait_for_drain(nodes: list[RunningNode], zones: set[str]) -> None:
+    await wait_for(lambda: all(set(one.node.operators.zones.drains) == zones for one in nodes))
+
+
+async def test_nothing_starts_in_a_drained_zone_and_all_does_when_it_is_open(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = Site()
+    async with draining(monkeypatch, site) as (client, nodes):
+        site.drain_zone("z")
+        await wait_for_drain(nodes, {"z"})
+        for number in range(4):
+            assert await client.submit(name(number), {"count": 6, "cpu": 2000}) == 200
+        await wait_for(lambda: len(count_starts(site)) == 24)
+        assert list_zones(site) == {"z1"}
+        site.open_zone("z")
+        site.drain_zone("z1")
+        await wait_for_drain(nodes, {"z1"})
+        before = len(count_starts(site))
+        assert await client.submit(name(9), {"count": 6, "cpu": 2000}) == 200
+        await wait_for(lambda: len(count_starts(site)) == before + 6)
+        assert list_zones(site) == {"z", "z1"}
+        assert set(count_starts(site).values()) == {1}
+
+
+async def test_a_drain_taken_back_within_a_second_leaves_nothing_behind(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = Site()
+    async with draining(monkeypatch, site) as (client, nodes):
+        site.drain_zone("z")
+        site.drain_zone("z1")
+        await wait_for_drain(nodes, set(ZONES))
+        await asyncio.sleep(0.3)
+        site.open_zone("z")
+        site.open_zone("z1")
+        await wait_for_drain(nodes, set())
+        assert await client.submit(name(1), {"count": 40, "cpu": 1000}) == 200
+        await wait_for(lambda: len(count_starts(site)) == 40)
+        assert list_zones(site) == set(ZONES)
+
+
+async def test_a_start_that_is_recorded_while_its_zone_is_drained_is_withheld(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = Site(describe=lambda key: (Shape(20_000, 100), 50.0, "done"))
+    async with draining(monkeypatch, site) as (client, nodes):
+        record = Ledger.record
+        drained = [False]
+
+        async def record_slowly(self: Ledger, jobs: Any) -> None:
+            await record(self, jobs)
+            if not drained[0]:
+                drained[0] = True
+                site.drain_zone("z")
+                await wait_for_drain(nodes, {"z"})
+
+        monkeypatch.setattr(Ledger, "record", record_slowly)
+        # A gang over both workers: of its two starts neither is sent.
+        step = {"count": 2, "cpu": 20_000, "gang": True, "antiAffinity": 1}
+        assert await client.submit(name(1), step) == 200
+        await wait_for(lambda: drained[0])
+        await asyncio.sleep(0.5)
+        assert not count_starts(site)
+        site.open_zone("z")
+        await wait_for(lambda: len(count_starts(site)) == 2)
+
+
+async def test_a_takeover_while_a_zone_is_drained_starts_nothing_there(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = Site()
+    async with draining(monkeypatch, site, nodes=2) as (client, nodes):
+        site.drain_zone("z")
+        site.drain_zone("z1")
+        await wait_for_drain(nodes, set(ZONES))
+        first = next(one for one in nodes if one.node.controller is not None)
+        other = nodes.index(next(one for one in nodes if one is not first))
+        # Kept before all zones were known to be drained.
+        monkeypatch.setattr(nodes[other].node.operators.zones, "has_all", lambda: False)
+        assert await client.submit(name(1), {"count": 4, "cpu": 1000}, node=other) == 200
+        await first.kill()
+        await wait_for(lambda: has_workers(nodes[other], 2))
+        await asyncio.sleep(0.5)
+        assert not count_starts(site)
+        site.open_zone("z1")
+        await wait_for(lambda: len(count_starts(site)) == 4)
+        assert list_zones(site) == {"z1"}
+
+
+async def test_a_controller_that_hears_nothing_of_operators_starts_nothing_in_the_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = Site()
+    async with draining(monkeypatch, site) as (client, nodes):
+        mirror = nodes[0].node.operators
+        controller = find_controller(nodes)
+        controller._operators = Deaf(mirror)  # type: ignore[assignment]
+        controller.wake()
+        assert await client.submit(name(1), {"count": 4, "cpu": 1000}) == 200
+        await asyncio.sleep(0.6)
+        assert not count_starts(site)
+        assert not controller.fleet.drains_known
+        controller._operators = mirror
+        await wait_for(lambda: len(count_starts(site)) == 4)
+
+
+class Deaf:
+    """A mirror whose knowledge of drained zones is too old."""
+
+    def __init__(self, mirror: Any) -> None:
+        self._mirror = mirror
+
+    def __getattr__(self, field: str) -> Any:
+        return getattr(self._mirror, field)
+
+    def find_drained(self, now: float) -> None:
+        return None
