Drained zones: their hosts are no room, idle ones go off, maintenance takes them first, and what lasts moves out

Cause: hosts of a drained zone counted for their pools, were fetched and moved, so a pool waited for room that it may not use; lasting tasks and long ones would have stayed there for as long as the drain. Change: `HostView.drained` leaves a host out wherever room is counted or fetched; plans into a serving pool that are not ordered are dropped; hosts idle for KEEP_S go off; waves take drained hosts first. `moving_out` stops what lasts (after the bound, with a place, within max_absent) and what saves progress and is long. One copy of the absences' budget for both emptyings (`maintaining.Absences`). Lines `zone.drain-progress`, `zone.drained`, `run.moved-out`. Conclusion: gangs that save progress are let end, since a member that is stopped breaks the whole; long tasks that save progress wait for the bound as lasting ones do, since a request that is taken back would cost them for nothing.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -24,6 +24,7 @@
 from foxtrestle.control.roster import Roster
 from foxtrestle.control.spawn import Spawner
 from foxtrestle.control.sweep import SWEEP_S, sweep
+from foxtrestle.control.zone_drains import ZoneDrains
 from foxtrestle.platform.workers import ENTRIES
 from foxtrestle.scheduling.checks import check_send, check_start
 from foxtrestle.scheduling.draining import note_drained, take_news
@@ -109,6 +110,13 @@
             self.wake,
             self._roster.lose,
         )
+        self.zones = ZoneDrains(
+            self.fleet,
+            operators,
+            settings.bounds,
+            lambda stop: self._background.spawn(self._orders.stop(stop)),
+        )
+        """Zones that operators drain."""
         self._shares = Shares()
         self._whole: FleetConfiguration | None = None
         self._shared: FleetConfiguration | None = None
@@ -329,6 +337,7 @@
         for name in self.fleet.at_limit ^ at_limit:
             event = "limited" if name in self.fleet.at_limit else "free"
             log(f"organisation.{event}", org=name, current=current)
+        self.zones.decide(now)
         self._hosts.decide(now)
 
     def _share_configuration(self) -> FleetConfiguration | None:
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -31,9 +31,9 @@
 from foxtrestle.scheduling.needs import measure_host
 from foxtrestle.scheduling.order_budget import OrderBudget, order_plans
 from foxtrestle.scheduling.partitions import share_wave
-from foxtrestle.scheduling.scaling import choose_drops, choose_moves
+from foxtrestle.scheduling.scaling import HostMove, choose_drops, choose_moves
 from foxtrestle.scheduling.state import WaveEntry
-from foxtrestle.scheduling.turning_off import OffBudget
+from foxtrestle.scheduling.turning_off import DrainedHosts, OffBudget
 from foxtrestle.scheduling.turns import take_turn
 from foxtrestle.store import StoreError
 
@@ -91,6 +91,7 @@
         self._looked_at = 0.0
         self._postponed: dict[str, float] = {}
         self._off = OffBudget()
+        self._drained = DrainedHosts()
         self._background = Spawner()
         self._records = OrderRecords(store, term, settings.bounds.turn_s)
         self._waves = WaveRecords(store, term)
@@ -295,6 +296,8 @@
         most_off = self._off.count(len(views), needs.values(), now) if known else 0
         moves = choose_moves(needs, views, reserve, now, barred, most_off, fitting, turn)
         self._off.take(sum(1 for move in moves if move.pool == reserve))
+        idle = self._drained.list_idle(views, reserve, now)
+        moves += [HostMove(name, reserve) for name in idle if name not in barred]
         told = {
             name: [round(need.demand, 2), need.wanted, need.have, round(need.growth, 1)]
             for name, need in needs.items()
--- a/src/foxtrestle/node/settings.py
+++ b/src/foxtrestle/node/settings.py
@@ -32,6 +32,8 @@
     """How many times longer a task takes away from its data, or a gang over racks."""
     save_s: float = 2.0
     """Seconds of work between two checkpoints."""
+    restore_s: float = 0.6
+    """Seconds a task takes to go on from its saved progress."""
     absence_s: float = 4.5
     """Seconds after which a lasting task counts as away whatever the cause."""
     pace_s: float = 0.1
--- a/src/foxtrestle/platform/settings.py
+++ b/src/foxtrestle/platform/settings.py
@@ -43,6 +43,7 @@
     upkeep_s: float = 2
     far_x: float = 2
     save_s: float = 2
+    restore_ms: float = 600
     notice_ms: float = 4500
     pace_ms: float = 100
     harm_ms: float = 4000
@@ -132,6 +133,7 @@
                 maintenance_s=bounds.upkeep_s,
                 far_factor=bounds.far_x,
                 save_s=bounds.save_s,
+                restore_s=bounds.restore_ms / 1000,
                 absence_s=bounds.notice_ms / 1000,
                 pace_s=bounds.pace_ms / 1000,
                 harm_s=bounds.harm_ms / 1000,
--- a/src/foxtrestle/scheduling/draining.py
+++ b/src/foxtrestle/scheduling/draining.py
@@ -46,10 +46,14 @@
 
 
 def mark(fleet: Fleet, worker: Worker) -> None:
-    """Mark one worker by the zone that its entry names; if it names none, by its host's."""
+    """Mark one worker by its zone."""
+    worker.drained = is_drained(fleet, find_zone(fleet, worker))
+
+
+def find_zone(fleet: Fleet, worker: Worker) -> str:
+    """Return the zone that a worker's entry names; if it names none, its host's."""
     host = fleet.hosts.get(worker.info.host)
-    zone = worker.info.zone or (host.zone if host is not None else "")
-    worker.drained = is_drained(fleet, zone)
+    return worker.info.zone or (host.zone if host is not None else "")
 
 
 def is_drained(fleet: Fleet, zone: str) -> bool:
--- a/src/foxtrestle/scheduling/fitting.py
+++ b/src/foxtrestle/scheduling/fitting.py
@@ -129,11 +129,15 @@
 def _measure_wait(fleet: Fleet, entry: JobEntry, task: Task, now: float) -> float:
     """Return the seconds that a task has waited for a worker; negative if it does not.
 
-    One that lasts, on a host that is being emptied, waits for another place to go to.
+    One that lasts, on a host that is being emptied, waits for another place to go to. So does one
+    in a drained zone, though not so urgently that a host is taken from where it is needed.
     """
     if task.key in entry.ready:
         return now - task.waiting_since
     for run in task.runs.values() if task.step.lasting else ():
+        worker = fleet.workers.get(run.worker)
+        if worker is not None and worker.drained:
+            return 0.0
         plan = fleet.plans.get(run.host)
         if plan is not None and plan.state == "emptying":
             return now - plan.changed_at
@@ -145,6 +149,7 @@
     return any(
         view.plan is not None
         and not view.plan.wave
+        and not view.drained
         and view.plan.pool == need.pool
         and need.is_met_by(view)
         for view in views
@@ -165,7 +170,7 @@
 
 def _counts(need: FittingNeed, view: HostView, now: float) -> bool:
     plan, worker = view.plan, view.worker
-    if not need.is_met_by(view):
+    if view.drained or not need.is_met_by(view):
         return False
     if plan is not None:
         return plan.pool == need.pool and not plan.wave
--- a/src/foxtrestle/scheduling/hosts.py
+++ b/src/foxtrestle/scheduling/hosts.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from foxtrestle.chart import load_chart
+from foxtrestle.scheduling.draining import is_drained
 from foxtrestle.scheduling.eligibility import HOLD_WAIT_S
 from foxtrestle.scheduling.listing import is_shown
 from foxtrestle.scheduling.losses import HOST_LOSSES, LossReason
@@ -86,6 +87,8 @@
     """What is to become of it."""
     pool: str
     """Pool it is in, by its worker if it has one."""
+    drained: bool = False
+    """Whether its zone is drained, by its worker if it has one: it is no room for anything."""
 
     @property
     def room(self) -> Shape:
@@ -174,7 +177,8 @@
         last = newest.get(name)
         live = last if last is not None and not last.gone else None
         pool = live.info.pool if live is not None else info.pool
-        views[name] = HostView(info, last, fleet.plans.get(name), pool)
+        drained = live.drained if live is not None else is_drained(fleet, info.zone)
+        views[name] = HostView(info, last, fleet.plans.get(name), pool, drained)
     return views
 
 
--- a/src/foxtrestle/scheduling/maintaining.py
+++ b/src/foxtrestle/scheduling/maintaining.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING, Final
 
+from foxtrestle.scheduling.draining import is_drained
 from foxtrestle.scheduling.eligibility import SILENCE_S, can_hold, is_suspect, is_usable
 from foxtrestle.scheduling.model import TaskKey
 from foxtrestle.scheduling.runs import StopOrder
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection, Iterable, Iterator
 
     from foxtrestle.scheduling.hosts import HostView
     from foxtrestle.scheduling.jobs import Run, Task
@@ -42,8 +44,8 @@
 ) -> list[HostView]:
     """Choose hosts of a wave to empty now.
 
-    Hosts that are off or idle go first; then those whose pool can do without them; when time
-    runs short, any.
+    Hosts of drained zones, which serve nobody, go first, then those that are off or idle; then
+    those whose pool can do without them; when time runs short, any.
 
     Args:
         entry: The wave.
@@ -73,7 +75,7 @@
             break
         if view.info.state in {"moving", "upkeep", "down"}:
             continue
-        costs = 1.0 if view.is_up() else 0.0
+        costs = 1.0 if view.is_up() and not view.drained else 0.0
         if not forced and costs and left.get(view.pool, 0.0) < costs:
             continue
         left[view.pool] = left.get(view.pool, 0.0) - costs
@@ -81,12 +83,12 @@
     return chosen
 
 
-def _rank(view: HostView) -> tuple[bool, int, int, str]:
+def _rank(view: HostView) -> tuple[bool, bool, int, int, str]:
     """Order hosts for maintenance: lasting tasks make emptying long, so those hosts begin first."""
-    worker = view.worker
+    worker, kept = view.worker, not view.drained
     if worker is None:
-        return view.is_up(), 0, 0, view.info.name
-    return view.is_up(), -worker.lasting, worker.used.cpu, view.info.name
+        return kept, view.is_up(), 0, 0, view.info.name
+    return kept, view.is_up(), -worker.lasting, worker.used.cpu, view.info.name
 
 
 def _is_under_way(view: HostView | None, wave: int) -> bool:
@@ -123,28 +125,60 @@
         now: Monotonic time, seconds.
     """
     stops: list[StopOrder] = []
-    taken: dict[tuple[str, int, int], int] = {}
-    for (key, _), run in sorted(worker.runs.items()):
-        found = fleet.find_run(key, run.number)
-        if found is None or run.state != "running":
-            continue
-        task, _ = found
-        where = (key.job, key.repetition, key.step)
+    absences = Absences(fleet, stop_s, now)
+    for task, run in list_running(fleet, worker):
         if task.step.lasting:
-            absent = count_absent(fleet, key, stop_s, now) + taken.get(where, 0)
-            if absent >= max(1, task.step.max_absent):
+            if not absences.may_add(task):
                 continue
             if not _has_place(fleet, worker, task, now) and not _may_pause(
                 fleet, worker, task, emptying_s
             ):
                 continue
-            taken[where] = taken.get(where, 0) + 1
+            absences.add(task)
         elif not _may_stop(task, run, emptying_s, save_s, now):
             continue
-        stops.append(StopOrder(worker.info.id, key, run.number))
+        stops.append(StopOrder(worker.info.id, task.key, run.number))
     return stops
 
 
+def list_running(fleet: Fleet, worker: Worker) -> list[tuple[Task, Run]]:
+    """List what certainly runs on a worker, in the order of the tasks."""
+    found = [fleet.find_run(key, run.number) for (key, _), run in sorted(worker.runs.items())]
+    return [held for held in found if held is not None and held[1].state == "running"]
+
+
+class Absences:
+    """Tasks of lasting steps that are away, and those that one look at the hosts stops."""
+
+    __slots__ = ("_fleet", "_now", "_stop_s", "_stopped")
+
+    def __init__(self, fleet: Fleet, stop_s: float, now: float) -> None:
+        """Create a count for one look.
+
+        Args:
+            fleet: The state.
+            stop_s: Seconds for which a stopped run may go on.
+            now: Monotonic time, seconds.
+        """
+        self._fleet = fleet
+        self._stop_s = stop_s
+        self._now = now
+        self._stopped: Counter[tuple[str, int, int]] = Counter()
+
+    def count(self, task: Task) -> int:
+        """Count the tasks of a task's step that are away or are stopped."""
+        absent = count_absent(self._fleet, task.key, self._stop_s, self._now)
+        return absent + self._stopped[task.key[:3]]
+
+    def may_add(self, task: Task) -> bool:
+        """Tell whether a task may be stopped: as its step's budget allows, else one at a time."""
+        return self.count(task) < max(1, task.step.max_absent)
+
+    def add(self, task: Task) -> None:
+        """Note that a task is stopped."""
+        self._stopped[task.key[:3]] += 1
+
+
 def cannot_be_emptied(fleet: Fleet, worker: Worker, emptying_s: float, now: float) -> bool:
     """Tell whether a host due for maintenance should serve on for now.
 
@@ -165,6 +199,11 @@
     Stopped without one, it waits while its host stands empty, and as it is away, no other task of
     its step may be stopped: the host was held up for 25 s, the task away for 22 s.
     """
+    return any(True for _ in list_places(fleet, worker, task, now))
+
+
+def list_places(fleet: Fleet, worker: Worker, task: Task, now: float) -> Iterator[Worker]:
+    """List the other workers of the pool that could take a task over now."""
     step = task.step
     for other in fleet.workers.values():
         if other is worker or other.info.pool != worker.info.pool:
@@ -175,8 +214,7 @@
             continue
         there = sum(1 for key, _ in other.runs if key[:3] == task.key[:3])
         if not step.max_per_worker or there < step.max_per_worker:
-            return True
-    return False
+            yield other
 
 
 def _may_pause(fleet: Fleet, worker: Worker, task: Task, emptying_s: float) -> bool:
@@ -185,12 +223,15 @@
     Only as the last one of its host, which is then maintained at once and back in seconds; and only
     if no other host could take the task, or none has come.
     """
-    if len(worker.runs) > 1:
+    if len(worker.runs) > 1 or worker.drained:
+        # Its host may not have it back in a drained zone.
         return False
     if emptying_s > PLACE_WAIT_S:
         return True
     return not any(
-        host.name != worker.info.host and can_hold(task.step, host.labels, host.room)
+        host.name != worker.info.host
+        and not is_drained(fleet, host.zone)
+        and can_hold(task.step, host.labels, host.room)
         for host in fleet.hosts.values()
     )
 
--- a/src/foxtrestle/scheduling/movable.py
+++ b/src/foxtrestle/scheduling/movable.py
@@ -40,7 +40,7 @@
         self._leaving: list[HostView] = []
         self._serving: dict[str, list[HostView]] = {}
         for name, view in views.items():
-            if name in barred:
+            if name in barred or view.drained:
                 continue
             if view.plan is not None:
                 if _is_leaving(view, reserve) and name not in kept:
--- a/src/foxtrestle/scheduling/needs.py
+++ b/src/foxtrestle/scheduling/needs.py
@@ -172,6 +172,8 @@
     count = 0
     for view in views.values():
         plan = view.plan
+        if view.drained:
+            continue
         if plan is not None:
             # A host in maintenance takes nothing now; if it were counted, a pool with no other
             # host would have its tasks wait until it is back.
--- a/src/foxtrestle/scheduling/scaling.py
+++ b/src/foxtrestle/scheduling/scaling.py
@@ -49,11 +49,13 @@
 
 
 def count_available(views: dict[str, HostView]) -> int:
-    """Count hosts that can serve soon: neither down nor taken by a wave."""
+    """Count hosts that can serve soon: neither down, nor taken by a wave, nor in a drained zone."""
     return sum(
         1
         for view in views.values()
-        if view.info.state not in {"down", "upkeep"} and not (view.plan and view.plan.wave)
+        if view.info.state not in {"down", "upkeep"}
+        and not (view.plan and view.plan.wave)
+        and not view.drained
     )
 
 
@@ -217,6 +219,11 @@
         plan = view.plan
         if plan is None or plan.wave or plan.state != "emptying" or name in kept:
             continue
+        if view.drained:
+            # It counts for no pool. It may go off, and serves nobody elsewhere.
+            if plan.pool != reserve:
+                drops.append(name)
+            continue
         if plan.pool == reserve:
             needless = view.pool in have and have[view.pool] < targets[view.pool]
         else:
--- a/src/foxtrestle/scheduling/turning_off.py
+++ b/src/foxtrestle/scheduling/turning_off.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from foxtrestle.scheduling.hosts import HostView
     from foxtrestle.scheduling.needs import PoolNeed
 
 KEEP_S: Final = 2.0
@@ -61,3 +62,39 @@
     def take(self, hosts: int) -> None:
         """Note that hosts are turned off."""
         self._credit -= hosts
+
+
+class DrainedHosts:
+    """Since when hosts of drained zones have stood idle: nobody can want them, so they go off."""
+
+    __slots__ = ("_idle_since",)
+
+    def __init__(self) -> None:
+        """Create a record of no hosts."""
+        self._idle_since: dict[str, float] = {}
+
+    def list_idle(self, views: dict[str, HostView], reserve: str, now: float) -> list[str]:
+        """Return the hosts of drained zones that have stood idle for long enough; their names.
+
+        Args:
+            views: All hosts.
+            reserve: Name of the pool whose hosts are off; empty if there is none.
+            now: Monotonic time, seconds.
+        """
+        idle = [name for name, view in views.items() if reserve and _may_go_off(view, reserve)]
+        self._idle_since = {name: self._idle_since.get(name, now) for name in idle}
+        return [name for name, since in self._idle_since.items() if now - since >= KEEP_S]
+
+
+def _may_go_off(view: HostView, reserve: str) -> bool:
+    """Tell whether a host of a drained zone serves a pool and carries nothing."""
+    worker = view.worker
+    return (
+        view.drained
+        and view.plan is None
+        and view.pool != reserve
+        and view.is_up()
+        and view.is_idle()
+        and worker is not None
+        and not worker.unknown_runs
+    )
--- a/src/foxtrestle/scheduling/turns.py
+++ b/src/foxtrestle/scheduling/turns.py
@@ -70,7 +70,7 @@
     claims = {claim.where: claim for claim in _list_claims(fleet, smallest)}
     held = fleet.turn
     if held is not None:
-        if held.where in claims and now - held.since < TURN_S and held.hosts <= views.keys():
+        if held.where in claims and now - held.since < TURN_S and _are_there(held, views):
             return held
         fleet.turn_ends[held.where] = now
         fleet.turn = None
@@ -95,6 +95,11 @@
     return fleet.turn
 
 
+def _are_there(turn: Turn, views: dict[str, HostView]) -> bool:
+    """Tell whether a turn's hosts are all still there, and none has come to be drained."""
+    return turn.hosts <= views.keys() and not any(views[name].drained for name in turn.hosts)
+
+
 def _list_claims(fleet: Fleet, smallest: Shape) -> Iterator[_Claim]:
     """List the steps that wait and that not any free host would do for.
 
@@ -167,7 +172,7 @@
 def _count_held(step: Step, view: HostView, pool: str, now: float) -> int:
     """Return how many tasks of a step a host holds once what ends by itself has ended."""
     worker, plan = view.worker, view.plan
-    if view.info.state in {"down", "upkeep"} or (plan is not None and plan.wave):
+    if view.drained or view.info.state in {"down", "upkeep"} or (plan is not None and plan.wave):
         return 0
     room = view.room
     if worker is not None and not worker.gone:
--- a/tests/test_zone_drain_nodes.py
+++ b/tests/test_zone_drain_nodes.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from foxtrestle.clock import read_clock
+from foxtrestle.control import zone_drains as zone_drains_module
 from foxtrestle.control.ledger import Ledger
 from foxtrestle.scheduling.model import Shape
 from foxtrestle.standins.site import Site
@@ -150,6 +152,40 @@
         assert list_zones(site) == {"z1"}
 
 
+async def test_lasting_tasks_leave_a_zone_when_its_drain_has_settled_and_idle_hosts_go_off(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    lines: list[tuple[str, dict[str, Any]]] = []
+    monkeypatch.setattr(
+        zone_drains_module, "log", lambda event, **told: lines.append((event, told))
+    )
+    site = Site(describe=lambda key: (Shape(1000, 100), float("inf"), "done"))
+    async with draining(monkeypatch, site, drain_s=2.0) as (client, nodes):
+        site.drain_zone("z1")
+        await wait_for_drain(nodes, {"z1"})
+        step = {"count": 2, "cpu": 1000, "longRunning": True}
+        assert await client.submit(name(1), step) == 200
+        await wait_for(lambda: len(count_starts(site)) == 2)
+        assert list_zones(site) == {"z"}
+        site.open_zone("z1")
+        site.drain_zone("z")
+        drained_at = read_clock()
+        await wait_for(lambda: count_running(site, "z1") == 2)
+        assert read_clock() - drained_at > 2.0
+        assert count_running(site, "z") == 0
+        assert sum(count_starts(site).values()) == 4
+        moved = [told for event, told in lines if event == "run.moved-out"]
+        assert [told["zone"] for told in moved] == ["z", "z"]
+        await wait_for(lambda: ("z", 0) in [
+            (told["zone"], told["runs"]) for event, told in lines if event == "zone.drained"
+        ])  # fmt: skip
+        await wait_for(lambda: site.hosts["h0"].pool == "off")
+
+
+def count_running(site: Site, zone: str) -> int:
+    return sum(len(one.running) for one in site.workers.values() if one.info.zone == zone)
+
+
 async def test_a_controller_that_hears_nothing_of_operators_starts_nothing_in_the_end(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
