--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -99,7 +99,8 @@
     def withhold(self, task: Task, run: Run, worker: Worker, reason: str) -> None:
         """Drop a run whose start was never sent."""
         log("start.withheld", job=task.key.job, step=task.key.step, index=task.key.number,
-            run=run.number, worker=worker.info.id, reason=reason)  # fmt: skip
+            run=run.number, worker=worker.info.id, zone=worker.info.zone,
+            reason=reason)  # fmt: skip
         run.sending = False
         if task.runs.get(run.number) is run:
             self._drop(task, run, worker)
@@ -152,7 +153,8 @@
             self.withhold(task, run, worker, DRAINED)
             return
         log("start.withheld", job=task.key.job, step=task.key.step, index=task.key.number,
-            run=run.number, worker=worker.info.id, reason=DRAINED, sent=True)  # fmt: skip
+            run=run.number, worker=worker.info.id, zone=worker.info.zone,
+            reason=DRAINED, sent=True)  # fmt: skip
         await self.stop_run(task, run, worker)
 
     def _confirm(self, run: Run) -> None:
--- a/src/foxtrestle/explain.py
+++ b/src/foxtrestle/explain.py
@@ -1,4 +1,4 @@
-"""The story of a job, worker, host or wave, told from the nodes' log lines."""
+"""The story of a job, worker, host, wave or zone, told from the nodes' log lines."""
 
 from __future__ import annotations
 
@@ -7,9 +7,11 @@
 
 import msgspec
 
+from foxtrestle.scheduling.checks import DRAINED
+
 Line = Mapping[str, Any]
 """One log line: an event's name under `message_type`, and its fields."""
-SUBJECTS: Final = ("job", "worker", "host", "wave")
+SUBJECTS: Final = ("job", "worker", "host", "wave", "zone")
 """Fields that name what a line is about."""
 WORKER_TROUBLE: Final = frozenset(
     {
@@ -31,6 +33,10 @@
         "dependency.regained",
         "store.lost",
         "store.reached",
+        "zone.draining",
+        "zone.open",
+        "zones.unknown",
+        "zones.known",
     }
 )
 """Events that can delay every job."""
@@ -52,6 +58,9 @@
     "turn.ended": "its turn for these hosts ended after {took_s} s",
     "task.given-up": "step {step} task {index} is given up: {crashes} workers crashed under it",
     "run.evacuated": "step {step} task {index}: run {run} stopped for wave {wave}",
+    "run.moved-out": "step {step} task {index}: run {run} stopped on {worker} as zone {zone} is"
+    " drained",
+    "start.withheld": "step {step} task {index}: run {run} on {worker} was not sent: {reason}",
     "start.refused": "step {step} task {index}: {worker} refused run {run}: {reason}",
     "start.unanswered": "a start on {worker} had no answer ({reason})",
     "worker.silent": "worker {worker} stopped answering ({reason})",
@@ -67,6 +76,15 @@
     "dependency.lost": "{node} lost {dependency} ({user}): {reason}",
     "dependency.regained": "{node} has {dependency} again ({user}) after {away_s} s",
     "wave.seen": "{node} saw wave {wave}: {hosts} hosts in {within_s} s, {max_parallel} at once",
+    "zone.draining": "{node} saw that operators drain zone {zone} (revision {revision}); nothing"
+    " starts there",
+    "zone.open": "{node} saw that zone {zone} is open again, after {took_s} s",
+    "zone.unknown": "zone {zone} is not one of the settings' zones ({named}); it is obeyed",
+    "zone.drain-progress": "zone {zone}: {runs} runs left ({lasting} that last), {hosts} hosts up,"
+    " the rest takes about {rest_s} s",
+    "zone.drained": "zone {zone} carries nothing any more, {age_s} s after the request was seen",
+    "zones.unknown": "{node} starts nothing: it last knew {age_s} s ago which zones are drained",
+    "zones.known": "{node} knows again which zones are drained",
     "wave.completed": "wave {wave} completed after {took_s} s",
 }
 """Sentence for each event; others are shown with their fields."""
@@ -141,6 +159,9 @@
         found = [line for line in story if line["message_type"] == kind]
         if found:
             return text.format_map(_Fields(found[-1]))
+    barred = [line for line in story if line.get("reason") == DRAINED]
+    if barred:
+        return f"its zone is drained: a start on {barred[-1]['worker']} was not sent"
     waits = [float(line["waited_s"]) for line in story if line["message_type"] == "run.placed"]
     if waits and max(waits) > LONG_WAIT_S:
         return f"no room: a task waited {max(waits):.1f} s for a worker"
--- a/src/foxtrestle/node/intake.py
+++ b/src/foxtrestle/node/intake.py
@@ -31,10 +31,10 @@
     from foxtrestle.scheduling.partitions import Partition
     from foxtrestle.store import Record
 
-Acceptance = Literal["accepted", "refused", "unknown", "taken", "too-large"] | Denial
+Acceptance = Literal["accepted", "refused", "unknown", "taken", "too-large", "drained"] | Denial
 """Outcome of handing a job in: `unknown` if a write was sent and its answer was lost, `taken` if
 the id is another organisation's, `too-large` if the organisation's limit keeps a gang from ever
-starting."""
+starting, `drained` if operators drain every zone, so that it could not start."""
 ATTEMPTS: Final = 4
 """How often a write is sent before its outcome is called unknown."""
 RETRY_S: Final = 0.05
@@ -51,13 +51,19 @@
         self._layout = layout
 
     async def submit(self, address: Address, job_id: str, spec: JobSpec) -> Acceptance:
-        """Keep a job, on the condition that the configuration that allows it is still the newest.
+        """Keep a job, unless nothing can start.
 
         Args:
             address: Where it was handed in, and by whose key.
             job_id: The client's id.
             spec: What the client described.
         """
+        if self._operators.zones.has_all():
+            return await self._answer_drained(address, job_id)
+        return await self._keep(address, job_id, spec)
+
+    async def _keep(self, address: Address, job_id: str, spec: JobSpec) -> Acceptance:
+        """Keep a job on the condition that the configuration allowing it is still the newest."""
         sent = False
         keys = self._layout.find_keys(job_id)
         accepted_ms = int(time.time() * 1000)
@@ -92,6 +98,19 @@
             await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
         return "unknown" if sent else "refused"
 
+    async def _answer_drained(self, address: Address, job_id: str) -> Acceptance:
+        """Refuse a new job while nothing can start; one that is kept already was accepted."""
+        keys = self._layout.find_keys(job_id)
+        access = admit(self._operators.configuration, address)
+        if not isinstance(access, Access):
+            return access
+        read = [self._store.get(key) for key in (keys.jobs + job_id, ENDED + job_id)]
+        records = {one.key: one for one in await asyncio.gather(*read) if one is not None}
+        found = _find_held(records, keys, job_id)
+        if found is None:
+            return "drained"
+        return "accepted" if access.may_touch(*found) else "taken"
+
     async def _refresh(self) -> None:
         """Read the newest configuration."""
         try:
--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -23,6 +23,8 @@
 from foxtrestle.node.intake import Intake
 from foxtrestle.node.loop_lag import watch_loop
 from foxtrestle.node.operators import OperatorMirror
+from foxtrestle.node.store_share import StoreShare
+from foxtrestle.node.zone_gauges import ZoneGauges
 from foxtrestle.platform.advice import AdviceCalls
 from foxtrestle.platform.connections import CONNECTIONS_PER_WORKER, Connections
 from foxtrestle.platform.front import build_front, build_ready
@@ -120,9 +122,7 @@
                 await asyncio.gather(*(ownership.run() for ownership in ownerships))
 
             intake = Intake(store, self.operators, self.layout)
-            measures.add_source("store_calls", "Calls to the store.", lambda: store.calls)
-            measures.add_source("host_calls", "Calls about hosts.", lambda: hosts.calls)
-            measures.add_source("state", "State of this node.", self._read_state)
+            self._add_sources(measures, store, hosts)
             ready = build_ready(self.is_ready, measures)
             front = build_front(intake, self.operators, lambda: self.health.away, measures)
             sockets = [_bind(settings.ready_address), *_bind_metrics(settings)]
@@ -148,6 +148,21 @@
             await asyncio.gather(*closing, asyncio.sleep(LOOK_AWAY_S))
         log("node.stopped")
 
+    def _add_sources(self, measures: Measures, store: PlatformStore, hosts: HostCalls) -> None:
+        """Show what the metrics read when they are asked for."""
+        settings = self.settings
+        share = StoreShare(store.calls, settings.store_reads_per_s, settings.store_writes_per_s)
+        gauges = ZoneGauges(self.operators.zones)
+
+        def read_zones() -> dict[str, float]:
+            return gauges.read(controller.zones for controller in self.controllers.values())
+
+        measures.add_source("store_calls", "Calls to the store.", lambda: store.calls)
+        measures.add_source("store_share", "Share of the store's rates.", share.read)
+        measures.add_source("host_calls", "Calls about hosts.", lambda: hosts.calls)
+        measures.add_source("state", "State of this node.", self._read_state)
+        measures.add_source("drained_zones", "Drained zones.", read_zones)
+
     def _build_mirror(self, store: PlatformStore) -> OperatorMirror:
         bounds = self.settings.bounds
         zones = DrainedZones(self.settings.zones, bounds.drain_zone_s)
--- a/src/foxtrestle/platform/front.py
+++ b/src/foxtrestle/platform/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Final
+from zlib import crc32
 
 from starlette.applications import Starlette
 from starlette.responses import Response
@@ -34,6 +35,9 @@
 
 RETRY_AFTER_S: Final = 1
 """Seconds after which a refused client is asked to come back; the least the header can say."""
+DRAINED_RETRY_AFTER_S: Final = (2, 3, 4, 5, 6)
+"""Seconds after which a client may come back while operators drain every zone, one of them by the
+job's id: all clients at once would be refused at once, or meet fleets that are not up again."""
 LIMIT_RETRY_AFTER_S: Final = 60
 """Seconds after which a client may come back with a job that its organisation's limit keeps from
 ever starting: operators raise limits, at the soonest, within minutes."""
@@ -43,6 +47,7 @@
     "unknown": 504,
     "taken": 409,
     "too-large": 429,
+    "drained": 503,
     Denial.NO_CONFIGURATION: 503,
     Denial.NO_QUEUE: 404,
     Denial.UNKNOWN_KEY: 401,
@@ -113,6 +118,9 @@
         if is_store_away():
             return _refuse(job=name)
         outcome = await intake.submit(address, name, decode_job(await request.body()))
+        if outcome == "drained":
+            log("job.refused", job=name, reason="every zone is drained")
+            return _answer(503, retry_after_s=spread_retry(name))
         if outcome not in {"accepted", "refused", "unknown"}:
             log("job.denied", job=name, reason=str(outcome), key=label_key(address.key))
         return _answer(STATUSES[outcome])
@@ -126,10 +134,15 @@
     return _answer(503)
 
 
-def _answer(status: int) -> Response:
+def spread_retry(job_id: str) -> int:
+    """Return the seconds after which a job may be handed in again while every zone is drained."""
+    return DRAINED_RETRY_AFTER_S[crc32(job_id.encode()) % len(DRAINED_RETRY_AFTER_S)]
+
+
+def _answer(status: int, retry_after_s: int = RETRY_AFTER_S) -> Response:
     headers = {}
     if status in {503, 504}:
-        headers["Retry-After"] = str(RETRY_AFTER_S)
+        headers["Retry-After"] = str(retry_after_s)
     elif status == 429:
         headers["Retry-After"] = str(LIMIT_RETRY_AFTER_S)
     elif status == 401:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -57,6 +57,10 @@
             [line(1, "run.placed", job=JOB, worker="w", waited_s=2.5)],
             "no room: a task waited 2.5 s for a worker",
         ),
+        (
+            [line(1, "start.withheld", job=JOB, worker="w3", zone="z1", reason="zone drained")],
+            "its zone is drained: a start on w3 was not sent",
+        ),
         ([line(1, "job.accepted", job=JOB)], "nothing unusual is on record"),
     ],
 )
@@ -64,6 +68,28 @@
     assert find_cause(select_story(parse_lines(lines), JOB)).startswith(cause)
 
 
+ZONE = [
+    line(1.0, "zone.draining", zone="z1", revision=40, known_s=0.0),
+    line(1.1, "start.withheld", job=JOB, step=0, index=2, run=1, worker="w3", zone="z1",
+         reason="zone drained"),
+    line(2.0, "zone.draining", zone="z2", revision=41, known_s=0.0),
+    line(6.0, "run.moved-out", job=JOB, step=1, index=0, run=1, worker="w4", zone="z1"),
+    line(9.0, "zone.drained", zone="z1", runs=0, lasting=0, hosts=2, rest_s=0.0, age_s=8.0),
+    line(9.5, "zone.open", zone="z1", revision=50, known_s=0.0, took_s=8.5),
+]  # fmt: skip
+
+
+def test_a_zone_s_story_is_told_in_sentences() -> None:
+    story = select_story(parse_lines(ZONE), "z1")
+    assert [describe(one) for one in story] == [
+        "n1 saw that operators drain zone z1 (revision 40); nothing starts there",
+        "step 0 task 2: run 1 on w3 was not sent: zone drained",
+        "step 1 task 0: run 1 stopped on w4 as zone z1 is drained",
+        "zone z1 carries nothing any more, 8.0 s after the request was seen",
+        "n1 saw that zone z1 is open again, after 8.5 s",
+    ]
+
+
 def test_an_event_without_a_sentence_is_shown_with_its_fields() -> None:
     assert describe({"message_type": "new.event", "x": 1, "timestamp": 0}) == "new.event x=1"
 
--- a/tests/test_zone_drain_nodes.py
+++ b/tests/test_zone_drain_nodes.py
@@ -11,6 +11,7 @@
 from foxtrestle.clock import read_clock
 from foxtrestle.control import zone_drains as zone_drains_module
 from foxtrestle.control.ledger import Ledger
+from foxtrestle.platform.front import DRAINED_RETRY_AFTER_S, spread_retry
 from foxtrestle.scheduling.model import Shape
 from foxtrestle.standins.site import Site
 from tests import test_node as test_node_module
@@ -186,6 +187,61 @@
     return sum(len(one.running) for one in site.workers.values() if one.info.zone == zone)
 
 
+async def test_while_every_zone_is_drained_new_jobs_are_refused_and_kept_ones_wait(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = Site()
+    async with draining(monkeypatch, site) as (client, nodes):
+        assert await client.submit(name(1)) == 200
+        await wait_for(lambda: len(count_starts(site)) == 1)
+        site.drain_zone("z")
+        site.drain_zone("z1")
+        await wait_for_drain(nodes, set(ZONES))
+        url = f"http://{nodes[0].settings.client_address}/q/{name(2)}"
+        body = {"spec": "text", "steps": [{"count": 1, "cpu": 1000}]}
+        async with client.session.post(
+            url, json=body, headers={"Host": "jobs.example"}
+        ) as response:
+            assert response.status == 503
+            assert int(response.headers["Retry-After"]) in DRAINED_RETRY_AFTER_S
+        assert await client.submit(name(1)) == 200, "it was kept before"
+        assert await client.state(name(2)) == "410"
+        site.open_zone("z1")
+        await wait_for_drain(nodes, {"z"})
+        assert await client.submit(name(2)) == 200
+        await wait_for(lambda: len(count_starts(site)) == 2)
+        assert set(count_starts(site).values()) == {1}
+
+
+def test_times_to_come_back_are_spread_by_the_jobs_id() -> None:
+    times = [spread_retry(name(number)) for number in range(50)]
+    assert set(times) == set(DRAINED_RETRY_AFTER_S)
+    assert times == [spread_retry(name(number)) for number in range(50)]
+
+
+async def test_operators_see_how_far_a_zone_is_and_zeros_when_it_is_open(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = Site(describe=lambda key: (Shape(1000, 100), float("inf"), "done"))
+    async with draining(monkeypatch, site) as (client, _):
+        assert await client.submit(name(1), {"count": 1, "cpu": 1000, "longRunning": True}) == 200
+        await wait_for(lambda: len(count_starts(site)) == 1)
+        [zone] = list_zones(site)
+        site.drain_zone(zone)
+        await wait_for(lambda: shows(client, f"{zone} lasting", 1.0))
+        assert await shows(client, "zones", 1.0)
+        site.open_zone(zone)
+        await wait_for(lambda: shows(client, f"{zone} lasting", 0.0))
+
+
+async def shows(client: Client, label: str, value: float) -> bool:
+    async with client.session.get(
+        f"http://{client.nodes[0].settings.ready_address}/metrics"
+    ) as response:
+        shown = await response.text()
+    return f'foxtrestle_drained_zones{{name="{label}"}} {value:.0f}' in shown
+
+
 async def test_a_controller_that_hears_nothing_of_operators_starts_nothing_in_the_end(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
