Soak: operators drain a zone for some seconds, and no start may begin there after the bound

Cause: the soak drained no zones. Change: hosts in three zones, drains from a random source of their own, a check of what workers see; starts that are carried out late are left out.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,13 +20,14 @@
 from foxtrestle.standins.site import Site
 from soak.ports import find_free_port
 from soak.proxy import Proxy
-from soak.watcher import TEXT, Watcher
+from soak.watcher import DRAIN_S, TEXT, Watcher, ZoneDrain
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
 NODES: Final = 3
 HOSTS: Final = 8
+ZONES: Final = ("z0", "z1", "z2")
 SETTLE_S: Final = 45.0
 """Seconds after the last fault in which every accepted job must end: a lease after a takeover is
 13 s, and jobs that waited meanwhile need room."""
@@ -69,6 +70,8 @@
             f'nodeName = "{name}"\nzone = "z"\n'
             f'[listenAddrs]\nfront = "127.0.0.1:{self.front}"\nready = "127.0.0.1:{ready}"\n'
             f'[platform]\naddress = "{store.address}"\n[cloudApi]\naddress = "{hosts}"\n'
+            f"[bounds]\nevacuateMs = {DRAIN_S * 1000:.0f}\n[zones]\n"
+            + "".join(f'{zone} = "r"\n' for zone in ZONES)
         )
 
     async def start(self) -> None:
@@ -115,6 +118,8 @@
         """Source of every choice but those about workers that start again."""
         self.restart_rng = random.Random(f"restarts {seed}")
         """Source of these, so that the others are the same for a seed as before there were any."""
+        self.zone_rng = random.Random(f"zones {seed}")
+        """Source of the choices about drained zones, for the same reason."""
         self.site = Site(describe=describe_task, seed=seed)
         """The platform."""
         self.watcher = Watcher(self.site)
@@ -134,7 +139,8 @@
             await stack.enter_async_context(self.site.serve())
             self.site.write("op/config", CONFIGURATION)
             for number in range(HOSTS):
-                await self.site.add_host(f"h{number}", "main" if number < HOSTS // 2 else "off")
+                pool = "main" if number < HOSTS // 2 else "off"
+                await self.site.add_host(f"h{number}", pool, ZONES[number % len(ZONES)])
             for number in range(NODES):
                 proxy = Proxy(self.site.store_address)
                 await proxy.open()
@@ -151,6 +157,8 @@
             await asyncio.sleep(3.0)
             restarts = asyncio.create_task(self._restart_workers())
             stack.callback(restarts.cancel)
+            drains = asyncio.create_task(self._drain_zones())
+            stack.callback(drains.cancel)
             await self._play(session)
             states = await self._settle(session)
             self.watcher.finish(states)
@@ -359,6 +367,21 @@
                 self._faults += 1
                 self._spawn(self.site.restart_worker(worker, away_s))
 
+    async def _drain_zones(self) -> None:
+        """Have operators drain a zone for some seconds, one after the other."""
+        rng = self.zone_rng
+        end = time.monotonic() + self._seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(rng.uniform(0.3, 5.0))
+            zone = rng.choice(ZONES)
+            self._faults += 1
+            self.site.drain_zone(zone)
+            drain = ZoneDrain(zone)
+            self.watcher.drains.append(drain)
+            await asyncio.sleep(rng.uniform(0.2, 9.0))
+            drain.until = time.monotonic()
+            self.site.open_zone(zone)
+
     async def _begin_wave(self) -> None:
         self._waves += 1
         limit = self.rng.randint(1, 3)
--- a/soak/watcher.py
+++ b/soak/watcher.py
@@ -8,15 +8,32 @@
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
-    from foxtrestle.scheduling.model import TaskKey
+    from foxtrestle.scheduling.model import TaskKey, WorkerInfo
     from foxtrestle.standins.site import Site
 
 LOOK_S: Final = 0.02
 """Seconds between two looks."""
+DRAIN_S: Final = 3.0
+"""Seconds after which nothing may start in a drained zone."""
+DRAIN_SETTLE_S: Final = 0.3
+"""Seconds beyond that which an order may be on its way to a worker on a busy host."""
 TEXT: Final = "text of "
 """What the text of every job begins with; its id follows."""
 
 
+class ZoneDrain:
+    """A zone that operators drained for some seconds."""
+
+    def __init__(self, zone: str) -> None:
+        """Create a drain from now on."""
+        self.zone = zone
+        """Name of the zone."""
+        self.since = time.monotonic()
+        """Monotonic time at which it was asked for, seconds."""
+        self.until = float("inf")
+        """Monotonic time at which that was taken back, seconds."""
+
+
 class Watcher:
     """What clients were told, and what that forbids."""
 
@@ -34,6 +51,8 @@
         """Jobs whose cancelling was answered with success."""
         self.wave_limits: dict[int, int] = {}
         """Limit of each wave."""
+        self.drains: list[ZoneDrain] = []
+        """Zones that operators drained."""
         self._site = site
         self._began = time.monotonic()
         self._seen: dict[str, int] = {}
@@ -70,6 +89,8 @@
             for (key, run, _), started_at in began:
                 if key.job not in self.submitted:
                     self._report(f"unasked: {key} run {run}")
+                if self._is_barred(worker.info, key, run, started_at):
+                    self._report(f"drained: {key} run {run} starts in zone {worker.info.zone}")
                 running = worker.running.get((key, run))
                 if running is not None and running.text != TEXT + key.job:
                     self._report(f"unasked: {key} run {run} has another text")
@@ -78,6 +99,15 @@
                     self._report(f"twice: {key} run {run} starts after its noted end")
             self._seen[worker.info.id] = len(worker.starts)
 
+    def _is_barred(self, info: WorkerInfo, key: TaskKey, run: int, started_at: float) -> bool:
+        """Tell whether a start came while its zone was drained, and its order was not late."""
+        if (info.id, key, run) in self._site.late_starts:
+            return False
+        return any(
+            one.zone == info.zone and one.since + DRAIN_S + DRAIN_SETTLE_S < started_at < one.until
+            for one in self.drains
+        )
+
     def _find_noted(self) -> dict[TaskKey, float]:
         """Return when the first `done` of each task was noted, by the monotonic clock."""
         noted: dict[TaskKey, float] = {}
--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -148,6 +148,8 @@
         self._stack: AsyncExitStack | None = None
         self._lives = 0
         self._last_birth_ms = 0
+        self.late_starts: set[tuple[str, TaskKey, int]] = set()
+        """Starts that are carried out late, by worker, task and run."""
         self._late: set[asyncio.Task[None]] = set()
 
     # Operators.
@@ -431,6 +433,8 @@
                 )
 
             if self._rng.random() < self.faults.lost_starts:
+                late = (worker.info.id, parse_task(body["task"]), body["runId"])
+                self.late_starts.add(late)
                 task = asyncio.create_task(self._carry_out_late(begin))
                 self._late.add(task)
                 await asyncio.sleep(3600)
--- a/tests/test_soak_watcher.py
+++ b/tests/test_soak_watcher.py
@@ -9,10 +9,14 @@
 
 from __future__ import annotations
 
+import time
+
+import pytest
+
 from foxtrestle.scheduling.model import Shape, TaskKey
 from foxtrestle.standins.site import Site
 from foxtrestle.standins.worker import SimulatedWorker
-from soak.watcher import TEXT, Watcher
+from soak.watcher import DRAIN_S, TEXT, Watcher, ZoneDrain
 from tests.scheduling_fakes import make_fleet
 from tests.test_node import name
 
@@ -67,3 +71,30 @@
     watcher.look()
     [found] = watcher.violations
     assert "run 2 starts after its noted end" in found
+
+
+@pytest.mark.parametrize(
+    ("since_s", "until_s", "late", "found"),
+    [
+        (-DRAIN_S - 1.0, float("inf"), False, True),
+        (-DRAIN_S + 1.0, float("inf"), False, False),
+        (-DRAIN_S - 1.0, -0.5, False, False),
+        (-DRAIN_S - 1.0, float("inf"), True, False),
+    ],
+    ids=["after the bound", "before it", "open again", "carried out late"],
+)
+def test_a_start_in_a_drained_zone_is_a_violation_after_the_bound(
+    since_s: float, until_s: float, late: bool, found: bool
+) -> None:
+    clock = Clock()
+    site, [worker, _] = make_site(clock)
+    watcher = Watcher(site)
+    watcher.submitted.add(KEY.job)
+    drain = ZoneDrain(worker.info.zone)
+    drain.since, drain.until = time.monotonic() + since_s, time.monotonic() + until_s
+    watcher.drains += [drain, ZoneDrain("elsewhere")]
+    if late:
+        site.late_starts.add((worker.info.id, KEY, 1))
+    worker.start(KEY, 1, 1, clock.now_ms + 5000, TEXT + KEY.job)
+    watcher.look()
+    assert [text.split(":")[0] for text in watcher.violations] == ["drained"] * found
