Choose workers that are slow from their start after the others

Cause: a worker's entry may tell for how long it is slow from its start, as those of a zone that is open again; it was not read. Change: `WorkerInfo.warm_in_s`; such workers come after the warm ones in a pool, before suspect ones. What is no number counts as 0, and no entry becomes unreadable for it. Conclusion: nothing changes where no entry says more than 0.

--- a/src/foxtrestle/platform/workers.py
+++ b/src/foxtrestle/platform/workers.py
@@ -59,6 +59,7 @@
     labels: tuple[str, ...] = ()
     machine: str = ""
     born: int = 0
+    coldRemainingMs: Any = 0  # only a preference: what is no number makes no entry unreadable
 
 
 class _Answer(msgspec.Struct):
@@ -87,9 +88,15 @@
         labels=entry.labels,
         host=entry.machine,
         born_ms=entry.born,
+        warm_in_s=_read_cold_s(entry.coldRemainingMs),
     )
 
 
+def _read_cold_s(told: Any) -> float:
+    """Return for how long a worker says that it is slow from its start, seconds."""
+    return max(0.0, told / 1000) if isinstance(told, int | float) else 0.0
+
+
 class WorkerCalls:
     """Client of all workers."""
 
--- a/src/foxtrestle/scheduling/candidates.py
+++ b/src/foxtrestle/scheduling/candidates.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, Final, TypeAlias
 
 from foxtrestle.scheduling.crashes import FRESH_S
-from foxtrestle.scheduling.eligibility import is_suspect
+from foxtrestle.scheduling.eligibility import is_cold, is_suspect
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -119,7 +119,7 @@
 
 
 class Candidates:
-    """The usable workers of one pool, those with the least free cpu first."""
+    """The usable workers of one pool, those with the least free cpu first, slow ones after them."""
 
     def __init__(self, workers: Iterable[Worker], now: float, turn: Turn | None = None) -> None:
         """Index some workers.
@@ -138,7 +138,8 @@
         ]
         """All candidates."""
         self._suspects = [one for one in self.all if is_suspect(one.worker)]
-        trusted = (one for one in self.all if not is_suspect(one.worker))
+        self._cold = [one for one in self.all if is_cold(one.worker) and not is_suspect(one.worker)]
+        trusted = (one for one in self.all if not _comes_last(one.worker))
         self._trusted = sorted((one.cpu, one.worker.info.id, one) for one in trusted)
         self._racks: dict[str, list[Candidate]] = {}
         self._full: list[Needed] = []
@@ -208,6 +209,8 @@
         for _, _, one in reversed(trusted) if task.probation else trusted:
             if one.has_room(needed):
                 yield one
+        if self._cold:
+            yield from sorted((one for one in self._cold if one.has_room(needed)), key=_rank)
         # A worker that may be at fault gets one task at a time.
         idle = [one for one in self._suspects if one.may_try(task) and one.has_room(needed)]
         yield from sorted(idle, key=lambda one: (rack not in one.worker.info.labels, _rank(one)))
@@ -221,7 +224,7 @@
     def _change(self, one: Candidate, step: Step, sign: int) -> None:
         """Change the free room of a candidate and keep the order."""
         worker = one.worker
-        trusted = not is_suspect(worker)
+        trusted = not _comes_last(worker)
         if trusted:
             del self._trusted[bisect_left(self._trusted, (one.cpu, worker.info.id))]
         taken = step.taken
@@ -246,9 +249,15 @@
         self._full.append(needed)
 
 
+def _comes_last(worker: Worker) -> bool:
+    """Tell whether a worker is taken only after those that are trusted and at their speed."""
+    return is_suspect(worker) or is_cold(worker)
+
+
 def _rank(one: Candidate) -> tuple[int, str]:
     return one.cpu, one.worker.info.id
 
 
-def _rank_reserve(one: Candidate) -> tuple[bool, int, str]:
-    return is_suspect(one.worker), -one.cpu, one.worker.info.id
+def _rank_reserve(one: Candidate) -> tuple[bool, bool, int, str]:
+    worker = one.worker
+    return is_suspect(worker), is_cold(worker), -one.cpu, worker.info.id
--- a/src/foxtrestle/scheduling/eligibility.py
+++ b/src/foxtrestle/scheduling/eligibility.py
@@ -53,6 +53,11 @@
     )
 
 
+def is_cold(worker: Worker) -> bool:
+    """Tell whether a worker is slow from its start, as long as its entry says so."""
+    return worker.info.warm_in_s > 0
+
+
 def is_suspect(worker: Worker) -> bool:
     """Tell whether a worker fails tasks that are not at fault themselves, as far as is known."""
     return len(worker.failed_jobs) >= SUSPECT_JOBS
--- a/src/foxtrestle/scheduling/model.py
+++ b/src/foxtrestle/scheduling/model.py
@@ -235,6 +235,8 @@
     """The host; empty if it did not say."""
     born_ms: int = 0
     """Wall time at which the life began, milliseconds, by the worker; 0 if it did not say."""
+    warm_in_s: float = 0.0
+    """Seconds for which it was still slow from its start as it wrote its entry; 0 if it was not."""
     readable: bool = True
     """Whether its newest entry can be read; if not, it gets nothing new, and what runs there goes
     on."""
--- /dev/null
+++ b/tests/test_cold_workers.py
@@ -0,0 +1,59 @@
+"""Workers that are slow from their start are chosen after the others, as long as they say so."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from foxtrestle.platform.workers import ENTRIES, decode_worker
+from foxtrestle.scheduling.model import Shape, Step
+from foxtrestle.scheduling.placing import choose_placements
+from tests.scheduling_fakes import NOW, enter, make_fleet, make_job
+from tests.test_other_writers import ENTRY
+
+STEP = Step(count=1, shape=Shape(8000, 100))
+
+
+def place_on(warm_in_s: dict[str, float], count: int = 1) -> list[str]:
+    """Place tasks over two workers; return which they are."""
+    fleet = make_fleet(2)
+    for name, seconds in warm_in_s.items():
+        worker = fleet.workers[name]
+        worker.info = msgspec.structs.replace(worker.info, warm_in_s=seconds)
+    enter(fleet, make_job(msgspec.structs.replace(STEP, count=count)))
+    placements = choose_placements(fleet, NOW)
+    return [worker.info.id for one in placements for _, worker in one.members]
+
+
+@pytest.mark.parametrize("cold", ["w-main-0", "w-main-1"])
+def test_a_task_goes_to_a_warm_worker_first(cold: str) -> None:
+    [chosen] = place_on({cold: 2.0})
+    assert chosen != cold
+    [chosen] = place_on({cold: 0.0})
+    assert chosen == "w-main-0"
+
+
+def test_a_cold_worker_is_used_when_the_warm_one_is_full() -> None:
+    chosen = place_on({"w-main-0": 2.0}, 8)
+    assert chosen == ["w-main-1"] * 4 + ["w-main-0"] * 4
+
+
+def test_cold_workers_alone_are_used() -> None:
+    assert len(place_on({"w-main-0": 2.0, "w-main-1": 1.0}, 8)) == 8
+
+
+@pytest.mark.parametrize(
+    ("told", "seconds"),
+    [
+        ({}, 0.0),
+        ({"coldRemainingMs": 1500}, 1.5),
+        ({"coldRemainingMs": -3}, 0.0),
+        ({"coldRemainingMs": None}, 0.0),
+        ({"coldRemainingMs": "soon"}, 0.0),
+    ],
+)
+def test_an_entry_tells_for_how_long_its_worker_is_slow(
+    told: dict[str, object], seconds: float
+) -> None:
+    info = decode_worker(ENTRIES + "w", msgspec.json.encode(ENTRY | told))
+    assert info.warm_in_s == seconds
