Drained zones: tell a start held back for want of knowledge apart; look for places once a step; short bounds

Cause: a start that was held back as no zone was known said that its zone was drained. Each lasting task of a drained zone looked at every worker in each look. Under a bound near the watch's wait of a second, what is known would be too old half of the time, and nothing would start. Change: reason `zones unknown`; a step without a place is not looked at again in the same look; the watch of operators' keys waits for at most a third of the time for which knowledge holds, where operators drain zones.

--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -10,7 +10,7 @@
 from foxtrestle.control.spawn import Spawner
 from foxtrestle.platform.http import CallError, MalformedAnswer, NoAnswer
 from foxtrestle.platform.workers import OrderRefused, OtherLife
-from foxtrestle.scheduling.checks import DRAINED
+from foxtrestle.scheduling.checks import DRAINED, ZONES_UNKNOWN
 from foxtrestle.scheduling.losses import LossReason
 from foxtrestle.scheduling.model import StartOrder
 from foxtrestle.scheduling.runs import drop_run, requeue
@@ -98,6 +98,8 @@
 
     def withhold(self, task: Task, run: Run, worker: Worker, reason: str) -> None:
         """Drop a run whose start was never sent."""
+        if reason == DRAINED and not self._fleet.drains_known:
+            reason = ZONES_UNKNOWN
         log("start.withheld", job=task.key.job, step=task.key.step, index=task.key.number,
             run=run.number, worker=worker.info.id, zone=worker.info.zone,
             reason=reason)  # fmt: skip
--- a/src/foxtrestle/explain.py
+++ b/src/foxtrestle/explain.py
@@ -176,6 +176,7 @@
     ("worker.released", "worker {worker} was lost: {reason}"),
     ("control.lost", "the controller {node} stopped: {reason}"),
     ("dependency.lost", "{node} lost {dependency}: {reason}"),
+    ("zones.unknown", "{node} did not know which zones are drained, for {age_s} s"),
 )
 """Events that explain a job by themselves, the likeliest first, with their sentences."""
 LONG_WAIT_S: Final = 0.5
--- a/src/foxtrestle/node/drained_zones.py
+++ b/src/foxtrestle/node/drained_zones.py
@@ -15,6 +15,11 @@
 START_MARGIN_S: Final = 0.3
 """Seconds by which the knowledge counts as too old before a zone must get nothing new: an order is
 sent up to 0.2 s before its worker has it, and a request is answered in a few hundredths."""
+WAIT_SHARE: Final = 1 / 3
+"""Share of the time for which knowledge holds that a watch may wait: its answer, and the next one
+after a lost call, come before that is over."""
+SHORTEST_WAIT_S: Final = 0.1
+"""Seconds that a watch waits at least; each call is priced."""
 
 
 class Drain(msgspec.Struct, frozen=True):
@@ -88,6 +93,12 @@
             log("zones.known" if known else "zones.unknown", age_s=round(min(age_s, 1e6), 3))
         return frozenset(self.drains) if known else None
 
+    def limit_wait(self, wait_s: float) -> float:
+        """Return for how long a watch may wait so that what is known does not grow too old."""
+        if self._drain_s is None:
+            return wait_s
+        return min(wait_s, max(SHORTEST_WAIT_S, (self._drain_s - START_MARGIN_S) * WAIT_SHARE))
+
     def has_all(self) -> bool:
         """Tell whether every zone of the deployment is drained."""
         return bool(self._named) and self._named <= self.drains.keys()
--- a/src/foxtrestle/node/operators.py
+++ b/src/foxtrestle/node/operators.py
@@ -113,7 +113,7 @@
                 if took_s > wait_s + SLOW_S:
                     log("operators.behind", took_s=round(took_s, 2), changes=len(changes))
                     revision = 0
-                wait_s = EVENTFUL_WAIT_S if changes else WATCH_WAIT_S
+                wait_s = self.zones.limit_wait(EVENTFUL_WAIT_S if changes else WATCH_WAIT_S)
             except Compacted:
                 log("operators.relist")
                 self.complete_at -= UNHEARD_S
--- a/src/foxtrestle/scheduling/checks.py
+++ b/src/foxtrestle/scheduling/checks.py
@@ -14,6 +14,8 @@
 
 DRAINED: Final = "zone drained"
 """Why nothing is started on a worker in a drained zone."""
+ZONES_UNKNOWN: Final = "zones unknown"
+"""Why nothing is started anywhere while any zone may be drained."""
 
 
 def check_start(fleet: Fleet, task: Task, worker: Worker) -> str:
--- a/src/foxtrestle/scheduling/moving_out.py
+++ b/src/foxtrestle/scheduling/moving_out.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from itertools import islice
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -56,19 +57,21 @@
     stops: list[StopOrder] = []
     absences = Absences(fleet, limits.stop_s, now)
     taken: Counter[str] = Counter()
+    full: set[tuple[str, int, int]] = set()
     for worker in _list_settled(fleet, ages_s, limits.settle_s):
         pool = worker.info.pool
         for task, run in list_running(fleet, worker):
             if len(stops) == MOST_AT_ONCE:
                 return stops
-            lasting = task.step.lasting
-            if not (
-                absences.may_add(task) if lasting else _is_worth(fleet, task, run, limits, now)
-            ):
+            where, lasting = task.key[:3], task.step.lasting
+            may_go = absences.may_add(task) if lasting else _is_worth(fleet, task, run, limits, now)
+            if not may_go or where in full:
                 continue
             # Those that are away already come first to the places that there are.
             claimed = taken[pool] + (absences.count(task) if lasting else 0)
-            if sum(1 for _ in list_places(fleet, worker, task, now)) <= claimed:
+            places = islice(list_places(fleet, worker, task, now), claimed + 1)
+            if sum(1 for _ in places) <= claimed:
+                full.add(where)
                 continue
             absences.add(task)
             taken[pool] += 1
--- a/tests/test_zone_drain.py
+++ b/tests/test_zone_drain.py
@@ -10,18 +10,19 @@
 from hypothesis import given, settings
 
 from foxtrestle.clock import read_clock
+from foxtrestle.control import orders as orders_module
 from foxtrestle.control.measures import Measures
 from foxtrestle.control.orders import ATTEMPTS, Orders
 from foxtrestle.control.ownership import Term
 from foxtrestle.control.roster import Roster
 from foxtrestle.node import drained_zones as drained_zones_module
 from foxtrestle.node import operators as operators_module
-from foxtrestle.node.drained_zones import START_MARGIN_S, DrainedZones
+from foxtrestle.node.drained_zones import SHORTEST_WAIT_S, START_MARGIN_S, DrainedZones
 from foxtrestle.node.operators import OperatorMirror
 from foxtrestle.platform.http import NoAnswer
 from foxtrestle.platform.operators import LONGEST_ZONE, OPERATORS, ZONE_DRAINS
 from foxtrestle.platform.workers import ENTRIES
-from foxtrestle.scheduling.checks import DRAINED, check_send, check_start
+from foxtrestle.scheduling.checks import DRAINED, ZONES_UNKNOWN, check_send, check_start
 from foxtrestle.scheduling.draining import mark, note_drained, take_news
 from foxtrestle.scheduling.eligibility import is_usable
 from foxtrestle.scheduling.lives import begin_next_life
@@ -233,6 +234,13 @@
     ]
 
 
+def test_a_short_bound_has_the_watch_wait_for_less() -> None:
+    assert DrainedZones(ZONES, DRAIN_S).limit_wait(1.0) == 1.0
+    assert DrainedZones(ZONES, 1.2).limit_wait(1.0) == pytest.approx(0.3)
+    assert DrainedZones(ZONES, 0.2).limit_wait(1.0) == SHORTEST_WAIT_S
+    assert DrainedZones().limit_wait(1.0) == 1.0
+
+
 def test_a_deployment_whose_operators_drain_no_zones_never_waits_for_knowledge() -> None:
     assert Keys((), None).mirror.zones.find(-1e9, 0.0) == frozenset()
     assert OperatorMirror(None, lambda: None, 2.0).find_drained(1e9) == frozenset()  # type: ignore[arg-type]
@@ -406,6 +414,22 @@
     assert run.state == "stopping"
 
 
+@pytest.mark.parametrize("known", [True, False])
+async def test_what_held_a_start_back_is_told(known: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    told: Lines = []
+    monkeypatch.setattr(orders_module, "log", lambda event, **fields: told.append((event, fields)))
+    fleet = spread_over_zones("z0")
+    [task] = enter(fleet, make_job()).tasks.values()
+    worker = fleet.workers["w0"]
+    run = place_run(fleet, task, worker, 1, NOW)
+    note_drained(fleet, frozenset({"z0"}) if known else None)
+    await make_orders(fleet, UnansweredCalls(lambda: None)).start(task, run, worker)
+    [(event, fields)] = told
+    assert event == "start.withheld"
+    assert fields["zone"] == "z0"
+    assert fields["reason"] == (DRAINED if known else ZONES_UNKNOWN)
+
+
 async def test_a_start_that_was_never_sent_is_dropped_and_its_task_waits_again() -> None:
     fleet = spread_over_zones("z0")
     entry = enter(fleet, make_job())
