--- a/src/foxtrestle/scheduling/workers.py
+++ b/src/foxtrestle/scheduling/workers.py
@@ -34,6 +34,7 @@
         "clock_offset_ms",
         "contact_at",
         "cordoned",
+        "drained",
         "failed_at",
         "failed_jobs",
         "fenced",
@@ -69,6 +70,8 @@
         """Whether its entry has disappeared."""
         self.cordoned = False
         """Whether its host is being emptied."""
+        self.drained = False
+        """Whether its zone is drained, or may be; set by `draining`."""
         self.token = 0
         """Fencing token of its calls, above that of each call without an answer and of its former
         lives; 0 for the number of the term."""
