--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -98,11 +98,7 @@
 
     def withhold(self, task: Task, run: Run, worker: Worker, reason: str) -> None:
         """Drop a run whose start was never sent."""
-        if reason == DRAINED and not self._fleet.drains_known:
-            reason = ZONES_UNKNOWN
-        log("start.withheld", job=task.key.job, step=task.key.step, index=task.key.number,
-            run=run.number, worker=worker.info.id, zone=worker.info.zone,
-            reason=reason)  # fmt: skip
+        self._tell_withheld(task, run, worker, reason, sent=False)
         run.sending = False
         if task.runs.get(run.number) is run:
             self._drop(task, run, worker)
@@ -154,11 +150,18 @@
         if not sent:
             self.withhold(task, run, worker, DRAINED)
             return
-        log("start.withheld", job=task.key.job, step=task.key.step, index=task.key.number,
-            run=run.number, worker=worker.info.id, zone=worker.info.zone,
-            reason=DRAINED, sent=True)  # fmt: skip
+        self._tell_withheld(task, run, worker, DRAINED, sent=True)
         await self.stop_run(task, run, worker)
 
+    def _tell_withheld(
+        self, task: Task, run: Run, worker: Worker, reason: str, *, sent: bool
+    ) -> None:
+        if reason == DRAINED and not self._fleet.drains_known:
+            reason = ZONES_UNKNOWN
+        log("start.withheld", job=task.key.job, step=task.key.step, index=task.key.number,
+            run=run.number, worker=worker.info.id, zone=worker.info.zone, reason=reason,
+            sent=sent)  # fmt: skip
+
     def _confirm(self, run: Run) -> None:
         if run.state == "recorded":
             run.move("confirm")
