Send a start that was fenced off to the same life only, with the same checkpoint

A start is sent again after a fence refusal, also if it was the worker's next life that refused it, whose room may be another; and each copy took the checkpoint of its own moment, which may differ from that of its gang. Change: the checks made before a start is sent are made before such a copy too; what they hold back is settled by the worker's lists. The checkpoint is chosen once. Run: two new cases of tests/test_unanswered_calls.py, red before; with test_orders, test_suspension, test_fencing 37 passed.

--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -4,11 +4,14 @@
 
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 from foxtrestle.clock import read_clock
 from foxtrestle.control.log import log
 from foxtrestle.control.spawn import Spawner
 from foxtrestle.platform.http import CallError, MalformedAnswer, NoAnswer
 from foxtrestle.platform.workers import OrderRefused, OtherLife
+from foxtrestle.scheduling.checks import check_send
 from foxtrestle.scheduling.losses import LossReason
 from foxtrestle.scheduling.model import StartOrder
 from foxtrestle.scheduling.runs import drop_run, requeue
@@ -104,6 +107,7 @@
             # The job was cancelled while this start waited for its record, and is settled.
             return
         ticket = self._fleet.find_ticket(task.key, worker.info.id, read_clock())
+        order = StartOrder(task.key, run.number, entry.job.spec.text, 0, task.checkpoint, ticket)
         sent = False
         for _ in range(ATTEMPTS):
             if not self._term.is_valid() or task.runs.get(run.number) is not run:
@@ -114,9 +118,7 @@
             worker.lapse_at = max(worker.lapse_at, compute_lapse(now))
             run.sent_at = run.sent_at or now
             token = self.get_token(worker)
-            order = StartOrder(
-                task.key, run.number, entry.job.spec.text, token, task.checkpoint, ticket
-            )
+            order = msgspec.structs.replace(order, token=token)
             try:
                 await self._calls.start(
                     worker.info, order, compute_expiry_ms(worker, now), CALL_TIMEOUT_S
@@ -198,7 +200,8 @@
         log("start.refused", job=task.key.job, step=task.key.step, index=task.key.number,
             run=run.number, worker=worker.info.id, reason=reason)  # fmt: skip
         if reason == "fence":
-            return self.take_fence(worker, token)
+            # A later life, whose room may be another, does not get it: its lists settle the run.
+            return self.take_fence(worker, token) or bool(check_send(worker))
         if reason == "late":
             # Our reading of its clock is too old; the refusal brings a fresh one.
             if refusal.clock_ms:
--- a/tests/test_unanswered_calls.py
+++ b/tests/test_unanswered_calls.py
@@ -45,8 +45,10 @@
         self.answers = list(answers)
         self.tokens: list[int] = []
         self.before_answer: Any = None
+        self.checkpoints: list[str] = []
 
     async def start(self, info: Any, order: Any, expires_ms: int, timeout_s: float) -> int:
+        self.checkpoints.append(order.checkpoint)
         return self._answer(order.token)
 
     async def stop(self, info: Any, key: Any, run: int, token: int, timeout_s: float) -> int:
@@ -170,6 +172,30 @@
     assert run.state == "running"
 
 
+async def test_a_start_that_is_fenced_off_by_a_call_to_the_next_life_is_not_sent_to_that() -> None:
+    """Its room may be another; its lists tell what became of the run."""
+    control = Control(refuse("fence"))
+
+    def find_next_life() -> None:
+        control.worker.expect_later_life()
+        control.worker.known = False
+        control.raise_token_once()
+
+    control.calls.before_answer = find_next_life
+    task, run = await control.start()
+    assert control.calls.tokens == [TERM]
+    assert not control.term.lost.is_set()
+    assert (run.state, run.sending, task.runs) == ("recorded", False, {1: run})
+
+
+async def test_all_copies_of_a_start_bring_the_same_checkpoint() -> None:
+    control = Control(fail(NoAnswer))
+    control.task.checkpoint = "first"
+    control.calls.before_answer = lambda: setattr(control.task, "checkpoint", "second")
+    await control.start()
+    assert control.calls.checkpoints == ["first", "first"]
+
+
 async def test_a_start_that_is_always_fenced_off_did_not_run_and_waits_again() -> None:
     control = Control(*[refuse("fence")] * ATTEMPTS)
     control.calls.before_answer = control.raise_token
