Hand control over when a zone that lives does not hear its controller

Cause: where two availability zones cannot reach each other and a third reaches both, a controller in one of the two gave up the workers of the other, which were well, and went on controlling. Their runs lapsed. Change: a zone is apart when four fifths of its workers (three at the least) are silent and half of these have written their entries since the zone's last answer; a zone without power writes nothing. Confirmed for 0.3 s, the controller removes its lock and leaves, in the same transaction, a record with some workers of each zone. Each candidate looks at these and lets others go first for each zone that it does not reach. Who takes over knows what it does not reach, and keeps control. Only where the settings name several zones.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -24,6 +24,7 @@
 from foxtrestle.control.roster import Roster
 from foxtrestle.control.spawn import Spawner
 from foxtrestle.control.sweep import SWEEP_S, sweep
+from foxtrestle.control.zone_watch import ZoneWatch
 from foxtrestle.platform.workers import ENTRIES
 from foxtrestle.scheduling.checks import check_send, check_start
 from foxtrestle.scheduling.hosts import is_worker_overdue
@@ -135,6 +136,9 @@
             loops.append(
                 follow_retention(store=self._store, keep_s=self._settings.bounds.keep_status_s)
             )
+        if len(self._settings.zones) > 1:
+            watch = ZoneWatch(self.fleet, self._term, self._settings, self._measures)
+            loops.append(watch.run())
         if self._advice is not None:
             loops.append(Advisor(self.fleet, self._advice, self.wake).run())
         async with AsyncExitStack() as stack:
--- a/src/foxtrestle/control/keys.py
+++ b/src/foxtrestle/control/keys.py
@@ -24,6 +24,8 @@
     """The controller, under its lease."""
     term: str
     """Number of the newest term, which stays when the lock goes."""
+    hand_over: str
+    """What a controller leaves that gives control up for others to take."""
     pending: str
     """Jobs of each queue that have not begun."""
     host_orders: str
@@ -50,6 +52,7 @@
     return Keys(
         lock=root + "control/lock",
         term=root + "control/term",
+        hand_over=root + "control/hand-over",
         pending=root + "control/pending",
         host_orders=root + "control/hosts",
         learned=root + "control/learned",
--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -127,6 +127,7 @@
                 if refusal.refusal == "fence":
                     self._term.lose("a worker has seen a higher term")
                     return
+                worker.reached_at = read_clock()
                 log("hold.refused", worker=worker.info.id, reason=refusal.refusal)
                 await asyncio.sleep(RETRY_S)
             except CallError as error:
--- a/src/foxtrestle/control/measures.py
+++ b/src/foxtrestle/control/measures.py
@@ -33,6 +33,9 @@
         self._given_up = Counter(
             "foxtrestle_tasks_given_up", "Tasks that crash workers.", registry=self._registry
         )
+        self._zones_apart = Counter(
+            "foxtrestle_zones_apart", "Zones found out of reach.", registry=self._registry
+        )
         self._refusals = Counter(
             "foxtrestle_violations", "Acts stopped by a check.", registry=self._registry
         )
@@ -73,6 +76,10 @@
         """Count a task that is not started again because it crashes its workers."""
         self._given_up.inc({"pool": pool})
 
+    def note_zone_apart(self, zone: str) -> None:
+        """Count a zone that lives and does not hear this controller."""
+        self._zones_apart.inc({"zone": zone})
+
     def note_violation(self, promise: str) -> None:
         """Count an act that a check stopped."""
         self._refusals.inc({"promise": promise})
--- a/src/foxtrestle/control/ownership.py
+++ b/src/foxtrestle/control/ownership.py
@@ -10,9 +10,16 @@
 import msgspec
 
 from foxtrestle.clock import read_clock
+from foxtrestle.control.handing_over import decode_hand_over, look_at_zones
 from foxtrestle.control.keys import build_keys
 from foxtrestle.control.log import Outage, log
 from foxtrestle.scheduling.partitions import Partition
+from foxtrestle.scheduling.reachability import (
+    PAUSE_S,
+    SAME_ZONE_DELAY_S,
+    Takeover,
+    compute_candidate_delay,
+)
 from foxtrestle.store import (
     ABSENT,
     Compacted,
@@ -27,6 +34,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from foxtrestle.control.handing_over import HandOver
     from foxtrestle.platform.store import PlatformStore
 
 WHOLE: Final = Partition()
@@ -80,15 +88,36 @@
     """Name of the controller's node."""
     nonce: str
     """Random text that tells this acquisition from all others."""
+    zone: str = ""
+    """Availability zone of the node."""
+
+
+def find_zone(lock: Record) -> str:
+    """Return the availability zone of the controller that wrote a lock; empty if it is not told."""
+    try:
+        return msgspec.json.decode(lock.value, type=LockRecord).zone
+    except msgspec.DecodeError:
+        return ""
 
 
 class Term:
     """One ownership, from its acquisition to its end."""
 
     def __init__(
-        self, number: int, lock: Record, valid_until: float, partition: Partition = WHOLE
+        self,
+        number: int,
+        lock: Record,
+        valid_until: float,
+        partition: Partition = WHOLE,
+        takeover: Takeover | None = None,
     ) -> None:
         """Create a term that has just been acquired."""
+        self.takeover = takeover or Takeover(read_clock())
+        """What was known at its beginning."""
+        self.hand_over: HandOver | None = None
+        """What is left for whoever takes control, once it is to be handed over."""
+        self.hand_over_asked = asyncio.Event()
+        """Set once control is to be handed over."""
         self.partition = partition
         """What is owned."""
         self.keys = build_keys(partition.number)
@@ -116,6 +145,12 @@
         limit = self.valid_until + GRACE_WITHOUT_STORE_S
         return not self.lost.is_set() and read_clock() < limit
 
+    def ask_hand_over(self, hand_over: HandOver) -> None:
+        """Have control handed over: no orders from now on, leases are held until it is done."""
+        self.closing = True
+        self.hand_over = hand_over
+        self.hand_over_asked.set()
+
     def lose(self, why: str) -> None:
         """End the term."""
         if not self.lost.is_set():
@@ -135,6 +170,9 @@
         partition: Partition = WHOLE,
         *,
         at_home: bool = True,
+        zone: str = "",
+        answers: Callable[[str, float], Awaitable[bool]] | None = None,
+        spreads: bool = False,
     ) -> None:
         """Create an ownership that holds nothing.
 
@@ -146,6 +184,11 @@
             partition: What is owned.
             at_home: Whether this node is one of those that take it at once when it is free; the
                 others do only when none of these has done so.
+            zone: Availability zone of this node.
+            answers: Tells whether a worker's address answers within some seconds; None where
+                control is not handed over, as there is one zone only.
+            spreads: Whether nodes of other zones than the former controller's go first, as a whole
+                zone may be lost at once.
         """
         self.term: Term | None = None
         """The term held by this node."""
@@ -156,6 +199,12 @@
         self._keys = build_keys(partition.number)
         self._at_home = at_home
         self._work = work
+        self._zone = zone
+        self._answers = answers
+        self._spreads = spreads
+        self._former: Record | None = None
+        self._left: HandOver | None = None
+        self._left_at = 0.0
         self._closing = False
         self._outage = Outage("store", "lock")
 
@@ -168,12 +217,15 @@
                 else:
                     await self._wait_until_abandoned()
                 self._outage.note_success()
-                await asyncio.sleep(self._race_delay_s + random.uniform(0, RACE_PAUSE_S))
+                delay_s = self._race_delay_s + random.uniform(0, RACE_PAUSE_S)
+                (takeover, yield_s), _ = await asyncio.gather(self._look(), asyncio.sleep(delay_s))
+                if yield_s:
+                    await asyncio.sleep(yield_s)
                 if await self._store.get(self._keys.lock) is not None:
                     continue
                 if self._closing:
                     return
-                term = await self._acquire()
+                term = await self._acquire(takeover)
                 if term is not None:
                     await self._serve(term)
             except StoreError as error:
@@ -191,18 +243,37 @@
         if term is None:
             return
         term.closing = True
+        await self._give_up(term, "planned stop")
+
+    async def _hand_over(self, term: Term) -> None:
+        """Give the lock up once that is asked for, and go on following it."""
+        await term.hand_over_asked.wait()
+        hand_over = term.hand_over
+        assert hand_over is not None
+        self._left, self._left_at = hand_over, read_clock()
+        log("control.handed-over", term=term.number, partition=self._partition.number,
+            zone=self._zone, apart=hand_over.apart,
+            looks={zone: len(group) for zone, group in hand_over.looks.items()},
+            held_s=round(read_clock() - term.takeover.at, 3))  # fmt: skip
+        await self._give_up(term, "handed over")
+
+    async def _give_up(self, term: Term, why: str) -> None:
+        """Remove the lock, again and again for some seconds, and end the term."""
         give_up_at = read_clock() + RELEASE_S
         outage = Outage("store", "release of the lock")
         while term.may_hold() and not await self._release(term, outage):
             if read_clock() > give_up_at:
                 break
             await asyncio.sleep(random.uniform(RELEASE_RETRY_S / 2, RELEASE_RETRY_S * 1.5))
-        term.lose("planned stop")
+        term.lose(why)
 
     async def _release(self, term: Term, outage: Outage) -> bool:
         """Remove the lock; False if the store did not do so as far as is known."""
         lock = self._keys.lock
-        transaction = Transaction({lock: term.lock.revision}, removals=(lock,))
+        left = {}
+        if term.hand_over is not None:
+            left[self._keys.hand_over] = msgspec.json.encode(term.hand_over)
+        transaction = Transaction({lock: term.lock.revision}, left, removals=(lock,))
         try:
             await self._store.commit(transaction)
         except Conflict:
@@ -214,9 +285,47 @@
         outage.note_success()
         return True
 
+    async def _look(self) -> tuple[Takeover, float]:
+        """Look what the former controller has left, and whom this node reaches of that.
+
+        Returns:
+            What is known, and how long this node lets others go first for it, seconds.
+        """
+        if self._answers is not None:
+            held = await self._store.get(self._keys.hand_over)
+            newest = await self._store.get(self._keys.term) if held is not None else None
+            hand_over = decode_hand_over(held, int(newest.value)) if newest is not None else None
+            if hand_over is not None:
+                return await self._look_around(hand_over, self._answers)
+        if self._left is not None and read_clock() - self._left_at < PAUSE_S:
+            # Its record was not taken by the store; it lets others go first all the same.
+            apart = frozenset(self._left.apart)
+            yield_s = compute_candidate_delay(len(apart), gave_up=True)
+            return Takeover(read_clock(), handed_over=True, unreached=apart), yield_s
+        takeover = Takeover(read_clock())
+        if self._spreads and self._former is not None:
+            return takeover, SAME_ZONE_DELAY_S * (find_zone(self._former) == self._zone)
+        return takeover, 0.0
+
+    async def _look_around(
+        self, hand_over: HandOver, answers: Callable[[str, float], Awaitable[bool]]
+    ) -> tuple[Takeover, float]:
+        """Look whom this node reaches, as the former controller did not reach all."""
+        began_at = read_clock()
+        unreached = await look_at_zones(hand_over, answers)
+        gave_up = hand_over.node == self._node
+        yield_s = compute_candidate_delay(len(unreached), gave_up=gave_up)
+        now = read_clock()
+        log("control.candidate", former=hand_over.node, former_term=hand_over.term,
+            partition=self._partition.number, apart=hand_over.apart, unreached=sorted(unreached),
+            yields_s=yield_s, took_s=round(now - began_at, 3))  # fmt: skip
+        return Takeover(now, handed_over=True, unreached=unreached), yield_s
+
     async def _wait_until_free(self) -> None:
         record, revision = await self._read_lock()
+        self._former = record
         while record is not None:
+            self._former = record
             try:
                 changes, revision = await self._store.poll(self._keys.lock, revision)
             except Compacted:
@@ -245,13 +354,13 @@
         held = [record for record in listing.records if record.key == self._keys.lock]
         return (held[0] if held else None), listing.revision
 
-    async def _acquire(self) -> Term | None:
+    async def _acquire(self, takeover: Takeover | None = None) -> Term | None:
         held = await self._store.get(self._keys.term)
         keys = self._keys
         number = int(held.value) + 1 if held else 1
         sent_at = read_clock()
         lease = await self._store.grant(LEASE_S)
-        value = msgspec.json.encode(LockRecord(self._node, uuid.uuid4().hex[:12]))
+        value = msgspec.json.encode(LockRecord(self._node, uuid.uuid4().hex[:12], self._zone))
         transaction = Transaction(
             conditions={keys.lock: ABSENT, keys.term: held.revision if held else ABSENT},
             puts={keys.lock: value, keys.term: str(number).encode()},
@@ -270,7 +379,10 @@
             revision = found.revision
         self._lease = lease
         valid_until = sent_at + LEASE_S - LEASE_MARGIN_S
-        return Term(number, Record(keys.lock, value, revision), valid_until, self._partition)
+        if takeover is not None:
+            takeover = msgspec.structs.replace(takeover, at=read_clock())
+        lock = Record(keys.lock, value, revision)
+        return Term(number, lock, valid_until, self._partition, takeover)
 
     async def _serve(self, term: Term) -> None:
         self.term = term
@@ -280,6 +392,7 @@
         duties = [
             asyncio.create_task(self._renew(term)),
             asyncio.create_task(self._watch_lock(term)),
+            asyncio.create_task(self._hand_over(term)),
         ]
         try:
             await term.lost.wait()
@@ -345,5 +458,5 @@
                 await asyncio.sleep(RETRY_S)
                 continue
             if any(change.key == self._keys.lock for change in changes):
-                term.lose("lock gone or replaced")
+                term.lose("handed over" if term.hand_over else "lock gone or replaced")
                 return
--- a/src/foxtrestle/control/roster.py
+++ b/src/foxtrestle/control/roster.py
@@ -154,6 +154,8 @@
             log("worker.draining" if info.draining else "worker.ready", worker=info.id)
         if info.born_ms != worker.info.born_ms and worker.born_ms not in {0, info.born_ms}:
             self._call_next_life(worker, info)
+        if record.revision > worker.revision:
+            worker.heard_at = now
         worker.info = info
         worker.born_ms = worker.born_ms or info.born_ms
         worker.revision = record.revision
@@ -272,8 +274,8 @@
         now = read_clock()
         heard_at = max(worker.contact_at, worker.alive_at) if alive_at is None else alive_at
         listed_at = self._fleet.listed_at
-        log("worker.released", worker=worker.info.id, host=worker.info.host, reason=reason,
-            crashed=crashed, runs=len(release.lost), unanswered=unanswered,
+        log("worker.released", worker=worker.info.id, host=worker.info.host, zone=worker.info.zone,
+            reason=reason, crashed=crashed, runs=len(release.lost), unanswered=unanswered,
             heard_s=round(now - heard_at, 3),
             list_age_s=round(now - listed_at, 3) if listed_at is not None else None,
             )  # fmt: skip
--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -115,7 +115,7 @@
 
             async def own() -> None:
                 await self.layout.load(store, hosts)
-                ownerships.extend(self._build_ownerships(store, control))
+                ownerships.extend(self._build_ownerships(store, workers, control))
                 await asyncio.gather(*(ownership.run() for ownership in ownerships))
 
             intake = Intake(store, self.operators, self.layout)
@@ -148,15 +148,27 @@
         log("node.stopped")
 
     def _build_ownerships(
-        self, store: PlatformStore, control: Callable[[Term], Awaitable[None]]
+        self,
+        store: PlatformStore,
+        workers: WorkerCalls,
+        control: Callable[[Term], Awaitable[None]],
     ) -> list[Ownership]:
         """Build the ownership of every partition; a node is at home in one of them."""
         settings = self.settings
         delay_s = compute_race_delay(settings.processor_share, settings.link_mbps)
         home = find_number(settings.name, self.layout.count)
+        answers = workers.answers if len(settings.zones) > 1 else None
         return [
             Ownership(
-                store, settings.name, delay_s, control, partition, at_home=partition.number == home
+                store,
+                settings.name,
+                delay_s,
+                control,
+                partition,
+                at_home=partition.number == home,
+                zone=settings.zone,
+                answers=answers,
+                spreads=settings.zones_lost > 0,
             )
             for partition in self.layout.list_partitions()
         ]  # fmt: skip
--- a/src/foxtrestle/platform/workers.py
+++ b/src/foxtrestle/platform/workers.py
@@ -171,6 +171,15 @@
         answer = await self._order(worker, "hold", body, wait_ms / 1000 + timeout_s)
         return _to_report(answer, worker.id)
 
+    async def answers(self, address: str, timeout_s: float) -> bool:
+        """Tell whether a worker's address can be reached: whether it answers, whatever it says."""
+        url = f"http://{address}/health"
+        try:
+            await call(self._connections, "GET", url, step="workers.look", timeout_s=timeout_s)
+        except CallError:
+            return False
+        return True
+
     async def _order(
         self, worker: WorkerInfo, path: str, body: dict[str, Any], timeout_s: float
     ) -> _Answer:
--- a/src/foxtrestle/scheduling/workers.py
+++ b/src/foxtrestle/scheduling/workers.py
@@ -41,12 +41,14 @@
         "forgotten",
         "full_until",
         "gone",
+        "heard_at",
         "info",
         "known",
         "known_at",
         "lapse_at",
         "lasting",
         "lasting_used",
+        "reached_at",
         "revision",
         "runs",
         "seen_end",
@@ -64,6 +66,9 @@
         """Its description."""
         self.revision = revision
         """Store revision of its entry; of two workers of a host the newer has the higher."""
+        self.heard_at = -1e9
+        """Monotonic time at which a newer entry of it was last taken in, seconds: it lives and
+        reaches the store, whether or not it answers."""
         self.gone = False
         """Whether its entry has disappeared."""
         self.cordoned = False
@@ -87,6 +92,8 @@
         """Monotonic time at which it first did, seconds."""
         self.contact_at = -1e9
         """Monotonic time of its last answer, seconds."""
+        self.reached_at = -1e9
+        """Monotonic time of its last answer or refusal, seconds."""
         self.alive_at = -1e9
         """Monotonic time at which it is last known to have lived, seconds."""
         self.silence: Silence | None = None
@@ -128,6 +135,7 @@
     def note_answer(self, now: float) -> None:
         """Note that it answers."""
         self.contact_at = now
+        self.reached_at = now
         self.alive_at = now
         self.silence = None
 
--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -61,6 +61,8 @@
         """Whether watches hear of nothing, without a sign of it."""
         self.silent_workers: set[str] = set()
         """Workers that do not answer; they go on running what they run."""
+        self.powerless_zones: set[str] = set()
+        """Zones whose workers answer nothing and do not write their entries."""
         self.lost_starts = 0.0
         """Share of starts that are not answered and carried out later."""
         self.late_s = 0.5
@@ -88,6 +90,8 @@
     """Name of the host."""
     pool: str
     """Pool it is in."""
+    zone: str = "z"
+    """Availability zone."""
     state: str = "up"
     """As the platform lists it."""
     worker: str = ""
@@ -156,9 +160,9 @@
 
     # Workers and hosts.
 
-    async def add_host(self, name: str, pool: str) -> None:
+    async def add_host(self, name: str, pool: str, zone: str = "z") -> None:
         """Add a host; it gets a worker unless its pool is off."""
-        host = SimulatedHost(name, pool)
+        host = SimulatedHost(name, pool, zone)
         self.hosts[name] = host
         if pool != self._reserve:
             await self._begin_life(host)
@@ -174,7 +178,7 @@
         socket = bind(LOOPBACK, 0)
         address = f"{LOOPBACK}:{socket.getsockname()[1]}"
         info = WorkerInfo(
-            worker_id, host.pool, address, "z", False, self._room, ("a", "r1"), host.name,
+            worker_id, host.pool, address, host.zone, False, self._room, ("a", "r1"), host.name,
             self._find_birth(),
         )  # fmt: skip
         worker = SimulatedWorker(info, lambda: time.monotonic() * 1000, self._describe)
@@ -238,6 +242,19 @@
         }
         self.write(f"servers/{info.id}", entry)
 
+    async def write_entries(self, every_s: float) -> None:
+        """Write each live worker's entry every few seconds, in turn, until cancelled."""
+        number = 0
+        while True:
+            await asyncio.sleep(every_s / max(1, len(self.workers)))
+            number += 1
+            workers = list(self.workers.values())
+            if not workers:
+                continue
+            worker = workers[number % len(workers)]
+            if not worker.down and worker.info.zone not in self.faults.powerless_zones:
+                self.write_entry(worker)
+
     def end_life(self, worker_id: str, *, entry_goes: bool = True) -> None:
         """End a worker's life with everything that runs there."""
         worker = self.workers.pop(worker_id)
@@ -384,7 +401,7 @@
         def route(path: str, act: Callable[[dict[str, Any]], Awaitable[dict[str, Any]]]) -> Route:
             async def serve(request: Request) -> Response:
                 self.calls[path] += 1
-                if worker.down or worker.info.id in self.faults.silent_workers:
+                if self._is_silent(worker):
                     await asyncio.sleep(3600)
                 meant = request.headers.get("Foxtrestle-Target-Instance", worker.info.id)
                 if worker.dead or meant != worker.info.id:
@@ -395,7 +412,8 @@
                     answer, status = await act(body), 200
                 except Refused as refusal:
                     answer, status = {"reason": str(refusal)}, 409
-                if worker.down or worker.lives != lives:
+                powerless = worker.info.zone in self.faults.powerless_zones
+                if worker.down or powerless or worker.lives != lives:
                     # The life that would have answered is over.
                     await asyncio.sleep(3600)
                 if worker.dead:
@@ -451,10 +469,26 @@
                 ],
             }
 
+        async def tell_health(request: Request) -> Response:
+            self.calls["health"] += 1
+            if self._is_silent(worker):
+                await asyncio.sleep(3600)
+            return Response()
+
         return Starlette(
-            routes=[route("run-start", start), route("run-stop", stop), route("hold", hold)]
+            routes=[
+                route("run-start", start),
+                route("run-stop", stop),
+                route("hold", hold),
+                Route("/health", tell_health),
+            ]
         )
 
+    def _is_silent(self, worker: SimulatedWorker) -> bool:
+        faults = self.faults
+        silenced = worker.info.id in faults.silent_workers
+        return worker.down or silenced or worker.info.zone in faults.powerless_zones
+
     async def _carry_out_late(self, begin: Callable[[], None]) -> None:
         await asyncio.sleep(self.faults.late_s)
         try:
@@ -477,6 +511,7 @@
                     "machine": host.name,
                     "pool": host.pool,
                     "state": host.state,
+                    "zone": host.zone,
                     "capacity": {"cpu": self._room.cpu, "memMb": self._room.memory_mb, "gpu": 0},
                     "id": host.worker or None,
                 }
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -57,6 +57,14 @@
             [line(1, "run.placed", job=JOB, worker="w", waited_s=2.5)],
             "no room: a task waited 2.5 s for a worker",
         ),
+        (
+            [
+                line(1, "job.accepted", job=JOB),
+                line(2, "zone.apart", zone="b", node="n1"),
+                line(3, "job.ended", job=JOB, state="completed", took_s=2.0),
+            ],
+            "zone b did not hear the controller n1",
+        ),
         ([line(1, "job.accepted", job=JOB)], "nothing unusual is on record"),
     ],
 )
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -47,15 +47,16 @@
 class RunningNode:
     """A node served in this process."""
 
-    def __init__(self, site: Site, name: str) -> None:
+    def __init__(self, site: Site, name: str, zone: str = "z", **options: Any) -> None:
         self.settings = NodeSettings(
             name=name,
-            zone="z",
+            zone=zone,
             client_address=free_address(),
             ready_address=free_address(),
             store_address=site.store_address,
             hosts_address=site.hosts_address,
             bounds=Bounds(turn_s=0.1, move_s=0.1, maintenance_s=0.1, save_s=0.1),
+            **options,
         )
         self.node = Node(self.settings)
         self.stop = asyncio.Event()
