--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -82,6 +82,7 @@
         self._measures = measures or Measures()
         self.fleet = Fleet(term.number)
         """What it knows."""
+        self.fleet.spreads = settings.zones_lost > 0
         self._term = term
         self._keys = term.keys
         self._settings = settings
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -293,7 +293,9 @@
         barred = self._records.list_barred(now)
         known = self.loads.is_known(now)
         most_off = self._off.count(len(views), needs.values(), now) if known else 0
-        moves = choose_moves(needs, views, reserve, now, barred, most_off, fitting, turn)
+        moves = choose_moves(
+            needs, views, reserve, now, barred, most_off, fitting, turn, spreads=self._fleet.spreads
+        )
         self._off.take(sum(1 for move in moves if move.pool == reserve))
         told = {
             name: [round(need.demand, 2), need.wanted, need.have, round(need.growth, 1)]
--- a/src/foxtrestle/scheduling/candidates.py
+++ b/src/foxtrestle/scheduling/candidates.py
@@ -13,9 +13,10 @@
 
 from foxtrestle.scheduling.crashes import FRESH_S
 from foxtrestle.scheduling.eligibility import is_suspect
+from foxtrestle.scheduling.spreading import StepCounts
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Iterator
+    from collections.abc import Callable, Iterable, Iterator, Sequence
 
     from foxtrestle.scheduling.jobs import Task
     from foxtrestle.scheduling.model import Step
@@ -121,13 +122,21 @@
 class Candidates:
     """The usable workers of one pool, those with the least free cpu first."""
 
-    def __init__(self, workers: Iterable[Worker], now: float, turn: Turn | None = None) -> None:
+    def __init__(
+        self,
+        workers: Iterable[Worker],
+        now: float,
+        turn: Turn | None = None,
+        spread_over: Sequence[Worker] | None = None,
+    ) -> None:
         """Index some workers.
 
         Args:
             workers: Usable workers of one pool.
             now: Monotonic time of the round, seconds.
             turn: Whose turn it is, if several steps wait for hosts.
+            spread_over: All workers of the pool, usable or not, if lasting tasks are spread over
+                zones and racks; None if they are packed like others.
         """
         self.now = now
         """Monotonic time of the round, seconds."""
@@ -142,10 +151,14 @@
         self._trusted = sorted((one.cpu, one.worker.info.id, one) for one in trusted)
         self._racks: dict[str, list[Candidate]] = {}
         self._full: list[Needed] = []
+        self._spread_over = spread_over
+        self._counts: dict[tuple[str, int, int], StepCounts] = {}
 
     def find(self, task: Task, accept: Callable[[Candidate], bool]) -> Candidate | None:
         """Find the best worker for a task: trusted, near its data, least room to spare.
 
+        A lasting task that is spread takes one of the zone and rack with the fewest of its step.
+
         Args:
             task: The task.
             accept: Tells whether it may run on a worker that has the room.
@@ -154,7 +167,10 @@
         if self._is_full(needed):
             return None
         roomy = False
-        for one in self._list_roomy(task, needed):
+        found = self._list_roomy(task, needed)
+        if task.step.lasting and self._spread_over is not None:
+            found = self._spread(task, found, self._spread_over)
+        for one in found:
             roomy = True
             if accept(one):
                 return one
@@ -179,7 +195,7 @@
 
     def claim(self, one: Candidate, task: Task) -> None:
         """Count a task in that this round has placed."""
-        one.placed[task.key[:3]] += 1
+        self._count(one, task, 1)
         if task.probation:
             one.probation = task.key.job
         self._change(one, task.step, -1)
@@ -190,13 +206,42 @@
     def unclaim(self, placed: Iterable[tuple[Task, Candidate]]) -> None:
         """Take back what was claimed for a gang that finds no place as a whole."""
         for task, one in placed:
-            one.placed[task.key[:3]] -= 1
+            self._count(one, task, -1)
             self._change(one, task.step, 1)
             one.busy = len(one.worker.runs) > one.worker.lasting or any(one.placed.values())
             one.trial = one.trial if one.busy else None
             one.probation = one.probation if any(one.placed.values()) else ""
         self._full.clear()
 
+    def _count(self, one: Candidate, task: Task, count: int) -> None:
+        where = task.key[:3]
+        one.placed[where] += count
+        if where in self._counts:
+            self._counts[where].add(one.worker.info, count)
+
+    def _spread(
+        self, task: Task, found: Iterable[Candidate], workers: Sequence[Worker]
+    ) -> Iterator[Candidate]:
+        """Order candidates by how many tasks of the step their zone and rack have.
+
+        Trust and data go before that; among those alike the order stays.
+        """
+        where = task.key[:3]
+        if where not in self._counts:
+            self._counts[where] = StepCounts(where, workers)
+            for one in self.all:
+                self._counts[where].add(one.worker.info, one.placed[where])
+        counts = self._counts[where]
+        rack = task.step.data_rack
+
+        def rank(one: Candidate) -> tuple[bool, bool, tuple[int, int]]:
+            info = one.worker.info
+            far = bool(rack) and rack not in info.labels
+            return is_suspect(one.worker), far, counts.rank(info)
+
+        unique = {one.worker.info.id: one for one in found}
+        yield from sorted(unique.values(), key=rank)
+
     def _list_roomy(self, task: Task, needed: Needed) -> Iterator[Candidate]:
         """List the candidates with room, the best first; some of them twice."""
         rack = task.step.data_rack
--- a/src/foxtrestle/scheduling/movable.py
+++ b/src/foxtrestle/scheduling/movable.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from itertools import chain
 from typing import TYPE_CHECKING
 
@@ -25,6 +25,8 @@
         barred: frozenset[str],
         now: float,
         kept: frozenset[str] = frozenset(),
+        *,
+        spreads: bool = False,
     ) -> None:
         """Sort the hosts.
 
@@ -34,7 +36,13 @@
             barred: Hosts that must not be moved.
             now: Monotonic time, seconds.
             kept: Hosts that particular tasks of their pool need.
+            spreads: Whether each pool's hosts are spread over zones, as one may be lost at once.
         """
+        self._spreads = spreads
+        self._zones = Counter(
+            (view.pool if view.plan is None else view.plan.pool, view.info.zone)
+            for view in views.values()
+        )
         self._kept: dict[str, list[HostView]] = {}
         self._off: deque[HostView] = deque()
         self._leaving: list[HostView] = []
@@ -59,9 +67,16 @@
             pool.reverse()
             pool.sort(key=_measure_load, reverse=True)
 
-    def take_off(self) -> HostView | None:
-        """Take a host that is off."""
-        return self._off.popleft() if self._off else None
+    def take_off(self, pool: str) -> HostView | None:
+        """Take a host that is off; one of the zone of which a pool has fewest, if it is spread."""
+        if not self._off:
+            return None
+        view = self._off[0]
+        if self._spreads:
+            view = min(self._off, key=lambda one: self._zones[pool, one.info.zone])
+            self._zones[pool, view.info.zone] += 1
+        self._off.remove(view)
+        return view
 
     def take_leaving(self, pool: str) -> HostView | None:
         """Take a host of another pool that is being emptied to be off: it saves that move."""
@@ -75,7 +90,18 @@
         views = self._serving.get(pool)
         if not views or (idle and not views[-1].is_idle()):
             return None
-        return views.pop()
+        if not self._spreads:
+            return views.pop()
+        return self._take_of_most(pool, views)
+
+    def _take_of_most(self, pool: str, views: list[HostView]) -> HostView:
+        """Take one of those as busy as the last, of the zone of which the pool has most."""
+        least = _measure_load(views[-1])
+        alike = [view for view in reversed(views) if _measure_load(view) == least]
+        view = max(alike, key=lambda one: self._zones[pool, one.info.zone])
+        views.remove(view)
+        self._zones[pool, view.info.zone] -= 1
+        return view
 
     def take_fitting(
         self, need: FittingNeed, rich: Collection[str], *, forced: bool
--- a/src/foxtrestle/scheduling/placing.py
+++ b/src/foxtrestle/scheduling/placing.py
@@ -93,7 +93,17 @@
     for worker in fleet.workers.values():
         if worker.info.pool in wanted and is_usable(worker, now) and not _is_barred(worker):
             usable.setdefault(worker.info.pool, []).append(worker)
-    return {pool: Candidates(workers, now, fleet.turn) for pool, workers in usable.items()}
+    return {
+        pool: Candidates(workers, now, fleet.turn, _list_pool(fleet, pool))
+        for pool, workers in usable.items()
+    }
+
+
+def _list_pool(fleet: Fleet, pool: str) -> list[Worker] | None:
+    """List the workers over which a pool's lasting tasks are spread; None if they are not."""
+    if not fleet.spreads:
+        return None
+    return [worker for worker in fleet.workers.values() if worker.info.pool == pool]
 
 
 def _is_barred(worker: Worker) -> bool:
--- a/src/foxtrestle/scheduling/scaling.py
+++ b/src/foxtrestle/scheduling/scaling.py
@@ -79,6 +79,8 @@
     most_off: int = 1_000_000,
     fitting: Sequence[FittingNeed] = (),
     turn: Turn | None = None,
+    *,
+    spreads: bool = False,
 ) -> list[HostMove]:
     """Choose hosts to move: into pools that lack some, out of pools that have too many.
 
@@ -93,12 +95,15 @@
         most_off: Hosts that may be turned off now at most.
         fitting: Hosts that particular tasks need.
         turn: Whose turn it is, if several steps wait for hosts.
+        spreads: Whether each pool's hosts are spread over zones, as one may be lost at once.
     """
     targets = share_hosts(needs, count_available(views))
     have = {name: need.have for name, need in needs.items()}
     moves = _choose_turn(turn, have, views, barred)
     barred = barred | turn.hosts if turn is not None else barred
-    movable = MovableHosts(views, reserve, barred, now, list_kept(fitting, views, now))
+    movable = MovableHosts(
+        views, reserve, barred, now, list_kept(fitting, views, now), spreads=spreads
+    )
     moves += _choose_fitting(fitting, targets, have, movable, views, now)
     lacking = sorted(
         (name for name in needs if have[name] < targets[name]),
@@ -107,7 +112,7 @@
     )
     for name in lacking:
         while have[name] < targets[name]:
-            view = movable.take_off() or movable.take_leaving(name)
+            view = movable.take_off(name) or movable.take_leaving(name)
             if view is None:
                 view = _take_surplus(targets, have, movable)
             if view is None and have[name] == 0:
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -74,6 +74,8 @@
         says that the worker may not run the step."""
         self.durations = Durations()
         """How long tasks take."""
+        self.spreads = False
+        """Whether what lasts is spread over zones and racks, as a zone may be lost at once."""
         self.at_limit: frozenset[str] = frozenset()
         """Organisations that the last round of placements kept from starting more."""
         self.turn: Turn | None = None
--- /dev/null
+++ b/tests/test_zone_lost.py
@@ -0,0 +1,338 @@
+"""A whole availability zone lost at once: control is back soon, and no more is lost than need be.
+
+Cause of what this guards against: lasting tasks were packed onto the workers with the least room,
+so a step could stand in one zone; the pool's hosts came from whichever zone was first in the list;
+and the nodes of the zone that was being lost were among the first to take control.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+import hypothesis.strategies as st
+import msgspec
+from hypothesis import given
+
+from foxtrestle.clock import read_clock
+from foxtrestle.scheduling.candidates import Candidate
+from foxtrestle.scheduling.crashes import LASTING_BLAME_S
+from foxtrestle.scheduling.hosts import find_dead, view_hosts
+from foxtrestle.scheduling.losses import LossReason, is_crash
+from foxtrestle.scheduling.model import HostInfo, Shape, Step
+from foxtrestle.scheduling.needs import PoolNeed
+from foxtrestle.scheduling.placing import choose_placements
+from foxtrestle.scheduling.runs import place_run, release_worker
+from foxtrestle.scheduling.scaling import choose_moves
+from foxtrestle.standins.site import Site
+from tests.scheduling_fakes import NOW, ROOM, add_worker, enter, make_fleet, make_job
+from tests.test_node import count_starts, is_state, name, short_times, wait_for
+from tests.test_zones_apart import lines
+from tests.zone_fakes import (
+    LEASES,
+    find_holders,
+    is_in_control,
+    list_events,
+    running_zones,
+)
+
+if TYPE_CHECKING:
+    import pytest
+
+    from foxtrestle.scheduling.jobs import JobEntry
+    from foxtrestle.scheduling.placing import Placement
+    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.workers import Worker
+
+__all__ = ["lines", "short_times"]
+
+SMALL = Shape(1000, 1000)
+ZONES = ("a", "b", "c")
+
+
+def add_in_zone(
+    fleet: Fleet, number: int, zone: str, rack: str = "r1", room: Shape = ROOM
+) -> Worker:
+    """Add a worker in a rack of a zone."""
+    worker = add_worker(fleet, f"w{number:02}", labels=("a", f"{zone}-{rack}"), room=room)
+    worker.info = msgspec.structs.replace(worker.info, zone=zone)
+    host = fleet.hosts[worker.info.host]
+    fleet.hosts[host.name] = msgspec.structs.replace(host, zone=zone)
+    return worker
+
+
+def make_zoned_fleet(per_zone: int, *, racks: int = 1, spreads: bool = True) -> Fleet:
+    fleet = make_fleet(0)
+    fleet.spreads = spreads
+    for number in range(per_zone * len(ZONES)):
+        add_in_zone(fleet, number, ZONES[number // per_zone], f"r{number % racks}")
+    return fleet
+
+
+def place(fleet: Fleet, placements: list[Placement], now: float = NOW) -> list[Worker]:
+    """Carry placements out; return the worker of each task."""
+    members = [(task, worker, one.run) for one in placements for task, worker in one.members]
+    for task, worker, number in members:
+        run = place_run(fleet, task, worker, number, now)
+        run.move("confirm")
+        run.confirmed_at = now
+    return [worker for _, worker, _ in members]
+
+
+def count_zones(workers: list[Worker]) -> Counter[str]:
+    return Counter(worker.info.zone for worker in workers)
+
+
+def count_racks(workers: list[Worker]) -> Counter[tuple[str, ...]]:
+    return Counter(worker.info.labels for worker in workers)
+
+
+def test_a_step_that_lasts_is_spread_over_zones_and_racks() -> None:
+    fleet = make_zoned_fleet(4, racks=2)
+    enter(fleet, make_job(Step(count=6, shape=SMALL, lasting=True)))
+    taken = place(fleet, choose_placements(fleet, NOW))
+    assert count_zones(taken) == {"a": 2, "b": 2, "c": 2}
+    assert set(count_racks(taken).values()) == {1}
+
+
+def test_where_no_zone_may_be_lost_it_is_packed_as_before() -> None:
+    fleet = make_zoned_fleet(4, spreads=False)
+    enter(fleet, make_job(Step(count=6, shape=SMALL, lasting=True)))
+    taken = place(fleet, choose_placements(fleet, NOW))
+    assert len({worker.info.id for worker in taken}) == 1
+
+
+def test_tasks_that_end_are_packed_all_the_same() -> None:
+    fleet = make_zoned_fleet(4)
+    enter(fleet, make_job(Step(count=6, shape=SMALL)))
+    taken = place(fleet, choose_placements(fleet, NOW))
+    assert len({worker.info.id for worker in taken}) == 1
+
+
+def test_a_task_that_comes_back_goes_where_its_step_has_the_fewest() -> None:
+    """What a former round has placed counts, also on workers that get nothing at the moment."""
+    fleet = make_zoned_fleet(2)
+    enter(fleet, make_job(Step(count=5, shape=SMALL, lasting=True)))
+    taken = place(fleet, choose_placements(fleet, NOW))
+    [least] = [zone for zone, count in count_zones(taken).items() if count == 1]
+    kept, lost = [one for one in taken if one.info.zone != least][:2]
+    kept.cordoned = True
+    release = release_worker(fleet, lost, NOW)
+    after = count_zones([one for one in taken if one is not lost])
+    again = place(fleet, choose_placements(fleet, NOW))
+    assert len(again) == len(release.lost)
+    assert max((after + count_zones(again)).values()) == 2
+
+
+@given(st.integers(1, 24), st.integers(1, 3), st.integers(2, 5))
+def test_a_lost_zone_takes_no_more_of_a_step_than_its_part(
+    count: int, racks: int, per_zone: int
+) -> None:
+    fleet = make_zoned_fleet(per_zone, racks=racks)
+    enter(fleet, make_job(Step(count=count, shape=SMALL, lasting=True)))
+    taken = place(fleet, choose_placements(fleet, NOW))
+    assert len(taken) == count
+    zones = count_zones(taken)
+    assert max(zones.values()) - min(zones[zone] for zone in ZONES) <= 1
+    for zone in ZONES:
+        there = count_racks([one for one in taken if one.info.zone == zone])
+        own = {one.info.labels for one in fleet.workers.values() if one.info.zone == zone}
+        assert max(there.values(), default=0) - min(there[rack] for rack in own) <= 1
+
+
+def test_a_zone_without_room_does_not_keep_a_task_waiting() -> None:
+    fleet = make_fleet(0)
+    fleet.spreads = True
+    add_in_zone(fleet, 0, "a")
+    add_in_zone(fleet, 1, "b", room=Shape(500, 500))
+    enter(fleet, make_job(Step(count=4, shape=SMALL, lasting=True)))
+    assert count_zones(place(fleet, choose_placements(fleet, NOW))) == {"a": 4}
+
+
+def test_data_near_goes_before_the_spread() -> None:
+    fleet = make_zoned_fleet(2)
+    step = Step(count=3, shape=SMALL, lasting=True, data_rack="b-r0")
+    enter(fleet, make_job(step))
+    assert set(count_zones(place(fleet, choose_placements(fleet, NOW)))) == {"b"}
+
+
+# Hosts.
+
+
+def add_off(fleet: Fleet, host: str, zone: str) -> None:
+    fleet.hosts[host] = HostInfo(host, "off", "up", zone, (), ROOM, "")
+
+
+def choose(fleet: Fleet, need: PoolNeed, *, spreads: bool = True) -> list[str]:
+    moves = choose_moves({"main": need}, view_hosts(fleet), "off", NOW, spreads=spreads)
+    return [fleet.hosts[move.host].zone for move in moves]
+
+
+def make_lopsided_fleet() -> Fleet:
+    """Two hosts serve in zone a, one in b, none in c; hosts of all zones are off."""
+    fleet = make_fleet(0)
+    for number, zone in enumerate(("a", "a", "b")):
+        add_in_zone(fleet, number, zone)
+    for zone in ZONES:
+        for number in range(3):
+            add_off(fleet, f"{zone}{number}", zone)
+    return fleet
+
+
+def test_hosts_are_fetched_in_the_zone_of_which_the_pool_has_fewest() -> None:
+    assert choose(make_lopsided_fleet(), PoolNeed(6.0, 6, 3)) == ["c", "b", "c"]
+
+
+def test_where_no_zone_may_be_lost_they_are_fetched_in_the_order_of_the_list() -> None:
+    assert choose(make_lopsided_fleet(), PoolNeed(6.0, 6, 3), spreads=False) == ["a", "a", "a"]
+
+
+def test_hosts_on_their_way_to_the_pool_count_with_it() -> None:
+    fleet = make_lopsided_fleet()
+    assert choose(fleet, PoolNeed(4.0, 4, 3)) == ["c"]
+    worker = add_in_zone(fleet, 10, "c")
+    worker.info = msgspec.structs.replace(worker.info, pool="main")
+    assert choose(fleet, PoolNeed(6.0, 6, 4)) == ["b", "c"]
+
+
+def test_hosts_are_given_back_in_the_zone_of_which_the_pool_has_most() -> None:
+    fleet = make_fleet(0)
+    for number, zone in enumerate(("a", "b", "b", "c", "b")):
+        add_in_zone(fleet, number, zone)
+    assert choose(fleet, PoolNeed(2.5, 3, 5)) == ["b", "b"]
+
+
+def test_an_idle_host_is_given_back_before_a_busy_one_of_a_fuller_zone() -> None:
+    fleet = make_fleet(0)
+    for number, zone in enumerate(("a", "b", "b")):
+        add_in_zone(fleet, number, zone)
+    entry = enter(fleet, make_job(Step(count=2, shape=SMALL)))
+    busy = [worker for worker in fleet.workers.values() if worker.info.zone == "b"]
+    for task, worker in zip(list(entry.tasks.values()), busy, strict=True):
+        place_run(fleet, task, worker, 1, NOW)
+    assert choose(fleet, PoolNeed(2.0, 2, 3)) == ["a"]
+
+
+# What ran there.
+
+
+def lose_zone(fleet: Fleet, zone: str, now: float) -> list[Any]:
+    """Lose a zone as the controller sees it: silent workers, whose hosts are listed as down."""
+    fleet.hosts_before = frozenset(fleet.hosts)
+    fleet.listed_at = now - 0.1
+    for worker in fleet.workers.values():
+        worker.first_seen = NOW - 60.0
+        worker.note_answer(now if worker.info.zone != zone else now - 1.6)
+        if worker.info.zone == zone:
+            worker.note_silence(now - 0.1)
+            host = fleet.hosts[worker.info.host]
+            fleet.hosts[host.name] = msgspec.structs.replace(host, state="down")
+    releases = []
+    for worker, reason in find_dead(fleet, now):
+        assert reason == LossReason.HOST_DOWN
+        crashed = is_crash(fleet, worker, reason)
+        releases.append(release_worker(fleet, worker, now, crashed=crashed))
+        worker.gone = True
+    return releases
+
+
+def find_order(placements: list[Placement]) -> list[str]:
+    return list(dict.fromkeys(one.job for one in placements))
+
+
+def test_of_what_ran_in_a_lost_zone_the_most_urgent_is_started_first() -> None:
+    """There is room for a part of it only."""
+    fleet = make_fleet(0)
+    fleet.spreads = True
+    for number, zone in enumerate(("a", "a", "a", "b")):
+        add_in_zone(fleet, number, zone)
+    whole = Step(shape=Shape(ROOM.cpu, 1000))
+    entries: list[JobEntry] = []
+    for number, priority in enumerate((2, 0, 1)):
+        job = make_job(whole, id=f"{number:016x}", priority=priority)
+        entries.append(enter(fleet, job))
+    for entry, worker in zip(entries, list(fleet.workers.values())[:3], strict=True):
+        [task] = entry.tasks.values()
+        place_run(fleet, task, worker, 1, NOW)
+    now = NOW + 5.0
+    assert len(lose_zone(fleet, "a", now)) == 3
+    assert find_order(choose_placements(fleet, now)) == [entries[1].job.id]
+
+
+def test_losing_a_zone_gives_no_lasting_task_up_and_counts_against_none_that_has_lived() -> None:
+    fleet = make_zoned_fleet(3)
+    entry = enter(fleet, make_job(Step(count=6, shape=SMALL, lasting=True)))
+    place(fleet, choose_placements(fleet, NOW))
+    now = NOW + LASTING_BLAME_S + 5.0
+    releases = lose_zone(fleet, "a", now)
+    assert sum(len(one.lost) for one in releases) == 2
+    assert not any(one.given_up for one in releases)
+    assert [task.crashes for task in entry.tasks.values()] == [0] * 6
+    assert len(place(fleet, choose_placements(fleet, now), now)) == 2
+    assert not entry.ended
+
+
+def test_two_zones_lost_one_after_another_give_no_young_lasting_task_up() -> None:
+    """Each loss counts once against a task that was there, however many workers went."""
+    fleet = make_zoned_fleet(3)
+    entry = enter(fleet, make_job(Step(count=6, shape=SMALL, lasting=True)))
+    place(fleet, choose_placements(fleet, NOW))
+    now = NOW
+    for zone in ("a", "b"):
+        now += 4.0
+        before = {task.key: task.crashes for task in entry.tasks.values()}
+        releases = lose_zone(fleet, zone, now)
+        assert not any(one.given_up for one in releases)
+        assert all(task.crashes <= before[task.key] + 1 for task in entry.tasks.values())
+        place(fleet, choose_placements(fleet, now), now)
+    assert not entry.ended
+
+
+# Control.
+
+
+async def test_control_is_back_when_the_controller_s_whole_zone_falls_silent(
+    monkeypatch: pytest.MonkeyPatch, lines: list[dict[str, Any]]
+) -> None:
+    """Its nodes and workers are gone at once; nothing in the takeover waits for them."""
+    site = Site(describe=lambda key: (LEASES, 9000.0 if key.job == name(1) else 50.0, "done"))
+    async with running_zones(site, monkeypatch, nodes=("a", "a", "b", "c"), zones_lost=1) as (
+        client,
+        nodes,
+        cuts,
+    ):
+        assert await client.submit(name(1), {"count": 4, "cpu": 1000}) == 200
+        await wait_for(lambda: len(count_starts(site)) == 4)
+        began_at = read_clock()
+        cuts.lose("a")
+        await wait_for(lambda: any(is_in_control(one) for one in nodes[2:]), 3.0)
+        assert read_clock() - began_at < 3.0
+        [holder] = [number for number in (2, 3) if is_in_control(nodes[number])]
+        assert await client.submit(name(2), {"count": 4, "cpu": 1000}, node=holder) == 200
+        await wait_for(lambda: is_state(client, name(2), "completed", holder), 3.0)
+        assert read_clock() - began_at < 6.0
+        assert list_events(lines, "zone.apart") == []
+
+
+async def test_nodes_of_the_zone_of_a_silent_controller_go_last(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with running_zones(Site(), monkeypatch, nodes=("a", "a", "a", "b"), zones_lost=1) as (
+        _,
+        nodes,
+        _cuts,
+    ):
+        await nodes[0].kill()
+        await wait_for(lambda: find_holders(nodes), 4.0)
+        assert find_holders(nodes) == ["b"]
+
+
+def test_a_candidate_counts_no_lasting_task_twice() -> None:
+    """What a round has placed and then taken back for a gang is not counted on."""
+    fleet = make_zoned_fleet(1)
+    enter(fleet, make_job(Step(count=9, shape=Shape(ROOM.cpu, 1000), lasting=True, gang=True)))
+    assert choose_placements(fleet, NOW) == []
+    entry = enter(fleet, make_job(Step(count=3, shape=SMALL, lasting=True), id="1" * 16))
+    taken = place(fleet, choose_placements(fleet, NOW))
+    assert count_zones(taken) == {"a": 1, "b": 1, "c": 1}
+    assert Candidate(taken[0]).count_of(next(iter(entry.tasks.values()))) == 1
--- a/tests/zone_fakes.py
+++ b/tests/zone_fakes.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from foxtrestle.platform import store as store_calls
 from foxtrestle.platform import workers as worker_calls
 from foxtrestle.platform.http import TimedOut, call
 from foxtrestle.scheduling.model import Shape
@@ -34,11 +35,23 @@
     def __init__(self, site: Site) -> None:
         self.site = site
         self.pairs: set[tuple[str, str]] = set()
+        self.dead: set[str] = set()
+        """Zones whose nodes reach nothing, the store included."""
+
+    def lose(self, zone: str) -> None:
+        """Have a whole zone fall silent: its nodes, its workers and their entries."""
+        self.dead.add(zone)
+        self.site.faults.powerless_zones.add(zone)
+        for host in self.site.hosts.values():
+            if host.zone == zone:
+                host.state = "down"
 
     def cut(self, one: str, other: str) -> None:
         self.pairs |= {(one, other), (other, one)}
 
     def holds(self, address: str) -> bool:
+        if CALLER.get() in self.dead:
+            return True
         zones = {w.info.zone for w in self.site.list_workers() if w.info.address == address}
         return any((CALLER.get(), zone) in self.pairs for zone in zones)
 
@@ -72,6 +85,7 @@
     """Run nodes in some zones, the first one in control, and hosts in all three."""
     cuts = Cuts(site)
     monkeypatch.setattr(worker_calls, "call", cuts.call)
+    monkeypatch.setattr(store_calls, "call", cuts.call)
     options = {"zones": ZONES, **options}
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(site.serve())
