--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -25,6 +25,7 @@
 from foxtrestle.control.spawn import Spawner
 from foxtrestle.control.sweep import SWEEP_S, sweep
 from foxtrestle.control.zone_drains import ZoneDrains
+from foxtrestle.control.zone_watch import ZoneWatch
 from foxtrestle.platform.workers import ENTRIES
 from foxtrestle.scheduling.checks import check_send, check_start
 from foxtrestle.scheduling.draining import note_drained, take_news
@@ -83,6 +84,7 @@
         self._measures = measures or Measures()
         self.fleet = Fleet(term.number)
         """What it knows."""
+        self.fleet.spreads = settings.zones_lost > 0
         self._term = term
         self._keys = term.keys
         self._settings = settings
@@ -146,6 +148,9 @@
             loops.append(
                 follow_retention(store=self._store, keep_s=self._settings.bounds.keep_status_s)
             )
+        if len(self._settings.zones) > 1:
+            watch = ZoneWatch(self.fleet, self._term, self._settings, self._measures)
+            loops.append(watch.run())
         if self._advice is not None:
             loops.append(Advisor(self.fleet, self._advice, self.wake).run())
         async with AsyncExitStack() as stack:
--- a/src/foxtrestle/control/fencing.py
+++ b/src/foxtrestle/control/fencing.py
@@ -35,7 +35,6 @@
         self._term = term
         self._outage = Outage("store", "fencing token")
         self._newest = term.number
-        self._reserved = term.reserved
         self._reserving: asyncio.Task[None] | None = None
 
     def raise_above(self, token: int) -> int:
@@ -45,7 +44,7 @@
         is returned only when no number is left, which takes hundreds of unanswered calls to one
         worker while the store is away; that call is then not fenced off.
         """
-        if token >= self._reserved:
+        if token >= self._term.reserved:
             self._reserve()
             return token
         self._note_use(token + 1)
@@ -56,7 +55,7 @@
 
         Waits only if no number is left: until more are reserved, or the term is lost.
         """
-        while self._newest >= self._reserved:
+        while self._newest >= self._term.reserved:
             await asyncio.shield(self._reserve())
             if self._term.lost.is_set():
                 return self._newest
@@ -66,7 +65,7 @@
 
     def _note_use(self, token: int) -> None:
         self._newest = max(self._newest, token)
-        if self._reserved - self._newest < LOW_NUMBERS:
+        if self._term.reserved - self._newest < LOW_NUMBERS:
             self._reserve()
 
     def _reserve(self) -> asyncio.Task[None]:
@@ -78,14 +77,14 @@
     async def _reserve_more(self) -> None:
         while not self._term.lost.is_set():
             try:
-                self._reserved = await self._write_reserved()
+                self._term.reserved = await self._write_reserved()
             except StoreError as error:
                 self._outage.note_failure(error)
                 await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
                 continue
             self._outage.note_success()
             log("control.tokens-reserved", term=self._term.number, newest=self._newest,
-                reserved=self._reserved)  # fmt: skip
+                reserved=self._term.reserved)  # fmt: skip
             return
 
     async def _write_reserved(self) -> int:
--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -130,6 +130,7 @@
                         return
                     # Another call had no answer meanwhile, and the one after it has arrived.
                     continue
+                worker.reached_at = read_clock()
                 log("hold.refused", worker=worker.info.id, reason=refusal.refusal)
                 await asyncio.sleep(RETRY_S)
             except CallError as error:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -61,6 +61,14 @@
             [line(1, "start.withheld", job=JOB, worker="w3", zone="z1", reason="zone drained")],
             "its zone is drained: a start on w3 was not sent",
         ),
+        (
+            [
+                line(1, "job.accepted", job=JOB),
+                line(2, "zone.apart", zone="b", node="n1"),
+                line(3, "job.ended", job=JOB, state="completed", took_s=2.0),
+            ],
+            "zone b did not hear the controller n1",
+        ),
         ([line(1, "job.accepted", job=JOB)], "nothing unusual is on record"),
     ],
 )
