Count shares in the order of the store, give them back with time, and have work beyond them draw no hosts

Cause: a new controller counted waiting jobs in the order of their ids, so of an organisation within its share most were marked as beyond it; live jobs were counted by wall clocks; a marked job stayed behind for good; and marked jobs drew hosts, turns and fitting hosts as all others did.

Change: jobs are counted in the order of their records' revisions, at the controller's own time, within what was not told spread by age. While jobs beyond a share wait, the record of what was learned leaves the credit and their number to the next controller. A marked job counts as others do once its organisation leaves credit that a full bucket cannot hold. Until then it draws nothing (`draws_hosts`, also for organisations at their limit), and starts while less than 0.65 of its pool's room is used.

test_node: the listing is caught at `_take_jobs`, as `_add_job` gets entries now; it checks the same.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -14,7 +14,7 @@
 from foxtrestle.control.fencing import FencingTokens
 from foxtrestle.control.following import follow, list_as_changes, scan_until_answered
 from foxtrestle.control.hosts import HostOrders
-from foxtrestle.control.learned import decode_learned, follow_learned
+from foxtrestle.control.learned import LearnedRecord, decode_learned, follow_learned
 from foxtrestle.control.ledger import Ledger
 from foxtrestle.control.link import WorkerLink
 from foxtrestle.control.log import log
@@ -40,10 +40,12 @@
     place_run,
     release_steps,
 )
-from foxtrestle.scheduling.shares import Shares
+from foxtrestle.scheduling.shares import Shares, draws_hosts, spread_arrivals
 from foxtrestle.scheduling.state import Fleet
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from foxtrestle.control.ownership import Term
     from foxtrestle.node.operators import OperatorMirror
     from foxtrestle.node.settings import NodeSettings
@@ -129,7 +131,7 @@
             self._hosts.run(),
             sweep(self._store, self._keys.inbox, self._is_inbox_quiet, self._take_inbox_listing),
             sweep(self._store, ENTRIES, self._is_host_overdue, self._take_entries_listing),
-            follow_learned(self._store, self._term, self.fleet.durations),
+            follow_learned(self._store, self._term, self._describe_learned),
         ]
         if self._term.partition.number == 0:
             loops.append(
@@ -142,6 +144,10 @@
             stack.push_async_callback(self._close, tasks)
             await asyncio.gather(*tasks)
 
+    def _describe_learned(self) -> LearnedRecord:
+        shares = self._shares.describe(self.fleet.active.values())
+        return LearnedRecord(self.fleet.durations.describe(), shares)
+
     async def _close(self, tasks: list[asyncio.Task[None]]) -> None:
         everything = [*tasks, *self._roster.links.values(), *self._background.tasks]
         for task in everything:
@@ -173,23 +179,26 @@
         held = decode_learned(next(iter(learned.records), None))
         self.fleet.durations.adopt(held.durations)
         self._roster.take(list_as_changes(entries))
-        self._load_jobs(inbox, progress, now)
+        self._load_jobs(inbox, progress, held, now)
         log("control.loaded", term=self._term.number, partition=self._term.partition.number,
             jobs=len(self.fleet.jobs), active=len(self.fleet.active),
             workers=len(self.fleet.workers),
             took_s=round(read_clock() - now, 3))  # fmt: skip
         return inbox.revision, entries.revision
 
-    def _load_jobs(self, inbox: Listing, progress: Listing, now: float) -> None:
+    def _load_jobs(
+        self, inbox: Listing, progress: Listing, learned: LearnedRecord, now: float
+    ) -> None:
         keys = self._keys
         records = {record.key.removeprefix(keys.progress): record for record in progress.records}
         wall_ms = time.time() * 1000
-        for record in inbox.records:
-            if not record.key.startswith(keys.jobs):
-                continue
-            entry = self._add_job(record, now)
-            if entry is None:
-                continue
+        entries = self._decode_jobs(
+            (record for record in inbox.records if record.key.startswith(keys.jobs)), now
+        )
+        times = spread_arrivals([now - entry.created_at for entry in entries], 0.0, now)
+        self._shares.take_over(self._share_configuration(), learned.shares, entries, times)
+        for entry in entries:
+            self._add_job(entry)
             held = records.get(entry.job.id)
             if held is not None:
                 entry.progress_revision = held.revision
@@ -234,14 +243,16 @@
 
     def _take_inbox(self, changes: list[Change]) -> None:
         now = read_clock()
-        self._heard_at = now
+        new: dict[str, Record] = {}
         for change in changes:
             job = change.key.removeprefix(self._keys.jobs)
             if change.record is None or job == change.key or job in self.fleet.jobs:
                 continue
             # A listing that was under way while the job ended may still show it.
             if job not in self.fleet.ended_ids:
-                self._add_job(change.record, now)
+                new[job] = change.record
+        self._take_jobs(new.values(), now)
+        self._heard_at = now
         # Last, as a listing after a gap has cancellations before the jobs that they are for.
         cancels = self._keys.cancels
         for change in changes:
@@ -249,21 +260,34 @@
                 self._cancel(change.key.removeprefix(cancels))
         self.wake()
 
-    def _add_job(self, record: Record, now: float) -> JobEntry | None:
-        try:
-            job = msgspec.msgpack.decode(record.value, type=Job)
-        except msgspec.DecodeError as error:
-            log("job.unreadable", key=record.key, reason=str(error))
-            return None
-        entry = JobEntry(job, record.revision, now - compute_age(job, time.time() * 1000))
-        entry.excess = self._shares.note_job(
-            self._share_configuration(), job.owner, entry.created_at
-        )
+    def _take_jobs(self, records: Iterable[Record], now: float) -> None:
+        entries = self._decode_jobs(records, now)
+        ages = [now - entry.created_at for entry in entries]
+        times = spread_arrivals(ages, self._heard_at, now)
+        for entry, at in zip(entries, times, strict=True):
+            entry.excess = self._shares.note_job(self._share_configuration(), entry.job.owner, at)
+            self._add_job(entry)
+
+    def _decode_jobs(self, records: Iterable[Record], now: float) -> list[JobEntry]:
+        """Decode jobs, in the order in which the store took them."""
+        entries: list[JobEntry] = []
+        wall_ms = time.time() * 1000
+        for record in sorted(records, key=lambda record: record.revision):
+            try:
+                job = msgspec.msgpack.decode(record.value, type=Job)
+            except msgspec.DecodeError as error:
+                log("job.unreadable", key=record.key, reason=str(error))
+                continue
+            entries.append(JobEntry(job, record.revision, now - compute_age(job, wall_ms)))
+        return entries
+
+    def _add_job(self, entry: JobEntry) -> None:
         add_job(self.fleet, entry)
-        self._hosts.loads.note_job(entry)
+        if draws_hosts(self.fleet, entry):
+            self._hosts.loads.note_job(entry)
+        job = entry.job
         log("job.seen", job=job.id, queue=job.queue, pool=job.pool, org=job.owner,
-            excess=entry.excess, revision=record.revision)  # fmt: skip
-        return entry
+            excess=entry.excess, revision=entry.revision)  # fmt: skip
 
     def _cancel(self, job: str) -> None:
         entry = self.fleet.jobs.get(job)
@@ -316,6 +340,7 @@
         if self._ledger.away_since or not self._term.is_valid():
             # What is started must be recorded first, and cannot be now.
             return
+        self._redeem(now)
         at_limit = self.fleet.at_limit
         current = self._operators.is_current()
         for placement in choose_placements(self.fleet, now, current=current):
@@ -325,6 +350,12 @@
             log(f"organisation.{event}", org=name, current=current)
         self._hosts.decide(now)
 
+    def _redeem(self, now: float) -> None:
+        waiting = [entry for entry in self.fleet.active.values() if entry.excess and entry.ready]
+        for entry in self._shares.redeem(self.fleet.configuration, waiting, now):
+            log("share.regained", job=entry.job.id, org=entry.job.owner,
+                waited_s=round(now - entry.created_at, 2))  # fmt: skip
+
     def _share_configuration(self) -> FleetConfiguration | None:
         """Return the configuration with this partition's part of what holds for the whole."""
         whole = self._operators.configuration
--- a/src/foxtrestle/control/learned.py
+++ b/src/foxtrestle/control/learned.py
@@ -9,12 +9,14 @@
 
 from foxtrestle.control.log import Outage, log
 from foxtrestle.scheduling.durations import Typical  # noqa: TC001 - msgspec reads annotations
+from foxtrestle.scheduling.shares import SharesRecord
 from foxtrestle.store import StoreError, Transaction
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from foxtrestle.control.ownership import Term
     from foxtrestle.platform.store import PlatformStore
-    from foxtrestle.scheduling.durations import Durations
     from foxtrestle.store import Record
 
 SAVE_S: Final = 1.0
@@ -26,6 +28,8 @@
 
     durations: dict[str, Typical] = {}
     """How long tasks take, by queue."""
+    shares: SharesRecord = SharesRecord()
+    """How organisations stand that have jobs beyond their share."""
 
 
 def decode_learned(record: Record | None) -> LearnedRecord:
@@ -39,13 +43,21 @@
         return LearnedRecord()
 
 
-async def follow_learned(store: PlatformStore, term: Term, durations: Durations) -> None:
-    """Keep what is learned in the store, until cancelled."""
+async def follow_learned(
+    store: PlatformStore, term: Term, describe: Callable[[], LearnedRecord]
+) -> None:
+    """Keep what is learned in the store, until cancelled.
+
+    Args:
+        store: The platform's store.
+        term: The controller's term.
+        describe: Returns what is known now.
+    """
     outage = Outage("store", "learned")
     held = LearnedRecord()
     while True:
         await asyncio.sleep(SAVE_S)
-        record = LearnedRecord(durations.describe())
+        record = describe()
         if record == held:
             continue
         puts = {term.keys.learned: msgspec.json.encode(record)}
--- a/src/foxtrestle/scheduling/candidates.py
+++ b/src/foxtrestle/scheduling/candidates.py
@@ -9,10 +9,12 @@
 
 from bisect import bisect_left, insort
 from collections import Counter
+from functools import reduce
 from typing import TYPE_CHECKING, Final, TypeAlias
 
 from foxtrestle.scheduling.crashes import FRESH_S
 from foxtrestle.scheduling.eligibility import is_suspect
+from foxtrestle.scheduling.model import Shape
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -140,9 +142,20 @@
         self._suspects = [one for one in self.all if is_suspect(one.worker)]
         trusted = (one for one in self.all if not is_suspect(one.worker))
         self._trusted = sorted((one.cpu, one.worker.info.id, one) for one in trusted)
+        self._room = sum_shapes(one.worker.info.room for one in self.all)
+        self._free = [sum(one.cpu for one in self.all), sum(one.memory_mb for one in self.all)]
         self._racks: dict[str, list[Candidate]] = {}
         self._full: list[Needed] = []
 
+    def measure_used(self) -> float:
+        """Return the part of all room that is taken, of cpu or memory what is more."""
+        room = self._room
+        free_cpu, free_memory_mb = self._free
+        return max(
+            1 - free_cpu / room.cpu if room.cpu else 0.0,
+            1 - free_memory_mb / room.memory_mb if room.memory_mb else 0.0,
+        )
+
     def find(self, task: Task, accept: Callable[[Candidate], bool]) -> Candidate | None:
         """Find the best worker for a task: trusted, near its data, least room to spare.
 
@@ -228,6 +241,8 @@
         one.cpu += sign * taken.cpu
         one.memory_mb += sign * taken.memory_mb
         one.gpu += sign * taken.gpu
+        self._free[0] += sign * taken.cpu
+        self._free[1] += sign * taken.memory_mb
         if trusted:
             insort(self._trusted, (one.cpu, worker.info.id, one))
 
@@ -246,6 +261,11 @@
         self._full.append(needed)
 
 
+def sum_shapes(shapes: Iterable[Shape]) -> Shape:
+    """Return some shapes together."""
+    return reduce(Shape.plus, shapes, Shape())
+
+
 def _rank(one: Candidate) -> tuple[int, str]:
     return one.cpu, one.worker.info.id
 
--- a/src/foxtrestle/scheduling/fitting.py
+++ b/src/foxtrestle/scheduling/fitting.py
@@ -15,6 +15,7 @@
 from foxtrestle.scheduling.eligibility import SILENCE_S, can_hold
 from foxtrestle.scheduling.load import measure_share
 from foxtrestle.scheduling.model import Shape, Step
+from foxtrestle.scheduling.shares import draws_hosts
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -66,7 +67,7 @@
     labelled: dict[tuple[str, str], list[JobEntry]] = {}
     large: dict[str, list[FittingNeed]] = {}
     for entry in fleet.active.values():
-        if entry.job.owner in fleet.at_limit:
+        if not draws_hosts(fleet, entry):
             continue
         pool = entry.job.pool
         for label in {step.label for step in entry.job.spec.steps if step.label}:
--- a/src/foxtrestle/scheduling/needs.py
+++ b/src/foxtrestle/scheduling/needs.py
@@ -10,6 +10,7 @@
 from foxtrestle.scheduling.eligibility import can_hold, is_usable
 from foxtrestle.scheduling.load import PoolLoad, measure_scatter
 from foxtrestle.scheduling.model import Shape
+from foxtrestle.scheduling.shares import draws_hosts
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -126,8 +127,7 @@
             cpu[pool] = cpu.get(pool, 0) + worker.used.cpu
             memory[pool] = memory.get(pool, 0) + worker.used.memory_mb
     for entry in fleet.active.values():
-        # Further hosts are of no use to an organisation that may not start more.
-        if entry.job.owner in fleet.at_limit:
+        if not draws_hosts(fleet, entry):
             continue
         pool = entry.job.pool
         for task in entry.ready.values():
@@ -156,7 +156,7 @@
     """
     stuck: dict[str, int] = {}
     for entry in fleet.active.values():
-        if entry.job.owner in fleet.at_limit:
+        if not draws_hosts(fleet, entry):
             continue
         pool = entry.job.pool
         for task in entry.ready.values():
--- a/src/foxtrestle/scheduling/placing.py
+++ b/src/foxtrestle/scheduling/placing.py
@@ -10,6 +10,7 @@
 from foxtrestle.scheduling.candidates import Candidate, Candidates
 from foxtrestle.scheduling.eligibility import can_hold, is_usable
 from foxtrestle.scheduling.quotas import Quotas, measure_usage
+from foxtrestle.scheduling.shares import OPEN_SHARE
 from foxtrestle.scheduling.urgency import compute_urgency
 
 if TYPE_CHECKING:
@@ -115,6 +116,8 @@
     refused: set[int] = set()
     for task in tasks:
         key = task.key
+        if entry.excess and candidates.measure_used() >= OPEN_SHARE:
+            break
         if task.step.gang:
             if (key.repetition, key.step) not in gangs:
                 gangs.add((key.repetition, key.step))
--- a/src/foxtrestle/scheduling/shares.py
+++ b/src/foxtrestle/scheduling/shares.py
@@ -1,15 +1,82 @@
-"""Which jobs are beyond what their organisation may hand in before others go first."""
+"""Which jobs are beyond what their organisation may hand in before others go first.
+
+An organisation's share is a rate. It is counted by a bucket of credit that fills at that rate and
+holds one second of it: a job that finds credit takes it, one that finds none is beyond the share.
+Such a job goes after the others of its priority and draws no hosts, until its organisation leaves
+credit unused that a full bucket cannot hold; then the oldest of them counts as the others do. So an
+organisation gets its share at each moment, whenever it sent the work, and nothing of it starves.
+
+After a takeover the waiting jobs are counted in the order in which the store took them. Of an
+organisation that had jobs beyond its share, the former controller has left how many and what credit
+there was (`SharesRecord`): counted anew, they would find the credit that jobs took which have ended
+since. Of the others at most a bucket of credit is forgotten, and since fewer jobs find no less
+credit, none is charged for what it was charged for before.
+"""
 
 from __future__ import annotations
 
+from collections import Counter
+from itertools import accumulate
+from statistics import median
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from foxtrestle.scheduling.jobs import JobEntry
     from foxtrestle.scheduling.model import FleetConfiguration
+    from foxtrestle.scheduling.state import Fleet
 
 BURST_S: Final = 1.0
 """Seconds of its share that an organisation may hand in at once: jobs come one by one, and a
 second's worth that arrives together is still within the share of that second."""
+OPEN_SHARE: Final = 0.65
+"""Part of a pool's room up to which jobs beyond a share start. The rest is what is kept free for
+what arrives next (`needs.MARGIN`): a task that runs is not taken away again, so jobs that fill a
+pool make each one after them wait for an end, also one that would have found room. More than half,
+as the platform takes a job that waits in a pool of which less is used for forgotten."""
+NEIGHBOURS: Final = 2
+"""Jobs before and after one of which the middle time is taken, so that one node whose clock is
+wrong does not shift the jobs that other nodes took."""
+
+
+def spread_arrivals(ages: Sequence[float], since: float, now: float) -> list[float]:
+    """Return when jobs that became known together arrived, never falling.
+
+    What was handed in over some seconds and is told at once has not arrived at once. Ages go by
+    wall clocks, which may jump: they only spread the jobs over the time for which nothing was told.
+
+    Args:
+        ages: Seconds since the acceptance of each job, in the order in which the store took them.
+        since: Monotonic time up to which arrivals were told before, seconds.
+        now: Monotonic time, seconds.
+    """
+    times = [min(now, max(since, now - age)) for age in ages]
+    smooth = [
+        median(times[max(0, number - NEIGHBOURS) : number + NEIGHBOURS + 1])
+        for number in range(len(times))
+    ]
+    return list(accumulate(smooth, max))
+
+
+class Standing(msgspec.Struct, frozen=True):
+    """How an organisation stands that has jobs beyond its share."""
+
+    credit: float
+    """Credit that was left, jobs."""
+    excess: int
+    """Jobs beyond its share that had not ended; the newest ones, as the oldest are redeemed."""
+
+
+class SharesRecord(msgspec.Struct, frozen=True):
+    """What a controller leaves to the next one."""
+
+    standings: dict[str, Standing] = {}
+    """Organisations that have jobs beyond their share."""
+    counted: int = 0
+    """Revision of the newest job that was counted."""
 
 
 class Shares:
@@ -32,18 +99,120 @@
         Args:
             configuration: The shares; None before there is any.
             owner: Organisation that handed it in; empty for none.
-            at: Monotonic time at which it was accepted, seconds.
+            at: Monotonic time at which it arrived, seconds.
 
         Returns:
             Whether it is beyond the share.
         """
-        held = configuration.organisations.get(owner) if configuration is not None else None
-        if held is None or not held.weight:
+        weight = _find_weight(configuration, owner)
+        if not weight:
             return False
-        most = max(1.0, held.weight * BURST_S)
-        since_s = max(0.0, at - self._seen_at.get(owner, at))
-        self._seen_at[owner] = max(at, self._seen_at.get(owner, at))
-        credit = min(most, self._credit.get(owner, most) + held.weight * since_s)
+        credit = min(_measure_bucket(weight), self._fill(owner, weight, at))
         within = credit >= 1.0
         self._credit[owner] = credit - 1.0 if within else credit
         return not within
+
+    def take_over(
+        self,
+        configuration: FleetConfiguration | None,
+        record: SharesRecord,
+        entries: Sequence[JobEntry],
+        times: Sequence[float],
+    ) -> None:
+        """Mark the jobs that a new controller finds.
+
+        Args:
+            configuration: The shares; None before there is any.
+            record: What the former controller has left.
+            entries: The jobs, in the order in which the store took them.
+            times: Monotonic time at which each arrived, seconds.
+        """
+        left = {owner: held.excess for owner, held in record.standings.items()}
+        self._credit.update({owner: held.credit for owner, held in record.standings.items()})
+        for entry in reversed(entries):
+            owner = entry.job.owner
+            if entry.revision <= record.counted and left.get(owner, 0):
+                left[owner] -= 1
+                entry.excess = bool(_find_weight(configuration, owner))
+        for entry, at in zip(entries, times, strict=True):
+            if entry.revision > record.counted or entry.job.owner not in record.standings:
+                entry.excess = self.note_job(configuration, entry.job.owner, at)
+
+    def describe(self, entries: Iterable[JobEntry]) -> SharesRecord:
+        """Return what the next controller has to know; empty while no job is beyond a share.
+
+        Args:
+            entries: Jobs that have not ended.
+        """
+        excess: Counter[str] = Counter()
+        counted = 0
+        for entry in entries:
+            counted = max(counted, entry.revision)
+            if entry.excess:
+                excess[entry.job.owner] += 1
+        if not excess:
+            return SharesRecord()
+        standings = {
+            owner: Standing(round(self._credit.get(owner, 0.0), 1), count)
+            for owner, count in sorted(excess.items())
+        }
+        return SharesRecord(standings, counted)
+
+    def redeem(
+        self, configuration: FleetConfiguration | None, entries: Iterable[JobEntry], now: float
+    ) -> list[JobEntry]:
+        """Have the oldest jobs beyond a share count as within it, as far as credit is left over.
+
+        Only what a full bucket cannot hold is taken: the next second's jobs find it full.
+
+        Args:
+            configuration: The shares; None before there is any.
+            entries: Jobs that wait.
+            now: Monotonic time, seconds.
+
+        Returns:
+            Jobs that are not beyond a share any more.
+        """
+        redeemed: list[JobEntry] = []
+        waiting = sorted(
+            (entry for entry in entries if entry.excess), key=lambda entry: entry.revision
+        )
+        for entry in waiting:
+            owner = entry.job.owner
+            weight = _find_weight(configuration, owner)
+            if weight:
+                self._credit[owner] = self._fill(owner, weight, now)
+                if self._credit[owner] < _measure_bucket(weight) + 1.0:
+                    continue
+                self._credit[owner] -= 1.0
+            entry.excess = False
+            redeemed.append(entry)
+        return redeemed
+
+    def _fill(self, owner: str, weight: float, at: float) -> float:
+        """Return the credit at a time, also what the bucket cannot hold."""
+        seen_at = self._seen_at.get(owner, at)
+        self._seen_at[owner] = max(at, seen_at)
+        return self._credit.get(owner, _measure_bucket(weight)) + weight * max(0.0, at - seen_at)
+
+
+def _find_weight(configuration: FleetConfiguration | None, owner: str) -> float:
+    """Return an organisation's share, jobs a second; 0 if it has none."""
+    held = configuration.organisations.get(owner) if configuration is not None else None
+    return held.weight if held is not None else 0.0
+
+
+def _measure_bucket(weight: float) -> float:
+    return max(1.0, weight * BURST_S)
+
+
+def draws_hosts(fleet: Fleet, entry: JobEntry) -> bool:
+    """Tell whether a job's waiting tasks are a reason to have further hosts.
+
+    Hosts are paid for by all. Those that an organisation at its limit asks for would stand idle;
+    those for work beyond a share would be taken from who is within theirs, and such work runs where
+    hosts stand free. Tasks that last are served by how long they are away, whatever was sent.
+    """
+    if entry.job.owner in fleet.at_limit:
+        return False
+    return not entry.excess or any(step.lasting for step in entry.job.spec.steps)
--- a/src/foxtrestle/scheduling/turns.py
+++ b/src/foxtrestle/scheduling/turns.py
@@ -14,6 +14,7 @@
 
 from foxtrestle.scheduling.eligibility import can_hold, is_usable
 from foxtrestle.scheduling.fitting import find_smallest_room
+from foxtrestle.scheduling.shares import draws_hosts
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -102,7 +103,7 @@
     have those wait that can still be in time.
     """
     for entry in fleet.active.values():
-        if entry.job.owner in fleet.at_limit:
+        if not draws_hosts(fleet, entry):
             continue
         oldest: dict[Where, _Claim] = {}
         for key, task in entry.ready.items():
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -459,10 +459,10 @@
         await wait_for(lambda: nodes[0].node.controller)
         controller = nodes[0].node.controller
         listed: list[Change] = []
-        add = controller._add_job
-        controller._add_job = lambda record, now: (
-            listed.append(Change(record.key, record, record.revision)),
-            add(record, now),
+        take = controller._take_jobs
+        controller._take_jobs = lambda records, now: (
+            listed.extend(Change(record.key, record, record.revision) for record in records),
+            take(records, now),
         )[1]
         await client.submit(name(1))
         await wait_for(lambda: is_state(client, name(1), "completed"))
