Share a full pool, and a full fleet, by the weights of the organisations that ask for room

Cause: a weight was taken for a number of jobs a second alone.

Change: `allotting` works out in each round, from what runs and waits, what each organisation is due of a pool's room by its weight among those that ask; what one leaves is the others'. Jobs beyond that go after the others of their priority; beyond what is due of all hosts they draw none. Nothing is kept, so a takeover changes nothing. Without weights nothing of it acts.

The negative control of test_organisations (jobs by age alone) takes the weights away too, since they order now without marks; its bounds are unchanged.

--- /dev/null
+++ b/src/foxtrestle/scheduling/allotting.py
@@ -0,0 +1,143 @@
+"""Which waiting jobs are beyond what their organisation is due of the room, while all is full.
+
+A weight is an organisation's share once all is full. Where the weights together are more than the
+hosts serve, no count by the second holds one back: the room is shared in proportion to the weights
+of those that ask for some, and what one does not ask for goes to the others. An organisation's
+oldest work is within its part; the rest goes after the others' and draws no hosts.
+
+It is worked out anew in each round from what runs and waits, so nothing has to outlive a takeover,
+and no clock is asked. Tasks that last keep their room and are not counted; neither is the room they
+have. Organisations without a weight are never beyond.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from foxtrestle.scheduling.load import measure_share
+from foxtrestle.scheduling.urgency import order_jobs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from foxtrestle.scheduling.jobs import JobEntry
+    from foxtrestle.scheduling.model import FleetConfiguration, Shape
+    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.workers import Worker
+
+
+def has_weights(configuration: FleetConfiguration) -> bool:
+    """Tell whether any organisation has a share."""
+    return any(held.weight for held in configuration.organisations.values())
+
+
+def share_room(
+    demands: Mapping[str, float], weights: Mapping[str, float], room: float
+) -> dict[str, float]:
+    """Share room by weights; nobody gets more than it asks for, and all is given out.
+
+    Args:
+        demands: What each organisation asks for.
+        weights: Weight of each; those of which none is positive get what they ask for first.
+        room: What there is, in the unit of the demands.
+    """
+    parts = {name: demand for name, demand in demands.items() if not weights.get(name)}
+    left = max(0.0, room - sum(parts.values()))
+    asking = sorted(
+        (name for name in demands if name not in parts),
+        key=lambda name: (demands[name] / weights[name], name),
+    )
+    weight = sum(weights[name] for name in asking)
+    for name in asking:
+        # Who asks for least by weight first: what it leaves is the others'.
+        parts[name] = min(demands[name], left * weights[name] / weight)
+        left -= parts[name]
+        weight -= weights[name]
+    return parts
+
+
+def measure_running(
+    workers: Iterable[Worker], jobs: Mapping[str, JobEntry], host: Shape
+) -> dict[str, float]:
+    """Return the room that each organisation's tasks take which do not last, in hosts."""
+    running: dict[str, float] = {}
+    for worker in workers:
+        for key, _ in worker.runs:
+            entry = jobs.get(key.job)
+            if entry is None:
+                continue
+            step = entry.job.spec.steps[key.step]
+            if not step.lasting:
+                owner = entry.job.owner
+                running[owner] = running.get(owner, 0.0) + measure_share(step.taken, host)
+    return running
+
+
+def measure_room(workers: Iterable[Worker], host: Shape) -> float:
+    """Return the room of some workers that tasks which last do not take, in hosts."""
+    return sum(
+        max(0.0, measure_share(worker.info.room, host) - measure_share(worker.lasting_used, host))
+        for worker in workers
+    )
+
+
+def find_beyond(
+    ordered: Iterable[JobEntry],
+    running: Mapping[str, float],
+    room: float,
+    configuration: FleetConfiguration,
+    host: Shape,
+) -> frozenset[str]:
+    """Find jobs that are beyond what their organisations are due now; their ids.
+
+    Args:
+        ordered: Jobs of which tasks wait, in the order in which they go.
+        running: Room that each organisation's tasks take already, in hosts.
+        room: Room that there is, in hosts.
+        configuration: The weights.
+        host: Room of a host.
+    """
+    weights = {name: held.weight for name, held in configuration.organisations.items()}
+    asked = [
+        (entry, sum(measure_share(task.step.taken, host) for task in entry.ready.values()))
+        for entry in ordered
+        if not any(step.lasting for step in entry.job.spec.steps)
+    ]
+    demands = dict(running)
+    for entry, share in asked:
+        demands[entry.job.owner] = demands.get(entry.job.owner, 0.0) + share
+    if sum(demands.values()) <= room:
+        return frozenset()
+    parts = share_room(demands, weights, room)
+    used = dict(running)
+    beyond: set[str] = set()
+    for entry, share in asked:
+        owner = entry.job.owner
+        if weights.get(owner) and used.get(owner, 0.0) >= parts[owner]:
+            beyond.add(entry.job.id)
+        used[owner] = used.get(owner, 0.0) + share
+    return frozenset(beyond)
+
+
+def note_beyond(fleet: Fleet, host: Shape, now: float) -> None:
+    """Note in the state which jobs are beyond what their organisations are due of all hosts.
+
+    Args:
+        fleet: The state.
+        host: Room of the mean host.
+        now: Monotonic time, seconds.
+    """
+    fleet.beyond = frozenset()
+    if fleet.configuration is None or not has_weights(fleet.configuration):
+        return
+    workers = [worker for worker in fleet.workers.values() if not worker.gone]
+    lasting = sum(measure_share(worker.lasting_used, host) for worker in workers)
+    there = (one for one in fleet.hosts.values() if one.state not in {"down", "upkeep"})
+    room = sum(measure_share(one.room, host) for one in there) - lasting
+    fleet.beyond = find_beyond(
+        order_jobs(fleet.active.values(), fleet.durations, now),
+        measure_running(workers, fleet.jobs, host),
+        max(0.0, room),
+        fleet.configuration,
+        host,
+    )
--- a/src/foxtrestle/scheduling/placing.py
+++ b/src/foxtrestle/scheduling/placing.py
@@ -7,19 +7,24 @@
 
 import msgspec
 
+from foxtrestle.scheduling.allotting import (
+    find_beyond,
+    has_weights,
+    measure_room,
+    measure_running,
+)
 from foxtrestle.scheduling.candidates import Candidate, Candidates
 from foxtrestle.scheduling.eligibility import can_hold, is_usable
+from foxtrestle.scheduling.needs import measure_host
 from foxtrestle.scheduling.quotas import Quotas, measure_usage
 from foxtrestle.scheduling.shares import OPEN_SHARE
-from foxtrestle.scheduling.urgency import compute_urgency
+from foxtrestle.scheduling.urgency import order_jobs
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
-    from foxtrestle.scheduling.durations import Durations
     from foxtrestle.scheduling.jobs import JobEntry, Task
     from foxtrestle.scheduling.state import Fleet
-    from foxtrestle.scheduling.urgency import Urgency
     from foxtrestle.scheduling.workers import Worker
 
 Allow: TypeAlias = "Callable[[Task, Worker], bool]"
@@ -55,16 +60,6 @@
     return bool(fleet.find_ticket(task.key, worker.info.id, now))
 
 
-def order_jobs(entries: Iterable[JobEntry], durations: Durations, now: float) -> list[JobEntry]:
-    """Order jobs by priority, then by share, by whether they can be in time, and by age."""
-
-    def rank(entry: JobEntry) -> tuple[int, bool, Urgency, str]:
-        urgency = compute_urgency(entry, durations, now)
-        return entry.job.priority, entry.excess, urgency, entry.job.id
-
-    return sorted((entry for entry in entries if entry.ready), key=rank)
-
-
 def choose_placements(fleet: Fleet, now: float, *, current: bool = True) -> list[Placement]:
     """Choose a worker for every waiting task that has room somewhere and that its limit allows.
 
@@ -80,13 +75,33 @@
     waiting = [entry for entry in fleet.active.values() if entry.job.pool in pools]
     advised = {queue.name for queue in fleet.configuration.queues if queue.advised}
     placements: list[Placement] = []
-    for entry in order_jobs(waiting, fleet.durations, now):
+    for entry in _order_by_share(fleet, pools, order_jobs(waiting, fleet.durations, now)):
         allow = partial(_has_ticket, fleet, now) if entry.job.queue in advised else _always
         placements += _place_job(entry, pools[entry.job.pool], allow, quotas)
     fleet.at_limit = frozenset(quotas.refused)
     return placements
 
 
+def _order_by_share(
+    fleet: Fleet, pools: dict[str, Candidates], ordered: list[JobEntry]
+) -> list[JobEntry]:
+    """Put jobs that are beyond what their organisation is due of a full pool after the others."""
+    host = measure_host(fleet)
+    if host is None or fleet.configuration is None or not has_weights(fleet.configuration):
+        return ordered
+    beyond: set[str] = set()
+    for pool, candidates in pools.items():
+        workers = [one.worker for one in candidates.all]
+        waiting = [entry for entry in ordered if entry.job.pool == pool]
+        running = measure_running(workers, fleet.jobs, host)
+        room = measure_room(workers, host)
+        beyond |= find_beyond(waiting, running, room, fleet.configuration, host)
+    return sorted(
+        ordered,
+        key=lambda entry: (entry.job.priority, entry.excess or entry.job.id in beyond),
+    )
+
+
 def _index_pools(fleet: Fleet, now: float) -> dict[str, Candidates]:
     """Index the usable workers of each pool in which something waits."""
     wanted = {entry.job.pool for entry in fleet.active.values() if entry.ready}
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -76,6 +76,8 @@
         """How long tasks take."""
         self.at_limit: frozenset[str] = frozenset()
         """Organisations that the last round of placements kept from starting more."""
+        self.beyond: frozenset[str] = frozenset()
+        """Ids of waiting jobs that are beyond what their organisations are due of all hosts."""
         self.turn: Turn | None = None
         """Step that has the right to some hosts now."""
         self.turn_ends: dict[tuple[str, int, int], float] = {}
--- a/src/foxtrestle/scheduling/urgency.py
+++ b/src/foxtrestle/scheduling/urgency.py
@@ -10,6 +10,8 @@
 from foxtrestle.scheduling.runs import compute_due_ms
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from foxtrestle.scheduling.durations import Durations
     from foxtrestle.scheduling.jobs import JobEntry
 
@@ -42,6 +44,16 @@
     """Monotonic time from which its latency counts, seconds: what was begun first ends first."""
 
 
+def order_jobs(entries: Iterable[JobEntry], durations: Durations, now: float) -> list[JobEntry]:
+    """Order jobs by priority, then by share, by whether they can be in time, and by age."""
+
+    def rank(entry: JobEntry) -> tuple[int, bool, Urgency, str]:
+        urgency = compute_urgency(entry, durations, now)
+        return entry.job.priority, entry.excess, urgency, entry.job.id
+
+    return sorted((entry for entry in entries if entry.ready), key=rank)
+
+
 def compute_urgency(entry: JobEntry, durations: Durations, now: float) -> Urgency:
     """Return a job's rank."""
     steps = entry.job.spec.steps
--- a/tests/plain_placing.py
+++ b/tests/plain_placing.py
@@ -8,7 +8,8 @@
 
 from foxtrestle.scheduling.eligibility import is_suspect, is_usable
 from foxtrestle.scheduling.model import Shape
-from foxtrestle.scheduling.placing import RESERVE_S, RETURN_S, Placement, order_jobs
+from foxtrestle.scheduling.placing import RESERVE_S, RETURN_S, Placement
+from foxtrestle.scheduling.urgency import order_jobs
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- /dev/null
+++ b/tests/test_allotting.py
@@ -0,0 +1,157 @@
+"""Shares of a full pool and a full fleet, where the weights are more than the hosts serve.
+
+Seen: an organisation whose weight was more jobs a second than all hosts serve sent eight times its
+usual. None of its jobs was beyond its weight, so all went by age, and everybody's waited alike.
+Cause: a weight was taken for a number of jobs a second alone, though it is a share once all is
+full. Proof: in the load below, with no weights, four loud organisations leave the four others a
+third of their jobs served in 8 s; by weights nearly all, none later than a task takes to end.
+"""
+
+from __future__ import annotations
+
+import hypothesis.strategies as st
+import msgspec
+import pytest
+from hypothesis import given
+
+from foxtrestle.scheduling.allotting import find_beyond, note_beyond, share_room
+from foxtrestle.scheduling.hosts import view_hosts
+from foxtrestle.scheduling.model import Organisation, Shape, Step
+from foxtrestle.scheduling.needs import compute_needs, measure_host
+from foxtrestle.scheduling.shares import draws_hosts
+from tests.scheduling_fakes import NOW, ROOM, enter, make_fleet, make_job
+from tests.test_shares import QUIET, ROUND, RUN_S, Load, configure
+
+names = st.sampled_from(["a", "b", "c", "d"])
+amounts = st.floats(0.0, 100.0)
+
+
+@given(st.dictionaries(names, amounts), st.dictionaries(names, st.floats(0.1, 9.0)), amounts)
+def test_room_is_given_out_whole_and_by_weight(
+    demands: dict[str, float], weights: dict[str, float], room: float
+) -> None:
+    parts = share_room(demands, weights, room)
+    assert parts.keys() == demands.keys()
+    free = sum(demands[name] for name in demands if name not in weights)
+    for name, part in parts.items():
+        assert part <= demands[name] + 1e-9
+        assert part == demands[name] or name in weights
+    weighed = sum(part for name, part in parts.items() if name in weights)
+    asked = sum(demands[name] for name in demands if name in weights)
+    assert weighed == pytest.approx(min(asked, max(0.0, room - free)), abs=1e-6)
+    for one in demands.keys() & weights.keys():
+        for other in demands.keys() & weights.keys():
+            if parts[one] < demands[one] - 1e-6:
+                # Who goes short has as much by weight as anybody.
+                assert parts[one] / weights[one] >= parts[other] / weights[other] - 1e-6
+
+
+def test_nothing_is_beyond_while_there_is_room_for_all() -> None:
+    fleet = make_fleet(2)
+    jobs = [
+        enter(fleet, make_job(Step(shape=Shape(8000, 1)), id=f"{number:016x}", owner="acme"))
+        for number in range(8)
+    ]
+    held = configure(acme=5, other=5)
+    assert not find_beyond(jobs, {}, 2.0, held, ROOM)
+    assert len(find_beyond(jobs, {}, 1.0, held, ROOM)) == 4
+
+
+def test_what_one_does_not_ask_for_is_the_others() -> None:
+    fleet = make_fleet(2)
+    for owner, count in (("acme", 30), ("other", 2)):
+        for number in range(count):
+            id = f"{owner}-{number:010}"
+            enter(fleet, make_job(Step(shape=Shape(8000, 1)), id=id, owner=owner))
+    beyond = find_beyond(fleet.active.values(), {}, 2.0, configure(acme=1, other=9), ROOM)
+    assert len(beyond) == 30 - 6
+    assert not any(job.startswith("other") for job in beyond)
+
+
+def test_what_runs_counts_first_and_tasks_that_last_are_never_beyond() -> None:
+    fleet = make_fleet(2)
+    lasting = Step(lasting=True, count=9, shape=Shape(8000, 1))
+    enter(fleet, make_job(lasting, id="l" * 16, owner="acme"))
+    for owner in ("acme", "other"):
+        for number in range(4):
+            id = f"{owner}-{number:010}"
+            enter(fleet, make_job(Step(shape=Shape(8000, 1)), id=id, owner=owner))
+    held = configure(acme=5, other=5)
+    beyond = find_beyond(fleet.active.values(), {"acme": 0.5}, 1.0, held, ROOM)
+    assert {job for job in beyond if job.startswith("acme")} == {
+        f"acme-{number:010}" for number in range(4)
+    }
+    assert len([job for job in beyond if job.startswith("other")]) == 2
+    assert "l" * 16 not in beyond
+
+
+def test_organisations_without_a_weight_and_public_jobs_are_not_beyond() -> None:
+    fleet = make_fleet(1)
+    for owner in ("", "bare", "acme"):
+        for number in range(9):
+            id = f"{owner}-{number:012}"
+            enter(fleet, make_job(Step(shape=Shape(8000, 1)), id=id, owner=owner))
+    fleet.configuration = configure(acme=5, bare=0)
+    note_beyond(fleet, measure_host(fleet), NOW)
+    assert {fleet.jobs[job].job.owner for job in fleet.beyond} == {"acme"}
+
+
+def test_what_is_beyond_all_hosts_draws_none_from_the_others_pools() -> None:
+    fleet = make_fleet(4, ("main", "side"))
+    step = Step(shape=Shape(16_000, 1))
+    for number in range(100):
+        enter(fleet, make_job(step, id=f"loud-{number:011}", owner="loud"))
+    for number in range(8):
+        enter(fleet, make_job(step, id=f"calm-{number:011}", owner="calm", pool="side"))
+    for weighed in (False, True):
+        held = configure(("main", "side"), loud=1000, calm=1000)
+        fleet.configuration = held if weighed else msgspec.structs.replace(held, organisations={})
+        note_beyond(fleet, measure_host(fleet), NOW)
+        needs = compute_needs(fleet, view_hosts(fleet), {}, 2.0, NOW)
+        assert needs["side"].demand == 4.0
+        assert needs["main"].demand == (4.0 if weighed else 50.0)
+    assert sum(draws_hosts(fleet, entry) for entry in fleet.active.values()) == 16
+
+
+def test_without_weights_nothing_is_noted() -> None:
+    fleet = make_fleet(1)
+    for number in range(9):
+        enter(fleet, make_job(Step(shape=Shape(16_000, 1)), id=f"{number:016x}", owner="acme"))
+    for organisations in ({}, {"acme": Organisation("acme")}):
+        fleet.configuration = msgspec.structs.replace(
+            fleet.configuration, organisations=organisations
+        )
+        note_beyond(fleet, measure_host(fleet), NOW)
+        assert not fleet.beyond
+
+
+@pytest.mark.parametrize(
+    ("loud", "burst"),
+    [
+        ({"org0": 8}, 1.0),
+        ({"org0": 8, "org1": 8, "org2": 8, "org3": 8}, 1.0),
+        ({"org0": 8, "org1": 8}, 1.4),
+    ],
+)
+def test_loud_organisations_within_weights_that_exceed_the_pool_keep_the_others_a_task_at_most(
+    loud: dict[str, int], burst: float
+) -> None:
+    """The load of `test_shares`, with weights of nine times the usual: nothing is marked.
+
+    The pool is full of what runs, so the others wait for a task of it to end, and no longer.
+    """
+    calm, noisy = Load({}, burst, weight=9), Load(loud, burst, weight=9)
+    calm.play(8.0)
+    end = noisy.play(8.0)
+    served = sum(len(noisy.waits[name]) for name in QUIET)
+    assert served >= 0.97 * sum(len(calm.waits[name]) for name in QUIET)
+    assert noisy.find_p95(QUIET) <= calm.find_p95(QUIET) + RUN_S + ROUND * 0.01
+    unweighed = Load(loud, burst, weight=0)
+    unweighed.play(8.0)
+    if sum(map(len, noisy.waits.values())) > 1000:
+        assert sum(len(unweighed.waits[name]) for name in QUIET) < served
+    # Each of the loud ones has its part meanwhile, and none of their jobs starves.
+    for name in loud:
+        assert len(noisy.waits[name]) >= len(calm.waits[name])
+    noisy.play(60.0, end, quiet=True)
+    assert not [entry for entry in noisy.fleet.active.values() if entry.ready]
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -287,7 +287,7 @@
     fleet = make_fleet(4)
     tenants = [tenant(f"org{number}", f"k{number}", weight=5) for number in range(4)]
     fleet.configuration = msgspec.structs.replace(
-        make_configuration(), organisations=decode(*tenants).organisations
+        make_configuration(), organisations=decode(*tenants).organisations if marked else {}
     )
     shares = Shares()
     worst, now, number = 0.0, NOW, 0
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -11,9 +11,9 @@
 from foxtrestle.scheduling.durations import LEAST_SAMPLES, Durations
 from foxtrestle.scheduling.eligibility import SILENCE_S, SUSPECT_S, is_suspect, is_usable
 from foxtrestle.scheduling.model import Shape, Step
-from foxtrestle.scheduling.placing import choose_placements, order_jobs
+from foxtrestle.scheduling.placing import choose_placements
 from foxtrestle.scheduling.runs import place_run, record_end
-from foxtrestle.scheduling.urgency import Outlook, compute_urgency
+from foxtrestle.scheduling.urgency import Outlook, compute_urgency, order_jobs
 from tests.scheduling_fakes import NOW, ROOM, add_worker, end, enter, make_fleet, make_job
 
 if TYPE_CHECKING:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -321,10 +321,10 @@
 class Load:
     """Some seconds of one pool's decisions: what arrives, is placed and ends, in virtual time."""
 
-    def __init__(self, loud: dict[str, int], burst: float = 1.0) -> None:
+    def __init__(self, loud: dict[str, int], burst: float = 1.0, weight: float = 1.5) -> None:
         names = [f"org{number}" for number in range(8)]
         self.fleet = make_fleet(HOSTS)
-        self.fleet.configuration = configure(**dict.fromkeys(names, USUAL * 1.5))
+        self.fleet.configuration = configure(**dict.fromkeys(names, USUAL * weight))
         self.shares = Shares()
         self.waits: dict[str, list[float]] = {name: [] for name in names}
         self.large: list[float] = []
