Refuse at the door, under pressure, what cannot be done in time

Cause: nothing was refused for load. A caller learned that its job was late when its time was over, and hosts worked on jobs that were of no use.

Change: the controller of each partition works out for each pool how long new work waits (waiting work in room-seconds over the room that the pool has or will have), and for each organisation beyond its share its own wait and the part of its jobs to refuse so that about its share of the room is asked for. It writes that to `control/pressure` when it changes, at most once a second, and takes it away when over; a new controller replaces or removes what a former one left. Nodes learn of it without a call or watch: a job is written on the condition that the record is the one they know, and a refused write brings the new one. Such a write uses up no try and reads no configuration. Before a refusal the node looks whether the id was kept before; if it cannot, it claims nothing (504).

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -20,6 +20,7 @@
 from foxtrestle.control.log import log
 from foxtrestle.control.measures import Measures
 from foxtrestle.control.orders import Orders
+from foxtrestle.control.pressure_records import PressureRecords
 from foxtrestle.control.retention import follow_retention
 from foxtrestle.control.roster import Roster
 from foxtrestle.control.spawn import Spawner
@@ -109,6 +110,7 @@
             self._roster.lose,
         )
         self._shares = Shares()
+        self._pressure = PressureRecords(self.fleet, store, term, lambda: self._hosts.targets)
         self._whole: FleetConfiguration | None = None
         self._shared: FleetConfiguration | None = None
         self._changed = asyncio.Event()
@@ -132,6 +134,7 @@
             sweep(self._store, self._keys.inbox, self._is_inbox_quiet, self._take_inbox_listing),
             sweep(self._store, ENTRIES, self._is_host_overdue, self._take_entries_listing),
             follow_learned(self._store, self._term, self._describe_learned),
+            self._pressure.run(),
         ]
         if self._term.partition.number == 0:
             loops.append(
@@ -168,16 +171,17 @@
         """
         now = read_clock()
         keys = self._keys
-        inbox, entries, learned = await asyncio.gather(
+        inbox, entries, learned, pressure = await asyncio.gather(
             *(
                 scan_until_answered(self._store, prefix)
-                for prefix in (keys.inbox, ENTRIES, keys.learned)
+                for prefix in (keys.inbox, ENTRIES, keys.learned, keys.pressure)
             )
         )
         # After the inbox: a job that ends in between is in neither, and is not wanted.
         progress = await scan_until_answered(self._store, keys.progress)
         held = decode_learned(next(iter(learned.records), None))
         self.fleet.durations.adopt(held.durations)
+        self._pressure.adopt(next(iter(pressure.records), None))
         self._roster.take(list_as_changes(entries))
         self._load_jobs(inbox, progress, held, now)
         log("control.loaded", term=self._term.number, partition=self._term.partition.number,
@@ -285,6 +289,7 @@
         add_job(self.fleet, entry)
         if draws_hosts(self.fleet, entry):
             self._hosts.loads.note_job(entry)
+        self._pressure.note_job(entry)
         job = entry.job
         log("job.seen", job=job.id, queue=job.queue, pool=job.pool, org=job.owner,
             excess=entry.excess, revision=entry.revision)  # fmt: skip
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -32,7 +32,12 @@
 from foxtrestle.scheduling.needs import measure_host
 from foxtrestle.scheduling.order_budget import OrderBudget, order_plans
 from foxtrestle.scheduling.partitions import share_wave
-from foxtrestle.scheduling.scaling import choose_drops, choose_moves
+from foxtrestle.scheduling.scaling import (
+    choose_drops,
+    choose_moves,
+    count_available,
+    share_hosts,
+)
 from foxtrestle.scheduling.state import WaveEntry
 from foxtrestle.scheduling.turning_off import OffBudget
 from foxtrestle.scheduling.turns import take_turn
@@ -83,6 +88,8 @@
         """Create the part of a controller that orders hosts."""
         self.loads = PoolLoads(fleet, settings.bounds.move_s)
         """Load of the pools."""
+        self.targets: dict[str, int] = {}
+        """Hosts that each pool has or will have."""
         self._fleet = fleet
         self._term = term
         self._settings = settings
@@ -133,6 +140,7 @@
         if host is not None:
             note_beyond(fleet, host, now)
         needs = self.loads.compute_needs(views, now)
+        self.targets = share_hosts(needs, count_available(views))
         self._plan_waves(views, needs, now)
         self._plan_moves(views, needs, now)
 
--- a/src/foxtrestle/control/keys.py
+++ b/src/foxtrestle/control/keys.py
@@ -30,6 +30,8 @@
     """Hosts that the controller has ordered in the last seconds."""
     learned: str
     """What the controller has learned about load."""
+    pressure: str
+    """How long new work waits, while pools are under pressure."""
     wave_records: str
     """Prefix of the progress of maintenance waves."""
     inbox: str
@@ -53,6 +55,7 @@
         pending=root + "control/pending",
         host_orders=root + "control/hosts",
         learned=root + "control/learned",
+        pressure=root + "control/pressure",
         wave_records=root + "control/wave/",
         inbox=root + "inbox/",
         jobs=root + "inbox/job/",
--- a/src/foxtrestle/control/measures.py
+++ b/src/foxtrestle/control/measures.py
@@ -36,6 +36,9 @@
         self._refusals = Counter(
             "foxtrestle_violations", "Acts stopped by a check.", registry=self._registry
         )
+        self._pressed = Counter(
+            "foxtrestle_jobs_refused", "Jobs refused under pressure.", registry=self._registry
+        )
         self._sources: dict[str, tuple[Gauge, Callable[[], Mapping[str, float]]]] = {}
 
     def _histogram(self, name: str, text: str) -> Histogram:
@@ -73,6 +76,10 @@
         """Count a task that is not started again because it crashes its workers."""
         self._given_up.inc({"pool": pool})
 
+    def note_refusal(self, reason: str) -> None:
+        """Count a job that was refused under pressure."""
+        self._pressed.inc({"reason": reason})
+
     def note_violation(self, promise: str) -> None:
         """Count an act that a check stopped."""
         self._refusals.inc({"promise": promise})
--- /dev/null
+++ b/src/foxtrestle/control/pressure_records.py
@@ -0,0 +1,115 @@
+"""Tells nodes, through the store, how long new work waits while pools are under pressure."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from foxtrestle.clock import read_clock
+from foxtrestle.control.log import Outage, log
+from foxtrestle.scheduling.needs import measure_host
+from foxtrestle.scheduling.pressure import AskedWork, Pressure, measure_pressure
+from foxtrestle.store import StoreError, Transaction
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from foxtrestle.control.ownership import Term
+    from foxtrestle.platform.store import PlatformStore
+    from foxtrestle.scheduling.jobs import JobEntry
+    from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.store import Record
+
+TELL_S: Final = 1.0
+"""Least seconds between two records: each costs a refused write at every node that takes jobs."""
+
+
+def decode_pressure(record: Record | None) -> Pressure:
+    """Decode the record; without one, or if it cannot be read, there is no pressure."""
+    if record is None:
+        return Pressure()
+    try:
+        return msgspec.json.decode(record.value, type=Pressure)
+    except msgspec.DecodeError as error:
+        log("pressure.unreadable", key=record.key, reason=str(error))
+        return Pressure()
+
+
+class PressureRecords:
+    """The record of one partition, written by its controller."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        store: PlatformStore,
+        term: Term,
+        read_hosts: Callable[[], Mapping[str, int]],
+    ) -> None:
+        """Create records of a term.
+
+        Args:
+            fleet: The state.
+            store: The platform's store.
+            term: The controller's term.
+            read_hosts: Returns how many hosts each pool has or will have.
+        """
+        self._fleet = fleet
+        self._store = store
+        self._term = term
+        self._read_hosts = read_hosts
+        self._asked = AskedWork()
+        self._written = False
+        self.told = Pressure()
+        """What nodes may know."""
+
+    def adopt(self, record: Record | None) -> None:
+        """Go on from what a former controller has left; it is replaced or removed soon."""
+        self._written = record is not None
+        self.told = decode_pressure(record)
+
+    def note_job(self, entry: JobEntry) -> None:
+        """Take in a job that has arrived."""
+        host = measure_host(self._fleet)
+        if host is not None and entry.job.owner:
+            self._asked.note(entry, self._fleet.durations, host, read_clock())
+
+    async def run(self) -> None:
+        """Keep the record true until cancelled."""
+        outage = Outage("store", "pressure")
+        while True:
+            try:
+                await self.tell()
+            except StoreError as error:
+                outage.note_failure(error)
+            else:
+                outage.note_success()
+            await asyncio.sleep(TELL_S)
+
+    async def tell(self) -> None:
+        """Write the record if it has changed, and take it away if there is no pressure."""
+        pressure = measure_pressure(
+            self._fleet, self._read_hosts(), self._asked, self.told, read_clock()
+        )
+        if pressure == self.told and self._written == bool(pressure.pools):
+            return
+        keys = self._term.keys
+        puts = {keys.pressure: msgspec.json.encode(pressure)} if pressure.pools else {}
+        removals = () if pressure.pools else (keys.pressure,)
+        await self._store.commit(Transaction({keys.lock: self._term.lock.revision}, puts, removals))
+        self._note_told(pressure)
+
+    def _note_told(self, pressure: Pressure) -> None:
+        for pool in sorted(pressure.pools.keys() | self.told.pools.keys()):
+            now, before = pressure.pools.get(pool), self.told.pools.get(pool)
+            if now == before:
+                continue
+            organisations = now.organisations if now is not None else {}
+            log("pressure.changed", pool=pool, wait_s=now.wait_s if now is not None else 0.0,
+                organisations={name: [held.refused, held.wait_s]
+                               for name, held in organisations.items()},
+                hosts=self._read_hosts().get(pool, 0),
+                partition=self._term.partition.number)  # fmt: skip
+        self.told = pressure
+        self._written = bool(pressure.pools)
--- a/src/foxtrestle/node/intake.py
+++ b/src/foxtrestle/node/intake.py
@@ -9,12 +9,16 @@
 
 import msgspec
 
+from foxtrestle.clock import read_clock
 from foxtrestle.control.keys import ENDED, build_keys
 from foxtrestle.control.log import log
+from foxtrestle.node.pressure import KnownPressures
 from foxtrestle.platform.operators import CONFIGURATION
 from foxtrestle.scheduling.access import Access, Denial, admit
+from foxtrestle.scheduling.allotting import has_weights
 from foxtrestle.scheduling.model import Job
 from foxtrestle.scheduling.partitions import share_limit
+from foxtrestle.scheduling.pressure import Refusal, choose_refusal
 from foxtrestle.scheduling.progress import decode_progress
 from foxtrestle.scheduling.quotas import find_unstartable
 from foxtrestle.store import ABSENT, Conflict, OutcomeUnknown, StoreError, Transaction
@@ -31,16 +35,34 @@
     from foxtrestle.scheduling.partitions import Partition
     from foxtrestle.store import Record
 
-Acceptance = Literal["accepted", "refused", "unknown", "taken", "too-large"] | Denial
+Acceptance = Literal["accepted", "refused", "unknown", "taken", "too-large"] | Denial | Refusal
 """Outcome of handing a job in: `unknown` if a write was sent and its answer was lost, `taken` if
 the id is another organisation's, `too-large` if the organisation's limit keeps a gang from ever
-starting."""
+starting, a `Refusal` if it cannot be served in time."""
 ATTEMPTS: Final = 4
 """How often a write is sent before its outcome is called unknown."""
+MOST_LEARNED: Final = 3
+"""How often one job may find that the pressure has changed; then it is kept whatever there is."""
+MOST_UNSETTLED: Final = 1000
+"""Newest ids whose writes had no answer that are remembered."""
 RETRY_S: Final = 0.05
 """Mean pause before a write is sent again, seconds."""
 
 
+class _Submission(msgspec.Struct):
+    """A job that is being handed in."""
+
+    job_id: str
+    spec: JobSpec
+    accepted_ms: int
+    sent: bool = False
+    """Whether a write of it had no answer."""
+    attempts: int = 0
+    """Writes that count as tries."""
+    learned: int = 0
+    """Writes refused as the pressure had changed."""
+
+
 class Intake:
     """Carries out clients' requests against the store."""
 
@@ -49,6 +71,8 @@
         self._store = store
         self._operators = operators
         self._layout = layout
+        self._pressures = KnownPressures()
+        self._unsettled: dict[str, None] = {}
 
     async def submit(self, address: Address, job_id: str, spec: JobSpec) -> Acceptance:
         """Keep a job, on the condition that the configuration that allows it is still the newest.
@@ -58,39 +82,124 @@
             job_id: The client's id.
             spec: What the client described.
         """
-        sent = False
-        keys = self._layout.find_keys(job_id)
-        accepted_ms = int(time.time() * 1000)
-        for _ in range(ATTEMPTS):
+        held = _Submission(job_id, spec, int(time.time() * 1000))
+        while held.attempts < ATTEMPTS:
             configuration = self._operators.configuration
             # The mirror may be too old to say no for certain; the commit tells.
             access = admit(configuration, address)
             if configuration is None or not isinstance(access, Access):
-                return "unknown" if sent else _settle_denial(access)
-            if _is_too_large(configuration, access, spec, self._layout.find_partition(job_id)):
-                return "unknown" if sent else "too-large"
-            transaction = _build_submission(configuration, keys, access, job_id, spec, accepted_ms)
-            try:
-                await self._store.commit(transaction)
-            except Conflict as conflict:
-                found = _find_held(conflict.records, keys, job_id)
-                if found is not None:
-                    return "accepted" if access.may_touch(*found) else "taken"
+                return "unknown" if held.sent else _settle_denial(access)
+            partition = self._layout.find_partition(job_id)
+            if _is_too_large(configuration, access, spec, partition):
+                return "unknown" if held.sent else "too-large"
+            weighed = has_weights(configuration) and held.learned < MOST_LEARNED
+            refusal = self._judge(partition, access, held) if weighed else None
+            if refusal is not None:
+                return await self._refuse(access, job_id, refusal)
+            outcome = await self._write(held, configuration, access, weighed=weighed)
+            if outcome is not None:
+                return outcome
+        return "unknown" if held.sent else "refused"
+
+    async def _write(
+        self,
+        held: _Submission,
+        configuration: FleetConfiguration,
+        access: Access,
+        *,
+        weighed: bool,
+    ) -> Acceptance | None:
+        """Try once to keep a job; None if it has to be decided anew.
+
+        Args:
+            held: The job.
+            configuration: The configuration that allows it.
+            access: Who handed it in and where.
+            weighed: Whether the pressure must still be as known.
+        """
+        job_id = held.job_id
+        partition = self._layout.find_partition(job_id).number
+        keys = build_keys(partition)
+        transaction = _build_submission(configuration, keys, access, held)
+        if weighed:
+            transaction.conditions[keys.pressure] = self._pressures.find(partition).revision
+        try:
+            await self._store.commit(transaction)
+        except Conflict as conflict:
+            found = _find_held(conflict.records, keys, job_id)
+            if found is not None:
+                return "accepted" if access.may_touch(*found) else "taken"
+            if not (weighed and self._learn(held, partition, configuration, conflict.records)):
+                held.attempts += 1
                 await self._refresh()
-                continue
-            except OutcomeUnknown as error:
-                sent = True
-                log("job.write-unanswered", job=job_id, reason=error.reason)
-            except StoreError as error:
-                log("job.write-failed", job=job_id, reason=error.reason)
-                if not sent:
-                    return "refused"
-            else:
-                log("job.accepted", job=job_id, queue=access.queue.name,
-                    org=access.organisation, version=configuration.version)  # fmt: skip
-                return "accepted"
-            await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
-        return "unknown" if sent else "refused"
+            return None
+        except OutcomeUnknown as error:
+            held.sent = True
+            self._note_unsettled(job_id)
+            log("job.write-unanswered", job=job_id, reason=error.reason)
+        except StoreError as error:
+            log("job.write-failed", job=job_id, reason=error.reason)
+            if not held.sent:
+                return "refused"
+        else:
+            if weighed:
+                self._pressures.confirm(partition)
+            log("job.accepted", job=job_id, queue=access.queue.name,
+                org=access.organisation, version=configuration.version)  # fmt: skip
+            return "accepted"
+        held.attempts += 1
+        await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
+        return None
+
+    def _learn(
+        self,
+        held: _Submission,
+        partition: int,
+        configuration: FleetConfiguration,
+        records: Mapping[str, Record],
+    ) -> bool:
+        """Take in the pressure as a refused write told it; tell whether that alone had changed."""
+        if not self._pressures.learn(partition, records.get(build_keys(partition).pressure)):
+            return False
+        held.learned += 1
+        newest = records.get(CONFIGURATION)
+        return newest is not None and newest.revision == configuration.revision
+
+    def _judge(self, partition: Partition, access: Access, held: _Submission) -> Refusal | None:
+        """Decide whether a job is refused by what is known; never one whose write is unsettled."""
+        known = self._pressures.find_usable(partition.number)
+        if known is None or held.job_id in self._unsettled:
+            return None
+        return choose_refusal(
+            known.pressure, access.queue, access.organisation, held.job_id, held.spec
+        )
+
+    async def _refuse(self, access: Access, job_id: str, refusal: Refusal) -> Acceptance:
+        """Refuse a job, unless it was kept before: the caller may not have had that answer."""
+        keys = self._layout.find_keys(job_id)
+        try:
+            records = await asyncio.gather(
+                self._store.get(keys.jobs + job_id), self._store.get(ENDED + job_id)
+            )
+        except StoreError as error:
+            log("job.refusal-unsure", job=job_id, reason=error.reason)
+            return "unknown"
+        found = _find_held({held.key: held for held in records if held}, keys, job_id)
+        if found is not None:
+            return "accepted" if access.may_touch(*found) else "taken"
+        partition = self._layout.find_partition(job_id)
+        known = self._pressures.find(partition.number)
+        log("job.refused", job=job_id, org=access.organisation, queue=access.queue.name,
+            pool=access.queue.pool, reason=refusal.reason, wait_s=refusal.wait_s,
+            retry_after_s=refusal.retry_after_s,
+            known_s=round(read_clock() - known.known_at, 2))  # fmt: skip
+        return refusal
+
+    def _note_unsettled(self, job_id: str) -> None:
+        """Remember that a job may be kept, for all we know."""
+        self._unsettled[job_id] = None
+        if len(self._unsettled) > MOST_UNSETTLED:
+            del self._unsettled[next(iter(self._unsettled))]
 
     async def _refresh(self) -> None:
         """Read the newest configuration."""
@@ -201,29 +310,27 @@
     configuration: FleetConfiguration,
     keys: Keys,
     access: Access,
-    job_id: str,
-    spec: JobSpec,
-    accepted_ms: int,
+    held: _Submission,
 ) -> Transaction:
     """Return the write that keeps a job if the configuration is still the newest."""
     queue = access.queue
     job = Job(
-        id=job_id,
+        id=held.job_id,
         queue=queue.name,
         pool=queue.pool,
         priority=queue.priority,
         max_attempts=queue.max_attempts,
         stretch=queue.stretch,
         target_ms=queue.target_ms,
-        spec=spec,
-        accepted_ms=accepted_ms,
+        spec=held.spec,
+        accepted_ms=held.accepted_ms,
         owner=access.organisation,
     )
     return Transaction(
         conditions={
             CONFIGURATION: configuration.revision,
-            keys.jobs + job_id: ABSENT,
-            ENDED + job_id: ABSENT,
+            keys.jobs + held.job_id: ABSENT,
+            ENDED + held.job_id: ABSENT,
         },
-        puts={keys.jobs + job_id: msgspec.msgpack.encode(job)},
+        puts={keys.jobs + held.job_id: msgspec.msgpack.encode(job)},
     )
--- a/src/foxtrestle/platform/front.py
+++ b/src/foxtrestle/platform/front.py
@@ -21,6 +21,7 @@
 )
 from foxtrestle.scheduling.access import Access, Address, Denial
 from foxtrestle.scheduling.organisations import digest_key, label_key
+from foxtrestle.scheduling.pressure import Refusal
 from foxtrestle.store import OutcomeUnknown, StoreError
 
 if TYPE_CHECKING:
@@ -113,6 +114,9 @@
         if is_store_away():
             return _refuse(job=name)
         outcome = await intake.submit(address, name, decode_job(await request.body()))
+        if isinstance(outcome, Refusal):
+            measures.note_refusal(outcome.reason)
+            return _answer(429, outcome.retry_after_s)
         if outcome not in {"accepted", "refused", "unknown"}:
             log("job.denied", job=name, reason=str(outcome), key=label_key(address.key))
         return _answer(STATUSES[outcome])
@@ -126,12 +130,12 @@
     return _answer(503)
 
 
-def _answer(status: int) -> Response:
+def _answer(status: int, retry_after_s: int = LIMIT_RETRY_AFTER_S) -> Response:
     headers = {}
     if status in {503, 504}:
         headers["Retry-After"] = str(RETRY_AFTER_S)
     elif status == 429:
-        headers["Retry-After"] = str(LIMIT_RETRY_AFTER_S)
+        headers["Retry-After"] = str(retry_after_s)
     elif status == 401:
         headers["WWW-Authenticate"] = SCHEME
     return Response(status_code=status, headers=headers)
--- a/src/foxtrestle/scheduling/load.py
+++ b/src/foxtrestle/scheduling/load.py
@@ -38,6 +38,17 @@
     return sqrt(load * fmean(widths)) if widths else 0.0
 
 
+def measure_work(entry: JobEntry, durations: Durations, host: Shape) -> float:
+    """Return the room that a job's tasks take times their duration, hosts x seconds."""
+    return sum(
+        step.count
+        * measure_share(step.shape, host)
+        * durations.estimate(entry.job.queue, step.estimate_ms).mean_s
+        for step in entry.job.spec.steps
+        if not step.fills and not step.lasting
+    )
+
+
 class RecentPeak:
     """The largest of the newest values."""
 
@@ -139,13 +150,11 @@
             durations: How long tasks take.
             host: Room of a host.
         """
-        steps = [step for step in entry.job.spec.steps if not step.fills and not step.lasting]
-        if not steps:
-            return
-        widths = [step.count * measure_share(step.shape, host) for step in steps]
-        self.widths.append(max(widths))
-        work = sum(
-            width * durations.estimate(entry.job.queue, step.estimate_ms).mean_s
-            for step, width in zip(steps, widths, strict=True)
-        )
-        self.arrivals.note(entry.created_at, work)
+        widths = [
+            step.count * measure_share(step.shape, host)
+            for step in entry.job.spec.steps
+            if not step.fills and not step.lasting
+        ]
+        if widths:
+            self.widths.append(max(widths))
+            self.arrivals.note(entry.created_at, measure_work(entry, durations, host))
--- /dev/null
+++ b/src/foxtrestle/scheduling/pressure.py
@@ -0,0 +1,277 @@
+"""Whom to refuse at the door while more comes in than is served, and when to come back.
+
+The controller works out, for each pool that is under pressure, how long new work waits, and for
+each organisation that is beyond what it is due (`allotting`, `shares`) how long its own waits and
+what part of its jobs to refuse. Nodes decide about each job by that alone. What an organisation
+within its share hands in is refused only if it could not even be late and of some use: nothing of
+it goes for another's load that could be refused instead.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from math import ceil
+from typing import TYPE_CHECKING, Final, Literal
+from zlib import crc32
+
+import msgspec
+
+from foxtrestle.scheduling.allotting import find_beyond, has_weights, measure_running, share_room
+from foxtrestle.scheduling.load import measure_share, measure_work
+from foxtrestle.scheduling.needs import measure_host
+from foxtrestle.scheduling.urgency import LATE_FACTOR, order_jobs
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from foxtrestle.scheduling.durations import Durations
+    from foxtrestle.scheduling.jobs import JobEntry
+    from foxtrestle.scheduling.model import JobSpec, Queue, Shape
+    from foxtrestle.scheduling.state import Fleet
+
+RATE_S: Final = 2.0
+"""Seconds over which it is counted what an organisation hands in."""
+MOST_REFUSED: Final = 0.9
+"""Largest part of an organisation's jobs that is refused: some always come through, and tell how
+much it asks for."""
+STEPS: Final = 10
+"""Steps a unit in which waits and fractions are told, so that small changes cost no write."""
+LEAST_WAIT_S: Final = 0.5
+"""Waits from which a pool counts as under pressure, seconds; the others are over before a node has
+learned of them."""
+HASHED: Final = 1 << 32
+"""Number of values of the hash of a job's id."""
+
+Reason = Literal["beyond its share", "too late to be of use"]
+
+
+class OrganisationPressure(msgspec.Struct, frozen=True):
+    """An organisation that is beyond its share of a pool."""
+
+    refused: float
+    """Part of its jobs to refuse if they would miss their objective."""
+    wait_s: float
+    """Seconds that its new work waits."""
+
+
+class PoolPressure(msgspec.Struct, frozen=True):
+    """A pool that is under pressure."""
+
+    wait_s: float = 0.0
+    """Seconds that new work within a share waits."""
+    organisations: dict[str, OrganisationPressure] = {}
+    """Those beyond their share, by name."""
+
+
+class Pressure(msgspec.Struct, frozen=True):
+    """What nodes have to know; empty while all is calm."""
+
+    pools: dict[str, PoolPressure] = {}
+    """Pools under pressure, by name."""
+    long_s: dict[str, float] = {}
+    """Seconds that a long task takes, by queue, of the queues of these pools."""
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """A job that is not kept."""
+
+    reason: Reason
+    """Why."""
+    wait_s: float
+    """Seconds that it would have waited."""
+    retry_after_s: int
+    """Seconds after which to come back."""
+
+
+class AskedWork(msgspec.Struct):
+    """Work that organisations have handed in of late, by pool and organisation."""
+
+    arrivals: dict[tuple[str, str], deque[tuple[float, float]]] = {}
+    """Monotonic time and work of each job, in hosts x seconds."""
+
+    def note(self, entry: JobEntry, durations: Durations, host: Shape, now: float) -> None:
+        """Take in a job."""
+        where = (entry.job.pool, entry.job.owner)
+        held = self.arrivals.setdefault(where, deque())
+        held.append((now, measure_work(entry, durations, host)))
+        self._drop_old(held, now)
+
+    def measure(self, pool: str, owner: str, now: float) -> float:
+        """Return the room that an organisation's new work keeps busy, hosts."""
+        held = self.arrivals.get((pool, owner))
+        if held is None:
+            return 0.0
+        self._drop_old(held, now)
+        if not held:
+            del self.arrivals[pool, owner]
+        return sum(work for _, work in held) / RATE_S
+
+    def _drop_old(self, held: deque[tuple[float, float]], now: float) -> None:
+        while held and held[0][0] < now - RATE_S:
+            held.popleft()
+
+
+def measure_pressure(
+    fleet: Fleet,
+    hosts: Mapping[str, int],
+    asked: AskedWork,
+    held: Pressure,
+    now: float,
+) -> Pressure:
+    """Return what nodes have to know now.
+
+    Args:
+        fleet: The state.
+        hosts: Hosts that each pool has or will have.
+        asked: What organisations have handed in of late.
+        held: What nodes know, by which they refuse now.
+        now: Monotonic time, seconds.
+    """
+    host, configuration = measure_host(fleet), fleet.configuration
+    if host is None or configuration is None or not has_weights(configuration):
+        return Pressure()
+    waiting: dict[str, list[JobEntry]] = {}
+    for entry in order_jobs(fleet.active.values(), fleet.durations, now):
+        if _is_refusable(entry.job.spec) and entry.job.owner not in fleet.at_limit:
+            waiting.setdefault(entry.job.pool, []).append(entry)
+    pools: dict[str, PoolPressure] = {}
+    for pool, entries in waiting.items():
+        found = _measure_pool(fleet, pool, entries, host, hosts.get(pool, 0), asked, held, now)
+        if found is not None:
+            pools[pool] = found
+    known = fleet.durations.describe()
+    long_s = {
+        queue.name: round(known[queue.name].long_s, 1)
+        for queue in configuration.queues
+        if queue.pool in pools and queue.name in known
+    }
+    return Pressure(pools, long_s)
+
+
+def _measure_pool(
+    fleet: Fleet,
+    pool: str,
+    entries: list[JobEntry],
+    host: Shape,
+    hosts: int,
+    asked: AskedWork,
+    held: Pressure,
+    now: float,
+) -> PoolPressure | None:
+    configuration = fleet.configuration
+    workers = [w for w in fleet.workers.values() if w.info.pool == pool and not w.gone]
+    lasting = sum(measure_share(worker.lasting_used, host) for worker in workers)
+    room = hosts - lasting
+    if configuration is None or room <= 0:
+        # How long work waits for hosts that are not there is not known.
+        return None
+    running = measure_running(workers, fleet.jobs, host)
+    beyond = find_beyond(entries, running, room, configuration, host)
+    within_work, works, demands = 0.0, dict[str, float](), dict(running)
+    behind: set[str] = set()
+    for entry in entries:
+        owner, work = entry.job.owner, _measure_waiting(entry, fleet.durations, host)
+        works[owner] = works.get(owner, 0.0) + work
+        demands[owner] = demands.get(owner, 0.0) + _measure_ready(entry, host)
+        if entry.excess or entry.job.id in beyond:
+            behind.add(owner)
+        else:
+            within_work += work
+    if sum(demands.values()) <= room:
+        return None
+    weights = {name: one.weight for name, one in configuration.organisations.items()}
+    parts = share_room(demands, weights, room)
+    before = held.pools.get(pool, PoolPressure()).organisations
+    listed: dict[str, OrganisationPressure] = {}
+    for owner in sorted(behind):
+        wait_s = works[owner] / parts[owner] if parts[owner] > 0 else works[owner] / room
+        if wait_s < LEAST_WAIT_S:
+            continue
+        now_refused = before[owner].refused if owner in before else 0.0
+        wanted = asked.measure(pool, owner, now) / (1 - now_refused)
+        refused = min(MOST_REFUSED, max(0.0, 1 - parts[owner] / wanted)) if wanted else 0.0
+        if refused:
+            listed[owner] = OrganisationPressure(_round(refused), _round(wait_s))
+    wait_s = within_work / room
+    if not listed and wait_s < LEAST_WAIT_S:
+        return None
+    return PoolPressure(_round(wait_s), listed)
+
+
+def _round(value: float) -> float:
+    return round(value * STEPS) / STEPS
+
+
+def _measure_ready(entry: JobEntry, host: Shape) -> float:
+    return sum(measure_share(task.step.taken, host) for task in entry.ready.values())
+
+
+def _measure_waiting(entry: JobEntry, durations: Durations, host: Shape) -> float:
+    """Return the work of a job that has not begun, hosts x seconds."""
+    if not entry.begun:
+        return measure_work(entry, durations, host)
+    return sum(
+        measure_share(task.step.shape, host)
+        * durations.estimate(entry.job.queue, task.step.estimate_ms).mean_s
+        for task in entry.ready.values()
+    )
+
+
+def _is_refusable(spec: JobSpec) -> bool:
+    """Tell whether a job may be refused for pressure: not one that lasts or comes at due times."""
+    return not spec.repeat_count and not any(step.lasting for step in spec.steps)
+
+
+def choose_refusal(
+    pressure: Pressure, queue: Queue, owner: str, job: str, spec: JobSpec
+) -> Refusal | None:
+    """Decide whether a job is refused; None if it is kept.
+
+    A job of an organisation beyond its share is refused if a hash of its id falls under the
+    fraction, so a retry meets the same fate and hammering gains nothing, and if it would miss its
+    objective anyway. Any other only if even three times the objective is too short.
+
+    Args:
+        pressure: What the node knows.
+        queue: The job's queue.
+        owner: Its organisation; empty for none.
+        job: Its id.
+        spec: What the client described.
+    """
+    held = pressure.pools.get(queue.pool)
+    if held is None or not _is_refusable(spec):
+        return None
+    chain_s = _measure_chain(spec, pressure.long_s.get(queue.name))
+    objective_s = queue.stretch * chain_s + queue.target_ms / 1000
+    drawn = crc32(job.encode()) / HASHED
+    own = held.organisations.get(owner)
+    wait_s = own.wait_s if own is not None else held.wait_s
+    if own is not None and drawn < own.refused and wait_s + chain_s > objective_s:
+        slack_s = objective_s - chain_s
+        return Refusal("beyond its share", wait_s, compute_retry(job, wait_s - slack_s))
+    useful_s = LATE_FACTOR * objective_s - chain_s
+    if wait_s > useful_s:
+        return Refusal("too late to be of use", wait_s, compute_retry(job, wait_s - useful_s))
+    return None
+
+
+def _measure_chain(spec: JobSpec, long_s: float | None) -> float:
+    """Return the longest chain of steps, seconds, by what is known of the queue's tasks."""
+    ends: list[float] = []
+    for step in spec.steps:
+        begin = max((ends[other] for other in step.depends_on), default=0.0)
+        ends.append(begin + (step.estimate_ms / 1000 if long_s is None else long_s))
+    return max(ends, default=0.0)
+
+
+def compute_retry(job: str, over_s: float) -> int:
+    """Return the seconds after which a refused caller is to come back.
+
+    Callers that are refused together come back spread over as long again as the wait is too long.
+
+    Args:
+        job: Id of the job.
+        over_s: Seconds by which the wait is too long.
+    """
+    spread = crc32(b"retry" + job.encode()) / HASHED
+    return max(1, ceil(max(0.0, over_s) * (1 + spread)))
--- /dev/null
+++ b/tests/test_node_pressure.py
@@ -0,0 +1,71 @@
+"""Pressure at a whole node, over real sockets on loopback."""
+
+from __future__ import annotations
+
+import msgspec
+
+from foxtrestle.control.keys import build_keys
+from foxtrestle.scheduling.model import Shape
+from foxtrestle.scheduling.pressure import OrganisationPressure, PoolPressure, Pressure
+from foxtrestle.standins.site import Site
+from foxtrestle.store import Transaction
+from tests.test_node import CONFIGURATION, name, running, short_times, wait_for
+from tests.test_node_organisations import apply
+
+__all__ = ["short_times"]
+
+KEY = build_keys(0).pressure
+WEIGHED = CONFIGURATION | {
+    "version": 2,
+    "tenants": [
+        {"name": "loud", "apiKeys": ["k1"], "weight": 100},
+        {"name": "calm", "apiKeys": ["k2"], "weight": 100},
+    ],
+}
+
+
+async def test_a_flood_is_refused_at_the_door_of_the_loud_one_and_the_record_goes_with_it() -> None:
+    """Twice what the pool does in a minute comes at once; the calm one's job is taken."""
+    site = Site(describe=lambda key: (Shape(8000, 100), 300.0, "done"))
+    async with running(site) as (client, _):
+        await apply(site, client, WEIGHED)
+        client.key = "k1"
+        steps = {"count": 8, "cpu": 8000, "estimatedMs": 300}
+        statuses = [await client.submit(name(number), steps) for number in range(40)]
+        assert set(statuses) == {200}
+        await wait_for(lambda: site.engine.get(KEY) is not None)
+        statuses = [await client.submit(name(100 + number), steps) for number in range(20)]
+        assert statuses.count(429) >= 5
+        for number, status in enumerate(statuses):
+            kept = site.engine.get(f"foxtrestle/inbox/job/{name(100 + number)}") is not None
+            assert kept is (status == 200), "a refusal is true"
+        assert await client.submit(name(1), steps) == 200, "kept before"
+        client.key = "k2"
+        assert await client.submit(name(200), steps) == 200
+        await wait_for(lambda: site.engine.get(KEY) is None, 60.0)
+        client.key = "k1"
+
+        async def is_taken() -> bool:
+            return await client.submit(name(300), steps) == 200
+
+        # A node goes by what it has learned for some seconds yet.
+        await wait_for(is_taken)
+
+
+async def test_a_refusal_tells_when_to_come_back_and_is_counted() -> None:
+    site = Site()
+    async with running(site) as (client, nodes):
+        await apply(site, client, WEIGHED)
+        await wait_for(lambda: nodes[0].node.controller)
+        told = Pressure({"main": PoolPressure(0.0, {"loud": OrganisationPressure(1.0, 500.0)})})
+        site.engine.commit(Transaction({}, {KEY: msgspec.json.encode(told)}))
+        client.key = "k1"
+        url = f"http://{nodes[0].settings.client_address}/q/{name(1)}"
+        headers = {"Host": "jobs.example", "Authorization": "Bearer k1"}
+        body = {"spec": "text", "steps": [{"count": 1, "cpu": 1000}]}
+        async with client.session.post(url, json=body, headers=headers) as response:
+            assert response.status == 429
+            assert 400 <= int(response.headers["Retry-After"]) <= 1001
+        url = f"http://{nodes[0].settings.ready_address}/metrics"
+        async with client.session.get(url) as response:
+            assert "foxtrestle_jobs_refused" in await response.text()
