--- a/src/foxtrestle/cli.py
+++ b/src/foxtrestle/cli.py
@@ -16,7 +16,13 @@
 
 from foxtrestle import VERSION
 from foxtrestle.errors import FoxtrestleError
-from foxtrestle.explain import describe, find_cause, parse_lines, select_story
+from foxtrestle.explain import (
+    describe,
+    find_cause,
+    find_organisation_cause,
+    parse_lines,
+    select_story,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -366,7 +372,7 @@
 
 @app.command
 def explain(subject: str, *files: Path, as_json: Json = False) -> None:
-    """Tell what happened to a job, worker, host or wave, from the nodes' logs.
+    """Tell what happened to a job, worker, host, wave or organisation, from the nodes' logs.
 
     Args:
         subject: Its id, name or number.
@@ -374,7 +380,8 @@
         as_json: Print the lines instead of sentences.
     """
     texts = [line for file in files for line in file.read_text(encoding="utf-8").splitlines()]
-    story = select_story(parse_lines(texts if files else sys.stdin), subject)
+    lines = parse_lines(texts if files else sys.stdin)
+    story = select_story(lines, subject)
     if not story:
         print(f"foxtrestle: no line tells of {subject!r}", file=sys.stderr)
         sys.exit(EXIT_FAULT)
@@ -387,6 +394,8 @@
         print(f"{at}.{int(float(line['timestamp']) % 1 * 1000):03d} {describe(line)}")
     if any(line.get("job") == subject for line in story):
         print(f"cause: {find_cause(story)}")
+    elif any(line.get("org") == subject for line in story):
+        print(f"cause: {find_organisation_cause(lines, subject)}")
 
 
 _EXIT_BY_STATUS: Final = {
--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -392,6 +392,9 @@
                 self._measures.note_violation(broken)
                 continue
             self._measures.note_start(worker.info.pool, now - task.waiting_since)
+            entry = self.fleet.jobs[placement.job]
+            if not entry.begun:
+                self._measures.note_organisation(entry.job.owner, "started")
             run = place_run(self.fleet, task, worker, placement.run, now)
             starts.append((task, run, worker))
             log("run.placed", job=placement.job, rep=task.key.repetition, step=task.key.step,
--- a/src/foxtrestle/control/measures.py
+++ b/src/foxtrestle/control/measures.py
@@ -14,6 +14,11 @@
 BUCKETS_S: Final = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0]
 """Upper ends of the histograms' buckets, seconds: from one answer of the store to a lease."""
 
+MOST_ORGANISATIONS: Final = 200
+"""Organisations that are counted by name, the first ones; each is three lines of the answer."""
+OTHERS: Final = "other"
+"""Label of the rest."""
+
 
 class Measures:
     """Everything a node counts; labels take few values."""
@@ -39,6 +44,10 @@
         self._pressed = Counter(
             "foxtrestle_jobs_refused", "Jobs refused under pressure.", registry=self._registry
         )
+        self._organisations = Counter(
+            "foxtrestle_organisation_jobs", "Jobs by organisation.", registry=self._registry
+        )
+        self._named: set[str] = set()
         self._sources: dict[str, tuple[Gauge, Callable[[], Mapping[str, float]]]] = {}
 
     def _histogram(self, name: str, text: str) -> Histogram:
@@ -80,6 +89,20 @@
         """Count a job that was refused under pressure."""
         self._pressed.inc({"reason": reason})
 
+    def note_organisation(self, name: str, event: str) -> None:
+        """Count what became of an organisation's job; past a number of them they count together.
+
+        Args:
+            name: The organisation; empty for none.
+            event: `asked`, `refused` or `started`.
+        """
+        if not name:
+            return
+        if name not in self._named and len(self._named) < MOST_ORGANISATIONS:
+            self._named.add(name)
+        label = name if name in self._named else OTHERS
+        self._organisations.inc({"org": label, "event": event})
+
     def note_violation(self, promise: str) -> None:
         """Count an act that a check stopped."""
         self._refusals.inc({"promise": promise})
--- a/src/foxtrestle/explain.py
+++ b/src/foxtrestle/explain.py
@@ -1,7 +1,8 @@
-"""The story of a job, worker, host or wave, told from the nodes' log lines."""
+"""The story of a job, worker, host, wave or organisation, told from the nodes' log lines."""
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from typing import Any, Final
 
@@ -9,7 +10,7 @@
 
 Line = Mapping[str, Any]
 """One log line: an event's name under `message_type`, and its fields."""
-SUBJECTS: Final = ("job", "worker", "host", "wave")
+SUBJECTS: Final = ("job", "worker", "host", "wave", "org")
 """Fields that name what a line is about."""
 WORKER_TROUBLE: Final = frozenset(
     {
@@ -22,6 +23,8 @@
     }
 )
 """Events of a worker that explain what became of a job's runs there."""
+JOBS_TAKEN: Final = frozenset({"job.accepted", "job.seen"})
+"""Events that every job has: of an organisation they are counted, not told one by one."""
 GENERAL_TROUBLE: Final = frozenset(
     {
         "control.lost",
@@ -40,6 +43,12 @@
     "job.write-unanswered": "{node} sent it to the store and got no answer ({reason})",
     "job.write-failed": "{node} could not keep it: {reason}; nothing was written",
     "job.malformed": "refused by {node} as malformed: {reason}",
+    "job.refusal-unsure": "{node} could not tell whether it was kept before ({reason})",
+    "share.regained": "it counts as within {org}'s share again after {waited_s} s",
+    "organisation.limited": "{org} is at its limit (limits certain: {current})",
+    "organisation.free": "{org} may start more again",
+    "pressure.changed": "pool {pool} with {hosts} hosts: new work waits {wait_s} s; beyond their"
+    " share, with the part refused and their wait: {organisations}",
     "job.seen": "the controller {node} learned of it",
     "job.cancelled": "the controller {node} cancelled it",
     "job.ended": "ended {state} after {took_s} s",
@@ -95,8 +104,25 @@
     and the controller, all between its first line and its last.
     """
     own = [line for line in lines if any(str(line.get(name)) == subject for name in SUBJECTS)]
-    if not own or not any(line.get("job") == subject for line in own):
-        return own
+    if any(line.get("job") == subject for line in own):
+        return _select_job(lines, own)
+    if any(line.get("org") == subject for line in own):
+        return _select_organisation(lines, subject)
+    return own
+
+
+def _select_organisation(lines: list[Line], name: str) -> list[Line]:
+    """Select an organisation's lines without those that every job has, if others are there."""
+    own = [line for line in lines if line.get("org") == name or _is_pressed(line, name)]
+    return [line for line in own if line["message_type"] not in JOBS_TAKEN] or own
+
+
+def _is_pressed(line: Line, name: str) -> bool:
+    """Tell whether a line says that an organisation is beyond its share of a pool."""
+    return line["message_type"] == "pressure.changed" and name in line.get("organisations", {})
+
+
+def _select_job(lines: list[Line], own: list[Line]) -> list[Line]:
     first, last = _read_time(own[0]), _read_time(own[-1])
     workers = {line["worker"] for line in own if "worker" in line}
     return [
@@ -147,6 +173,42 @@
     return "nothing unusual is on record; its tasks started at once"
 
 
+def find_organisation_cause(lines: list[Line], name: str) -> str:
+    """Return the likeliest cause why an organisation's jobs are refused or wait.
+
+    Args:
+        lines: All lines.
+        name: The organisation.
+    """
+    own = [line for line in lines if line.get("org") == name]
+    seen = [line for line in own if line["message_type"] == "job.seen"]
+    refused = [line for line in own if line["message_type"] == "job.refused"]
+    if refused:
+        reasons = Counter(str(line.get("reason")) for line in refused)
+        told = ", ".join(f"{reason}: {count}" for reason, count in sorted(reasons.items()))
+        pools = ", ".join(sorted({str(line.get("pool")) for line in refused}))
+        taken = len({line.get("job") for line in seen})
+        return f"{len(refused)} calls refused at the door of pool {pools} ({told}), {taken} taken"
+    if any(line["message_type"] == "organisation.limited" for line in own):
+        return "its limit kept it from starting more"
+    excess = sum(bool(line.get("excess")) for line in seen)
+    if excess:
+        return f"{excess} of {len(seen)} jobs were beyond its weight and went after the others"
+    pressed = [line for line in lines if _is_pressed(line, name)]
+    if pressed:
+        return f"it asked for more than its share of pool {pressed[-1]['pool']} while that was full"
+    served = {line.get("pool") for line in seen}
+    full = [
+        line
+        for line in lines
+        if line["message_type"] == "pressure.changed" and line["pool"] in served and line["wait_s"]
+    ]
+    if full:
+        longest = max(full, key=lambda line: float(line["wait_s"]))
+        return f"pool {longest['pool']} was full: work within shares waited {longest['wait_s']} s"
+    return "nothing unusual is on record; see its jobs one by one"
+
+
 CAUSES: Final = (
     ("job.refused", "refused at the door: {reason}"),
     ("job.malformed", "malformed: {reason}"),
--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -178,6 +178,12 @@
             state["workers"] = sum(len(fleet.workers) for fleet in fleets)
             state["host_plans"] = sum(len(fleet.plans) for fleet in fleets)
             state["organisations_at_limit"] = sum(len(fleet.at_limit) for fleet in fleets)
+            state["jobs_beyond_share"] = sum(
+                entry.excess or entry.job.id in fleet.beyond
+                for fleet in fleets
+                for entry in fleet.active.values()
+                if entry.ready
+            )
         return state
 
     def _wake_controllers(self) -> None:
--- a/src/foxtrestle/platform/front.py
+++ b/src/foxtrestle/platform/front.py
@@ -102,7 +102,7 @@
         if not is_job_id(name):
             return Response(status_code=404)
         if request.method == "POST":
-            return await submit(request, address, name)
+            return await submit(request, address, access, name)
         if request.method == "DELETE":
             return Response(status_code=200 if await intake.cancel(access, name) else 410)
         state = await intake.read_state(access, name)
@@ -110,12 +110,14 @@
             return Response(status_code=410)
         return Response(encode_state(state), media_type=JSON)
 
-    async def submit(request: Request, address: Address, name: str) -> Response:
+    async def submit(request: Request, address: Address, access: Access, name: str) -> Response:
+        measures.note_organisation(access.organisation, "asked")
         if is_store_away():
             return _refuse(job=name)
         outcome = await intake.submit(address, name, decode_job(await request.body()))
         if isinstance(outcome, Refusal):
             measures.note_refusal(outcome.reason)
+            measures.note_organisation(access.organisation, "refused")
             return _answer(429, outcome.retry_after_s)
         if outcome not in {"accepted", "refused", "unknown"}:
             log("job.denied", job=name, reason=str(outcome), key=label_key(address.key))
--- a/src/foxtrestle/scheduling/allotting.py
+++ b/src/foxtrestle/scheduling/allotting.py
@@ -81,6 +81,27 @@
     )
 
 
+def is_full(
+    entries: Iterable[JobEntry], workers: Iterable[Worker], room: float, host: Shape
+) -> bool:
+    """Tell whether what waits and what runs takes more than there is, tasks that last aside.
+
+    Much cheaper than to find what is beyond; most rounds need no more.
+    """
+    taken = sum(
+        measure_share(worker.used, host) - measure_share(worker.lasting_used, host)
+        for worker in workers
+    )
+    return taken + sum(measure_ready(entry, host) for entry in entries) > room
+
+
+def measure_ready(entry: JobEntry, host: Shape) -> float:
+    """Return the room that a job's waiting tasks ask for, in hosts; none if it lasts."""
+    if not entry.ready or any(step.lasting for step in entry.job.spec.steps):
+        return 0.0
+    return sum(measure_share(task.step.taken, host) for task in entry.ready.values())
+
+
 def find_beyond(
     ordered: Iterable[JobEntry],
     running: Mapping[str, float],
@@ -99,7 +120,7 @@
     """
     weights = {name: held.weight for name, held in configuration.organisations.items()}
     asked = [
-        (entry, sum(measure_share(task.step.taken, host) for task in entry.ready.values()))
+        (entry, measure_ready(entry, host))
         for entry in ordered
         if not any(step.lasting for step in entry.job.spec.steps)
     ]
@@ -133,11 +154,8 @@
     workers = [worker for worker in fleet.workers.values() if not worker.gone]
     lasting = sum(measure_share(worker.lasting_used, host) for worker in workers)
     there = (one for one in fleet.hosts.values() if one.state not in {"down", "upkeep"})
-    room = sum(measure_share(one.room, host) for one in there) - lasting
-    fleet.beyond = find_beyond(
-        order_jobs(fleet.active.values(), fleet.durations, now),
-        measure_running(workers, fleet.jobs, host),
-        max(0.0, room),
-        fleet.configuration,
-        host,
-    )
+    room = max(0.0, sum(measure_share(one.room, host) for one in there) - lasting)
+    if is_full(fleet.active.values(), workers, room, host):
+        ordered = order_jobs(fleet.active.values(), fleet.durations, now)
+        running = measure_running(workers, fleet.jobs, host)
+        fleet.beyond = find_beyond(ordered, running, room, fleet.configuration, host)
--- a/src/foxtrestle/scheduling/placing.py
+++ b/src/foxtrestle/scheduling/placing.py
@@ -10,6 +10,7 @@
 from foxtrestle.scheduling.allotting import (
     find_beyond,
     has_weights,
+    is_full,
     measure_room,
     measure_running,
 )
@@ -89,13 +90,16 @@
     host = measure_host(fleet)
     if host is None or fleet.configuration is None or not has_weights(fleet.configuration):
         return ordered
+    waiting: dict[str, list[JobEntry]] = {}
+    for entry in ordered:
+        waiting.setdefault(entry.job.pool, []).append(entry)
     beyond: set[str] = set()
-    for pool, candidates in pools.items():
-        workers = [one.worker for one in candidates.all]
-        waiting = [entry for entry in ordered if entry.job.pool == pool]
-        running = measure_running(workers, fleet.jobs, host)
+    for pool, entries in waiting.items():
+        workers = [one.worker for one in pools[pool].all]
         room = measure_room(workers, host)
-        beyond |= find_beyond(waiting, running, room, fleet.configuration, host)
+        if is_full(entries, workers, room, host):
+            running = measure_running(workers, fleet.jobs, host)
+            beyond |= find_beyond(entries, running, room, fleet.configuration, host)
     return sorted(
         ordered,
         key=lambda entry: (entry.job.priority, entry.excess or entry.job.id in beyond),
--- a/src/foxtrestle/scheduling/pressure.py
+++ b/src/foxtrestle/scheduling/pressure.py
@@ -16,7 +16,13 @@
 
 import msgspec
 
-from foxtrestle.scheduling.allotting import find_beyond, has_weights, measure_running, share_room
+from foxtrestle.scheduling.allotting import (
+    find_beyond,
+    has_weights,
+    measure_ready,
+    measure_running,
+    share_room,
+)
 from foxtrestle.scheduling.load import measure_share, measure_work
 from foxtrestle.scheduling.needs import measure_host
 from foxtrestle.scheduling.urgency import LATE_FACTOR, order_jobs
@@ -172,7 +178,7 @@
     for entry in entries:
         owner, work = entry.job.owner, _measure_waiting(entry, fleet.durations, host)
         works[owner] = works.get(owner, 0.0) + work
-        demands[owner] = demands.get(owner, 0.0) + _measure_ready(entry, host)
+        demands[owner] = demands.get(owner, 0.0) + measure_ready(entry, host)
         if entry.excess or entry.job.id in beyond:
             behind.add(owner)
         else:
@@ -202,10 +208,6 @@
     return round(value * STEPS) / STEPS
 
 
-def _measure_ready(entry: JobEntry, host: Shape) -> float:
-    return sum(measure_share(task.step.taken, host) for task in entry.ready.values())
-
-
 def _measure_waiting(entry: JobEntry, durations: Durations, host: Shape) -> float:
     """Return the work of a job that has not begun, hosts x seconds."""
     if not entry.begun:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -8,7 +8,13 @@
 import pytest
 
 from foxtrestle.cli import app
-from foxtrestle.explain import describe, find_cause, parse_lines, select_story
+from foxtrestle.explain import (
+    describe,
+    find_cause,
+    find_organisation_cause,
+    parse_lines,
+    select_story,
+)
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -80,3 +86,53 @@
     with pytest.raises(SystemExit) as left:
         app(["explain", "unknown", str(log)])
     assert left.value.code == 1
+
+
+def of_org(at: float, kind: str, **fields: object) -> str:
+    return line(at, kind, org="acme", **fields)
+
+
+SEEN = [of_org(n, "job.seen", job=str(n), pool="main", excess=n < 3) for n in range(1, 6)]
+PRESSED = line(
+    6.0, "pressure.changed", pool="main", hosts=4, wait_s=1.5, organisations={"acme": [0.5, 9.0]}
+)
+
+
+@pytest.mark.parametrize(
+    ("lines", "cause"),
+    [
+        (
+            [
+                *SEEN,
+                of_org(7, "job.refused", job="9", pool="main", reason="beyond its share"),
+                of_org(8, "organisation.limited", current=True),
+            ],
+            "1 calls refused at the door of pool main (beyond its share: 1), 5 taken",
+        ),
+        ([*SEEN, of_org(8, "organisation.limited", current=True)], "its limit kept it"),
+        (SEEN, "2 of 5 jobs were beyond its weight"),
+        ([*SEEN[2:], PRESSED], "it asked for more than its share of pool main"),
+        ([*SEEN[2:], PRESSED.replace("acme", "other")], "pool main was full: work within shares"),
+        (SEEN[2:], "nothing unusual is on record"),
+    ],
+)
+def test_why_an_organisation_s_jobs_are_refused_or_wait(lines: list[str], cause: str) -> None:
+    assert find_organisation_cause(parse_lines(lines), "acme").startswith(cause)
+
+
+def test_an_organisation_s_story_has_what_concerns_it_and_not_each_job() -> None:
+    lines = [*SEEN, PRESSED, line(7, "pressure.changed", pool="x", organisations={"other": [1, 1]})]
+    story = select_story(parse_lines(lines), "acme")
+    assert [one["message_type"] for one in story] == ["pressure.changed"]
+    assert "new work waits 1.5 s" in describe(story[0])
+    assert len(select_story(parse_lines(SEEN), "acme")) == 5, "better than nothing"
+
+
+def test_the_tool_tells_of_an_organisation(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    log = tmp_path / "n1.log"
+    log.write_text("\n".join([*SEEN, of_org(7, "organisation.limited", current=True)]))
+    with pytest.raises(SystemExit):
+        app(["explain", "acme", str(log)])
+    assert "cause: its limit kept it" in capsys.readouterr().out
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -16,6 +16,7 @@
 import pytest
 from hypothesis import given
 
+from foxtrestle.control import measures
 from foxtrestle.control.ownership import Term
 from foxtrestle.control.pressure_records import PressureRecords, decode_pressure
 from foxtrestle.scheduling.model import JobSpec, Queue, Shape, Step
@@ -272,3 +273,14 @@
 async def test_each_partition_has_its_own_record() -> None:
     keys = {make_records(load(0, 0)[0], number)[2] for number in range(3)}
     assert len(keys) == 3
+
+
+def test_organisations_are_counted_by_name_up_to_a_number(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(measures, "MOST_ORGANISATIONS", 2)
+    held = measures.Measures()
+    for name in ("a", "b", "c", "d", "a", ""):
+        held.note_organisation(name, "asked")
+    text = held.render().decode()
+    assert 'foxtrestle_organisation_jobs{event="asked",org="a"} 2' in text
+    assert 'org="other"} 2' in text
+    assert 'org="c"' not in text
