Tell waits by priority, and leave out what cannot be in time

Cause: a pool's backlog counted as one, so urgent work would have been refused for what is less urgent, and new work for old work that goes after it. A new controller took all waiting jobs as just handed in.

Run: tests/test_pressure.py, test_intake_pressure.py, test_node_pressure.py, test_explain.py: passed.

--- a/src/foxtrestle/control/pressure_records.py
+++ b/src/foxtrestle/control/pressure_records.py
@@ -10,7 +10,7 @@
 from foxtrestle.clock import read_clock
 from foxtrestle.control.log import Outage, log
 from foxtrestle.scheduling.needs import measure_host
-from foxtrestle.scheduling.pressure import AskedWork, Pressure, measure_pressure
+from foxtrestle.scheduling.pressure import RATE_S, AskedWork, Pressure, measure_pressure
 from foxtrestle.store import StoreError, Transaction
 
 if TYPE_CHECKING:
@@ -72,8 +72,10 @@
     def note_job(self, entry: JobEntry) -> None:
         """Take in a job that has arrived."""
         host = measure_host(self._fleet)
-        if host is not None and entry.job.owner:
-            self._asked.note(entry, self._fleet.durations, host, read_clock())
+        now = read_clock()
+        # What a new controller finds waiting may have come long before.
+        if host is not None and entry.job.owner and now - entry.created_at < RATE_S:
+            self._asked.note(entry, self._fleet.durations, host, now)
 
     async def run(self) -> None:
         """Keep the record true until cancelled."""
@@ -106,8 +108,9 @@
             if now == before:
                 continue
             organisations = now.organisations if now is not None else {}
-            log("pressure.changed", pool=pool, wait_s=now.wait_s if now is not None else 0.0,
-                organisations={name: [held.refused, held.wait_s]
+            waits = now.wait_s.values() if now is not None else ()
+            log("pressure.changed", pool=pool, wait_s=max(waits, default=0.0),
+                organisations={name: [held.refused, max(held.wait_s.values(), default=0.0)]
                                for name, held in organisations.items()},
                 hosts=self._read_hosts().get(pool, 0),
                 partition=self._term.partition.number)  # fmt: skip
--- a/src/foxtrestle/scheduling/pressure.py
+++ b/src/foxtrestle/scheduling/pressure.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections import deque
+from itertools import accumulate
 from math import ceil
 from typing import TYPE_CHECKING, Final, Literal
 from zlib import crc32
@@ -25,7 +26,7 @@
 )
 from foxtrestle.scheduling.load import measure_share, measure_work
 from foxtrestle.scheduling.needs import measure_host
-from foxtrestle.scheduling.urgency import LATE_FACTOR, order_jobs
+from foxtrestle.scheduling.urgency import LATE_FACTOR, Outlook, compute_urgency, order_jobs
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -56,15 +57,15 @@
 
     refused: float
     """Part of its jobs to refuse if they would miss their objective."""
-    wait_s: float
-    """Seconds that its new work waits."""
+    wait_s: dict[int, float]
+    """Seconds that its new work waits, by priority."""
 
 
 class PoolPressure(msgspec.Struct, frozen=True):
     """A pool that is under pressure."""
 
-    wait_s: float = 0.0
-    """Seconds that new work within a share waits."""
+    wait_s: dict[int, float] = {}
+    """Seconds that new work within a share waits, by priority; what is less urgent waits longer."""
     organisations: dict[str, OrganisationPressure] = {}
     """Those beyond their share, by name."""
 
@@ -173,16 +174,21 @@
         return None
     running = measure_running(workers, fleet.jobs, host)
     beyond = find_beyond(entries, running, room, configuration, host)
-    within_work, works, demands = 0.0, dict[str, float](), dict(running)
+    within: dict[int, float] = {}
+    works: dict[str, dict[int, float]] = {}
+    demands = dict(running)
     behind: set[str] = set()
     for entry in entries:
         owner, work = entry.job.owner, _measure_waiting(entry, fleet.durations, host)
-        works[owner] = works.get(owner, 0.0) + work
+        outlook = compute_urgency(entry, fleet.durations, now).outlook
+        if outlook is not Outlook.OVERDUE:
+            _add(works.setdefault(owner, {}), entry.job.priority, work)
         demands[owner] = demands.get(owner, 0.0) + measure_ready(entry, host)
         if entry.excess or entry.job.id in beyond:
             behind.add(owner)
-        else:
-            within_work += work
+        elif outlook is Outlook.IN_TIME:
+            # What cannot be in time goes after what comes.
+            _add(within, entry.job.priority, work)
     if sum(demands.values()) <= room:
         return None
     weights = {name: one.weight for name, one in configuration.organisations.items()}
@@ -190,18 +196,34 @@
     before = held.pools.get(pool, PoolPressure()).organisations
     listed: dict[str, OrganisationPressure] = {}
     for owner in sorted(behind):
-        wait_s = works[owner] / parts[owner] if parts[owner] > 0 else works[owner] / room
-        if wait_s < LEAST_WAIT_S:
+        waits = _sum_waits(works.get(owner, {}), parts[owner] or room)
+        if max(waits.values(), default=0.0) < LEAST_WAIT_S:
             continue
         now_refused = before[owner].refused if owner in before else 0.0
         wanted = asked.measure(pool, owner, now) / (1 - now_refused)
         refused = min(MOST_REFUSED, max(0.0, 1 - parts[owner] / wanted)) if wanted else 0.0
         if refused:
-            listed[owner] = OrganisationPressure(_round(refused), _round(wait_s))
-    wait_s = within_work / room
-    if not listed and wait_s < LEAST_WAIT_S:
+            listed[owner] = OrganisationPressure(_round(refused), waits)
+    waits = _sum_waits(within, room)
+    if not listed and max(waits.values(), default=0.0) < LEAST_WAIT_S:
         return None
-    return PoolPressure(_round(wait_s), listed)
+    return PoolPressure(waits, listed)
+
+
+def _add(sums: dict[int, float], priority: int, work: float) -> None:
+    sums[priority] = sums.get(priority, 0.0) + work
+
+
+def _sum_waits(works: Mapping[int, float], room: float) -> dict[int, float]:
+    """Return the seconds that new work waits, by priority, behind all that is as urgent or more."""
+    priorities = sorted(works)
+    sums = accumulate(works[priority] for priority in priorities)
+    return {priority: _round(work / room) for priority, work in zip(priorities, sums, strict=True)}
+
+
+def find_wait(waits: Mapping[int, float], priority: int) -> float:
+    """Return the seconds that work of a priority waits."""
+    return max((wait_s for other, wait_s in waits.items() if other <= priority), default=0.0)
 
 
 def _round(value: float) -> float:
@@ -247,7 +269,7 @@
     objective_s = queue.stretch * chain_s + queue.target_ms / 1000
     drawn = crc32(job.encode()) / HASHED
     own = held.organisations.get(owner)
-    wait_s = own.wait_s if own is not None else held.wait_s
+    wait_s = find_wait(own.wait_s if own is not None else held.wait_s, queue.priority)
     if own is not None and drawn < own.refused and wait_s + chain_s > objective_s:
         slack_s = objective_s - chain_s
         return Refusal("beyond its share", wait_s, compute_retry(job, wait_s - slack_s))
--- a/tests/test_intake_pressure.py
+++ b/tests/test_intake_pressure.py
@@ -33,7 +33,7 @@
 LOUD = Address("h", "/q/x", digest_key("k1"))
 CALM = Address("h", "/q/x", digest_key("k2"))
 KEY = build_keys(0).pressure
-HARD = Pressure({"main": PoolPressure(0.0, {"loud": OrganisationPressure(0.9, 1.5)})})
+HARD = Pressure({"main": PoolPressure({}, {"loud": OrganisationPressure(0.9, {0: 1.5})})})
 
 
 class Store:
@@ -188,7 +188,7 @@
     async def change_before(transaction: Transaction) -> int:
         nonlocal tries
         tries += 1
-        store.tell(Pressure({"main": PoolPressure(tries / 10)}))
+        store.tell(Pressure({"main": PoolPressure({0: tries / 10})}))
         return await commit(transaction)
 
     store.commit = change_before
@@ -200,7 +200,7 @@
 
 async def test_a_change_of_both_reads_the_configuration_anew() -> None:
     store, operators, intake = make()
-    store.tell(Pressure({"main": PoolPressure(0.7)}))
+    store.tell(Pressure({"main": PoolPressure({0: 0.7})}))
     store.engine.commit(Transaction({}, {CONFIGURATION: b"2"}))
     assert await intake.submit(CALM, KEPT, SPEC) == "accepted"
     assert operators.refreshed == 1
--- a/tests/test_node_pressure.py
+++ b/tests/test_node_pressure.py
@@ -57,7 +57,7 @@
     async with running(site) as (client, nodes):
         await apply(site, client, WEIGHED)
         await wait_for(lambda: nodes[0].node.controller)
-        told = Pressure({"main": PoolPressure(0.0, {"loud": OrganisationPressure(1.0, 500.0)})})
+        told = Pressure({"main": PoolPressure({}, {"loud": OrganisationPressure(1.0, {0: 500.0})})})
         site.engine.commit(Transaction({}, {KEY: msgspec.json.encode(told)}))
         client.key = "k1"
         url = f"http://{nodes[0].settings.client_address}/q/{name(1)}"
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -10,12 +10,14 @@
 
 import itertools
 from typing import TYPE_CHECKING
+from zlib import crc32
 
 import hypothesis.strategies as st
 import msgspec
 import pytest
 from hypothesis import given
 
+from foxtrestle.clock import read_clock
 from foxtrestle.control import measures
 from foxtrestle.control.ownership import Term
 from foxtrestle.control.pressure_records import PressureRecords, decode_pressure
@@ -43,6 +45,10 @@
 QUEUE = Queue("q", "h", "/q/", "main", stretch=1.6, target_ms=600)
 SPEC = JobSpec("text", (Step(estimate_ms=1000),))
 """A second of work: 2.2 s are its objective, 6.6 s late."""
+LATE_ONE = next(
+    id for id in map("{:016x}".format, range(1000)) if crc32(id.encode()) > 0.95 * 2**32
+)
+"""An id that no fraction refuses."""
 numbers = itertools.count()
 
 
@@ -81,14 +87,14 @@
     # A job is a host's second; of four hosts one is the calm one's.
     assert told.organisations.keys() == {"loud"}
     loud = told.organisations["loud"]
-    assert loud.wait_s == pytest.approx(40 / 3, abs=0.06)
+    assert loud.wait_s[0] == pytest.approx(40 / 3, abs=0.06)
     assert loud.refused == pytest.approx(1 - 3 / (40 / RATE_S), abs=0.06)
-    assert told.wait_s == pytest.approx(1.0, abs=0.06)
+    assert told.wait_s[0] == pytest.approx(1.0, abs=0.06)
 
 
 def test_what_is_refused_already_counts_as_asked_for() -> None:
     fleet, asked = load(10, 1)
-    held = Pressure({"main": PoolPressure(1.0, {"loud": OrganisationPressure(0.8, 5.0)})})
+    held = Pressure({"main": PoolPressure({0: 1.0}, {"loud": OrganisationPressure(0.8, {0: 5.0})})})
     told = measure_pressure(fleet, {"main": 4}, asked, held, NOW).pools["main"]
     asked_for = 10 / RATE_S / (1 - 0.8)
     assert told.organisations["loud"].refused == pytest.approx(1 - 3 / asked_for, abs=0.06)
@@ -98,7 +104,7 @@
 def test_hosts_on_their_way_count_and_a_pool_without_any_tells_nothing() -> None:
     fleet, asked = load(40, 1)
     told = measure_pressure(fleet, {"main": 20}, asked, Pressure(), NOW).pools["main"]
-    assert told.organisations["loud"].wait_s == pytest.approx(40 / 19, abs=0.06)
+    assert told.organisations["loud"].wait_s[0] == pytest.approx(40 / 19, abs=0.06)
     assert not measure_pressure(fleet, {}, asked, Pressure(), NOW).pools
 
 
@@ -107,8 +113,8 @@
     for entry in list(fleet.active.values())[2:]:
         entry.excess = True
     told = measure_pressure(fleet, {"main": 2}, asked, Pressure(), NOW).pools["main"]
-    assert told.organisations["loud"].wait_s == pytest.approx(3.0)
-    assert told.wait_s == pytest.approx(1.0), "only what is within"
+    assert told.organisations["loud"].wait_s[0] == pytest.approx(3.0)
+    assert told.wait_s[0] == pytest.approx(1.0), "only what is within"
 
 
 def test_work_that_lasts_or_comes_at_due_times_and_of_limited_organisations_is_left_out() -> None:
@@ -135,8 +141,11 @@
 
 
 def tell(wait_s: float = 0.0, **organisations: tuple[float, float]) -> Pressure:
-    listed = {name: OrganisationPressure(*held) for name, held in organisations.items()}
-    return Pressure({"main": PoolPressure(wait_s, listed)})
+    listed = {
+        name: OrganisationPressure(part, {0: own_s})
+        for name, (part, own_s) in organisations.items()
+    }
+    return Pressure({"main": PoolPressure({0: wait_s}, listed)})
 
 
 def refused(pressure: Pressure, owner: str, spec: JobSpec = SPEC) -> float:
@@ -189,6 +198,30 @@
         assert refused(tell(1000.0, loud=(0.9, 1000.0)), "loud", spec) == 0.0
 
 
+def test_urgent_work_does_not_wait_for_what_is_less_urgent() -> None:
+    fleet, asked = load(0, 0)
+    step = Step(count=4, shape=Shape(8000, 100), estimate_ms=1000)
+    for priority in (0, 2):
+        for number in range(20):
+            id = f"{priority}{number:015x}"
+            entry = enter(fleet, make_job(step, id=id, owner="calm", priority=priority))
+            asked.note(entry, fleet.durations, ROOM, NOW)
+    told = measure_pressure(fleet, {"main": 4}, asked, Pressure(), NOW)
+    assert told.pools["main"].organisations["calm"].wait_s == {0: 5.0, 2: 10.0}
+    # It is useless to wait for more than 5.6 s.
+    for priority, kept in ((0, True), (1, True), (2, False), (3, False)):
+        queue = msgspec.structs.replace(QUEUE, priority=priority)
+        pressure = msgspec.json.decode(msgspec.json.encode(told), type=Pressure)
+        assert (choose_refusal(pressure, queue, "calm", LATE_ONE, SPEC) is None) is kept
+
+
+def test_what_cannot_be_in_time_is_not_waited_for() -> None:
+    fleet, asked = load(0, 20)
+    for entry in fleet.active.values():
+        entry.created_at = NOW - 60
+    assert not measure_pressure(fleet, {"main": 4}, asked, Pressure(), NOW).pools
+
+
 def test_other_pools_are_not_concerned() -> None:
     queue = msgspec.structs.replace(QUEUE, pool="side")
     assert choose_refusal(tell(1000.0), queue, "calm", "a" * 16, SPEC) is None
@@ -242,8 +275,8 @@
     assert store.writes == 0
     step = Step(count=4, shape=Shape(8000, 100), estimate_ms=1000)
     for number in range(60):
-        entry = enter(fleet, make_job(step, id=f"{number:016x}", owner="loud"))
-        records.note_job(entry)
+        job = make_job(step, id=f"{number:016x}", owner="loud")
+        records.note_job(enter(fleet, job, created_at=read_clock()))
     await records.tell()
     await records.tell()
     assert store.writes == 1, "only what has changed is written"
