Refuse nobody for whom hosts are coming, and go by newer knowledge

Change: an organisation counts as beyond its share at the door only if it is beyond what it is due of all hosts too, or beyond its weight. The record may be written each half second, and a node refuses by it for a second.

--- a/src/foxtrestle/control/pressure_records.py
+++ b/src/foxtrestle/control/pressure_records.py
@@ -22,8 +22,9 @@
     from foxtrestle.scheduling.state import Fleet
     from foxtrestle.store import Record
 
-TELL_S: Final = 1.0
-"""Least seconds between two records: each costs a refused write at every node that takes jobs."""
+TELL_S: Final = 0.5
+"""Least seconds between two records: each costs a refused write at every node that takes jobs, and
+by an old one jobs are refused that could be in time."""
 
 
 def decode_pressure(record: Record | None) -> Pressure:
--- a/src/foxtrestle/node/pressure.py
+++ b/src/foxtrestle/node/pressure.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from foxtrestle.store import Record
 
-USED_S: Final = 2.0
+USED_S: Final = 1.0
 """Seconds for which a node refuses by what it has learned; then the next write tells whether it
 still holds."""
 
--- a/src/foxtrestle/scheduling/pressure.py
+++ b/src/foxtrestle/scheduling/pressure.py
@@ -184,7 +184,8 @@
         if outlook is not Outlook.OVERDUE:
             _add(works.setdefault(owner, {}), entry.job.priority, work)
         demands[owner] = demands.get(owner, 0.0) + measure_ready(entry, host)
-        if entry.excess or entry.job.id in beyond:
+        if entry.excess or (entry.job.id in beyond and entry.job.id in fleet.beyond):
+            # Beyond its part of the pool alone, it waits for hosts that are coming.
             behind.add(owner)
         elif outlook is Outlook.IN_TIME:
             # What cannot be in time goes after what comes.
