Refuse under pressure only what could not even be late and of use

Cause: refusing what would miss its objective served nobody better. What is in time is decided by the order of starts.

Change: a job is refused only if even three times its objective is too short; of an organisation beyond its share a part still comes through.

Run: tests/test_pressure.py, test_intake_pressure.py, test_node_pressure.py, test_explain.py: 56 passed.

--- a/src/foxtrestle/scheduling/pressure.py
+++ b/src/foxtrestle/scheduling/pressure.py
@@ -3,8 +3,7 @@
 The controller works out, for each pool that is under pressure, how long new work waits, and for
 each organisation that is beyond what it is due (`allotting`, `shares`) how long its own waits and
 what part of its jobs to refuse. Nodes decide about each job by that alone. What an organisation
-within its share hands in is refused only if it could not even be late and of some use: nothing of
-it goes for another's load that could be refused instead.
+within its share hands in goes for nobody else's load: its wait is that behind work within shares.
 """
 
 from __future__ import annotations
@@ -56,7 +55,7 @@
     """An organisation that is beyond its share of a pool."""
 
     refused: float
-    """Part of its jobs to refuse if they would miss their objective."""
+    """Part of its jobs to refuse if they would be of no use."""
     wait_s: dict[int, float]
     """Seconds that its new work waits, by priority."""
 
@@ -252,9 +251,10 @@
 ) -> Refusal | None:
     """Decide whether a job is refused; None if it is kept.
 
-    A job of an organisation beyond its share is refused if a hash of its id falls under the
-    fraction, so a retry meets the same fate and hammering gains nothing, and if it would miss its
-    objective anyway. Any other only if even three times the objective is too short.
+    Only a job whose answer would be worth nothing: if even three times its objective is too short.
+    What would be late and of use is kept and served as far as there is room. Of an organisation
+    beyond its share a part comes through all the same, as much as it is due; a hash of the id
+    decides, so a retry meets the same fate and hammering gains nothing.
 
     Args:
         pressure: What the node knows.
@@ -268,16 +268,15 @@
         return None
     chain_s = _measure_chain(spec, pressure.long_s.get(queue.name))
     objective_s = queue.stretch * chain_s + queue.target_ms / 1000
-    drawn = crc32(job.encode()) / HASHED
+    useful_s = LATE_FACTOR * objective_s - chain_s
     own = held.organisations.get(owner)
     wait_s = find_wait(own.wait_s if own is not None else held.wait_s, queue.priority)
-    if own is not None and drawn < own.refused and wait_s + chain_s > objective_s:
-        slack_s = objective_s - chain_s
-        return Refusal("beyond its share", wait_s, compute_retry(job, wait_s - slack_s))
-    useful_s = LATE_FACTOR * objective_s - chain_s
-    if wait_s > useful_s:
-        return Refusal("too late to be of use", wait_s, compute_retry(job, wait_s - useful_s))
-    return None
+    if wait_s <= useful_s:
+        return None
+    if own is not None and crc32(job.encode()) / HASHED >= own.refused:
+        return None
+    reason: Reason = "too late to be of use" if own is None else "beyond its share"
+    return Refusal(reason, wait_s, compute_retry(job, wait_s - useful_s))
 
 
 def _measure_chain(spec: JobSpec, long_s: float | None) -> float:
