--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -16,6 +16,7 @@
 from foxtrestle.control.pool_loads import PoolLoads
 from foxtrestle.control.spawn import Spawner
 from foxtrestle.control.wave_records import WaveRecords
+from foxtrestle.scheduling.allotting import note_full
 from foxtrestle.scheduling.checks import check_maintenance
 from foxtrestle.scheduling.fitting import find_fitting_needs
 from foxtrestle.scheduling.hosts import LIST_LAG_S, HostPlan, is_back, view_hosts
@@ -31,7 +32,13 @@
 from foxtrestle.scheduling.needs import measure_host
 from foxtrestle.scheduling.order_budget import OrderBudget, order_plans
 from foxtrestle.scheduling.partitions import share_wave
-from foxtrestle.scheduling.scaling import HostMove, choose_drops, choose_moves
+from foxtrestle.scheduling.scaling import (
+    HostMove,
+    choose_drops,
+    choose_moves,
+    count_available,
+    share_hosts,
+)
 from foxtrestle.scheduling.state import WaveEntry
 from foxtrestle.scheduling.turning_off import DrainedHosts, OffBudget
 from foxtrestle.scheduling.turns import take_turn
@@ -82,6 +89,8 @@
         """Create the part of a controller that orders hosts."""
         self.loads = PoolLoads(fleet, settings.bounds.move_s)
         """Load of the pools."""
+        self.targets: dict[str, int] = {}
+        """Hosts that each pool has or will have."""
         self._fleet = fleet
         self._term = term
         self._settings = settings
@@ -129,7 +138,11 @@
         views = view_hosts(fleet)
         self._advance(views, now)
         views = view_hosts(fleet)
+        host = measure_host(fleet)
+        if host is not None:
+            note_full(fleet, host, now)
         needs = self.loads.compute_needs(views, now)
+        self.targets = share_hosts(needs, count_available(views))
         self._plan_waves(views, needs, now)
         self._plan_moves(views, needs, now)
 
--- a/src/foxtrestle/control/keys.py
+++ b/src/foxtrestle/control/keys.py
@@ -32,6 +32,8 @@
     """Hosts that the controller has ordered in the last seconds."""
     learned: str
     """What the controller has learned about load."""
+    pressure: str
+    """How long new work waits, while pools are under pressure."""
     wave_records: str
     """Prefix of the progress of maintenance waves."""
     inbox: str
@@ -56,6 +58,7 @@
         pending=root + "control/pending",
         host_orders=root + "control/hosts",
         learned=root + "control/learned",
+        pressure=root + "control/pressure",
         wave_records=root + "control/wave/",
         inbox=root + "inbox/",
         jobs=root + "inbox/job/",
--- a/src/foxtrestle/platform/front.py
+++ b/src/foxtrestle/platform/front.py
@@ -22,6 +22,7 @@
 )
 from foxtrestle.scheduling.access import Access, Address, Denial
 from foxtrestle.scheduling.organisations import digest_key, label_key
+from foxtrestle.scheduling.pressure import Refusal
 from foxtrestle.store import OutcomeUnknown, StoreError
 
 if TYPE_CHECKING:
@@ -106,7 +107,7 @@
         if not is_job_id(name):
             return Response(status_code=404)
         if request.method == "POST":
-            return await submit(request, address, name)
+            return await submit(request, address, access, name)
         if request.method == "DELETE":
             return Response(status_code=200 if await intake.cancel(access, name) else 410)
         state = await intake.read_state(access, name)
@@ -114,13 +115,18 @@
             return Response(status_code=410)
         return Response(encode_state(state), media_type=JSON)
 
-    async def submit(request: Request, address: Address, name: str) -> Response:
+    async def submit(request: Request, address: Address, access: Access, name: str) -> Response:
+        measures.note_organisation(access.organisation, "asked")
         if is_store_away():
             return _refuse(job=name)
         outcome = await intake.submit(address, name, decode_job(await request.body()))
         if outcome == "drained":
             log("job.refused", job=name, reason="every zone is drained")
             return _answer(503, retry_after_s=spread_retry(name))
+        if isinstance(outcome, Refusal):
+            measures.note_refusal(outcome.reason)
+            measures.note_organisation(access.organisation, "refused")
+            return _answer(429, outcome.retry_after_s)
         if outcome not in {"accepted", "refused", "unknown"}:
             log("job.denied", job=name, reason=str(outcome), key=label_key(address.key))
         return _answer(STATUSES[outcome])
@@ -139,12 +145,12 @@
     return DRAINED_RETRY_AFTER_S[crc32(job_id.encode()) % len(DRAINED_RETRY_AFTER_S)]
 
 
-def _answer(status: int, retry_after_s: int = RETRY_AFTER_S) -> Response:
+def _answer(status: int, retry_after_s: int | None = None) -> Response:
     headers = {}
     if status in {503, 504}:
-        headers["Retry-After"] = str(retry_after_s)
+        headers["Retry-After"] = str(retry_after_s or RETRY_AFTER_S)
     elif status == 429:
-        headers["Retry-After"] = str(LIMIT_RETRY_AFTER_S)
+        headers["Retry-After"] = str(retry_after_s or LIMIT_RETRY_AFTER_S)
     elif status == 401:
         headers["WWW-Authenticate"] = SCHEME
     return Response(status_code=status, headers=headers)
