--- a/src/foxtrestle/scheduling/checks.py
+++ b/src/foxtrestle/scheduling/checks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from foxtrestle.scheduling.crashes import MAX_CRASHES
 
@@ -12,6 +12,11 @@
     from foxtrestle.scheduling.state import Fleet, WaveEntry
     from foxtrestle.scheduling.workers import Worker
 
+DRAINED: Final = "zone drained"
+"""Why nothing is started on a worker in a drained zone."""
+ZONES_UNKNOWN: Final = "zones unknown"
+"""Why nothing is started anywhere while any zone may be drained."""
+
 
 def check_start(fleet: Fleet, task: Task, worker: Worker) -> str:
     """Return what a start would break; empty if nothing."""
@@ -23,10 +28,11 @@
         "unasked": entry.ended,
         "twice": task.done or (bool(task.runs) and not step.speculative),
         "attempts": not step.lasting and task.failures >= entry.job.max_attempts,
-        "crashes": task.crashes >= MAX_CRASHES,
+        "crashes": task.given_up or task.crashes >= MAX_CRASHES,
         "order": not all(_is_done(fleet, task, other) for other in step.depends_on),
         "room": not worker.fits(step.shape, fills=step.fills),
         "pool": worker.info.pool != entry.job.pool,
+        DRAINED: worker.drained,
         "label": bool(step.label) and step.label not in worker.info.labels,
     }
     return next((name for name, broken in faults.items() if broken), "")
@@ -40,6 +46,8 @@
     """
     if worker.is_overfull():
         return "room"
+    if worker.drained:
+        return DRAINED
     if worker.info.draining:
         return "draining"
     if not worker.known or not worker.is_described():
--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -65,6 +65,8 @@
         """Share of starts that are not answered and carried out later."""
         self.late_s = 0.5
         """Seconds by which such a start is late."""
+        self.slow_waits_s = 0.0
+        """Seconds that a hold that waits is on its way; it comes to the life that is there then."""
         self.lost_host_orders = 0.0
         """Share of host orders that take effect and are not answered."""
         self.refused_lists = 0
@@ -88,6 +90,8 @@
     """Name of the host."""
     pool: str
     """Pool it is in."""
+    zone: str = "z"
+    """Availability zone."""
     state: str = "up"
     """As the platform lists it."""
     worker: str = ""
@@ -146,6 +150,8 @@
         self._stack: AsyncExitStack | None = None
         self._lives = 0
         self._last_birth_ms = 0
+        self.late_starts: set[tuple[str, TaskKey, int]] = set()
+        """Starts that are carried out late, by worker, task and run."""
         self._late: set[asyncio.Task[None]] = set()
 
     # Operators.
@@ -154,11 +160,19 @@
         """Write a key as operators do."""
         self.engine.commit(Transaction({}, {key: msgspec.json.encode(value)}))
 
+    def drain_zone(self, zone: str) -> None:
+        """Ask that a zone gets nothing new."""
+        self.write(f"op/evacuate/{zone}", {})
+
+    def open_zone(self, zone: str) -> None:
+        """Take that request away."""
+        self.engine.commit(Transaction({}, {}, (f"op/evacuate/{zone}",)))
+
     # Workers and hosts.
 
-    async def add_host(self, name: str, pool: str) -> None:
+    async def add_host(self, name: str, pool: str, zone: str = "z") -> None:
         """Add a host; it gets a worker unless its pool is off."""
-        host = SimulatedHost(name, pool)
+        host = SimulatedHost(name, pool, zone)
         self.hosts[name] = host
         if pool != self._reserve:
             await self._begin_life(host)
@@ -174,7 +188,7 @@
         socket = bind(LOOPBACK, 0)
         address = f"{LOOPBACK}:{socket.getsockname()[1]}"
         info = WorkerInfo(
-            worker_id, host.pool, address, "z", False, self._room, ("a", "r1"), host.name,
+            worker_id, host.pool, address, host.zone, False, self._room, ("a", "r1"), host.name,
             self._find_birth(),
         )  # fmt: skip
         worker = SimulatedWorker(info, lambda: time.monotonic() * 1000, self._describe)
@@ -384,12 +398,14 @@
         def route(path: str, act: Callable[[dict[str, Any]], Awaitable[dict[str, Any]]]) -> Route:
             async def serve(request: Request) -> Response:
                 self.calls[path] += 1
+                body = msgspec.json.decode(await request.body())
+                if body.get("waitMs"):
+                    await asyncio.sleep(self.faults.slow_waits_s)
                 if worker.down or worker.info.id in self.faults.silent_workers:
                     await asyncio.sleep(3600)
                 meant = request.headers.get("Foxtrestle-Target-Instance", worker.info.id)
                 if worker.dead or meant != worker.info.id:
                     return Response(status_code=421)
-                body = msgspec.json.decode(await request.body())
                 lives = worker.lives
                 try:
                     answer, status = await act(body), 200
@@ -421,6 +437,8 @@
                 )
 
             if self._rng.random() < self.faults.lost_starts:
+                late = (worker.info.id, parse_task(body["task"]), body["runId"])
+                self.late_starts.add(late)
                 task = asyncio.create_task(self._carry_out_late(begin))
                 self._late.add(task)
                 await asyncio.sleep(3600)
@@ -477,6 +495,7 @@
                     "machine": host.name,
                     "pool": host.pool,
                     "state": host.state,
+                    "zone": host.zone,
                     "capacity": {"cpu": self._room.cpu, "memMb": self._room.memory_mb, "gpu": 0},
                     "id": host.worker or None,
                 }
