Write the pressure record again after a write without an answer

Cause: such a write counted as not done. If it was kept, and all was calm at the next look, nothing differed from what was told before: the record stayed, and nodes refused by it.

Change: after a write that was not confirmed another follows, whatever is to be told.

Run: tests/test_pressure.py; the new test fails without the change. ruff, mypy.

--- a/src/foxtrestle/control/pressure_records.py
+++ b/src/foxtrestle/control/pressure_records.py
@@ -61,14 +61,15 @@
         self._term = term
         self._read_hosts = read_hosts
         self._asked = AskedWork()
-        self._written = False
+        self._is_settled = True
         self.told = Pressure()
-        """What nodes may know."""
+        """What the record told nodes when it was last certain."""
 
     def adopt(self, record: Record | None) -> None:
         """Go on from what a former controller has left; it is replaced or removed soon."""
-        self._written = record is not None
         self.told = decode_pressure(record)
+        # A record that cannot be read, or that tells of no pressure, is taken away.
+        self._is_settled = record is None or bool(self.told.pools)
 
     def note_job(self, entry: JobEntry) -> None:
         """Take in a job that has arrived."""
@@ -95,12 +96,15 @@
         pressure = measure_pressure(
             self._fleet, self._read_hosts(), self._asked, self.told, read_clock()
         )
-        if pressure == self.told and self._written == bool(pressure.pools):
+        if self._is_settled and pressure == self.told:
             return
         keys = self._term.keys
         puts = {keys.pressure: msgspec.json.encode(pressure)} if pressure.pools else {}
         removals = () if pressure.pools else (keys.pressure,)
+        # A write without an answer may have been kept: it is followed by another in any case.
+        self._is_settled = False
         await self._store.commit(Transaction({keys.lock: self._term.lock.revision}, puts, removals))
+        self._is_settled = True
         self._note_told(pressure)
 
     def _note_told(self, pressure: Pressure) -> None:
@@ -116,4 +120,3 @@
                 hosts=self._read_hosts().get(pool, 0),
                 partition=self._term.partition.number)  # fmt: skip
         self.told = pressure
-        self._written = bool(pressure.pools)
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -36,7 +36,7 @@
     measure_pressure,
 )
 from foxtrestle.standins.keyvalue import Engine
-from foxtrestle.store import Record, Transaction
+from foxtrestle.store import OutcomeUnknown, Record, Transaction
 from tests.scheduling_fakes import NOW, ROOM, add_worker, enter, make_fleet, make_job
 from tests.test_shares import configure
 
@@ -261,10 +261,14 @@
     def __init__(self) -> None:
         self.engine = Engine(writes_per_s=0)
         self.writes = 0
+        self.loses_answers = False
 
     async def commit(self, transaction: Transaction) -> int:
         self.writes += 1
-        return self.engine.commit(transaction)
+        revision = self.engine.commit(transaction)
+        if self.loses_answers:
+            raise OutcomeUnknown("no answer", step="test")
+        return revision
 
 
 def make_records(fleet: Fleet, partition: int = 0) -> tuple[Store, PressureRecords, str]:
@@ -315,6 +319,27 @@
     assert store.engine.get(key) is None, "also what it cannot read"
 
 
+async def test_a_record_whose_write_had_no_answer_is_taken_away_when_all_is_calm_again() -> None:
+    """Seen in review: nodes would go on refusing by a record that nobody takes away. Cause: a
+    record written without an answer counted as not written. Proof: the store below keeps the write
+    and loses the answer."""
+    fleet, _ = load(0, 0)
+    store, records, key = make_records(fleet)
+    step = Step(count=4, shape=Shape(8000, 100), estimate_ms=1000)
+    for number in range(60):
+        job = make_job(step, id=f"{number:016x}", owner="loud")
+        records.note_job(enter(fleet, job, created_at=read_clock()))
+    note_full(fleet, ROOM, read_clock())
+    store.loses_answers = True
+    with pytest.raises(OutcomeUnknown):
+        await records.tell()
+    assert store.engine.get(key) is not None
+    store.loses_answers = False
+    fleet.active.clear()
+    await records.tell()
+    assert store.engine.get(key) is None
+
+
 async def test_each_partition_has_its_own_record() -> None:
     keys = {make_records(load(0, 0)[0], number)[2] for number in range(3)}
     assert len(keys) == 3
