Give what draws no hosts no part of them

Cause: waiting work of an organisation at its limit, or beyond its count by the second, draws no hosts, and still took its part when all hosts were shared by weights. The others were beyond theirs, drew none either, and hosts stood off.

Change: all hosts are shared among what draws some.

--- a/src/foxtrestle/scheduling/allotting.py
+++ b/src/foxtrestle/scheduling/allotting.py
@@ -17,6 +17,7 @@
 
 from foxtrestle.scheduling.draining import is_drained
 from foxtrestle.scheduling.load import measure_share
+from foxtrestle.scheduling.shares import draws_hosts
 from foxtrestle.scheduling.urgency import Outlook, compute_urgency, order_jobs
 
 if TYPE_CHECKING:
@@ -178,13 +179,20 @@
         if one.state not in {"down", "upkeep"} and not is_drained(fleet, one.zone)
     )
     room = max(0.0, sum(measure_share(one.room, host) for one in there) - lasting)
-    if is_full(fleet.active.values(), workers, room, host):
-        fleet.full = True
-        ordered = order_jobs(fleet.active.values(), fleet.durations, now)
-        for entry in ordered:
+    # What draws no hosts anyway must not have a part of them that the others then go without.
+    drawing = [entry for entry in fleet.active.values() if draws_hosts(fleet, entry)]
+    fleet.full = is_full(drawing, workers, room, host)
+    if not fleet.full:
+        return
+    _note_late(fleet, now)
+    timely = {job: entry for job, entry in fleet.active.items() if not entry.late}
+    running = measure_running(workers, timely, host)
+    waiting = order_jobs((entry for entry in drawing if not entry.late), fleet.durations, now)
+    fleet.beyond = find_beyond(waiting, running, room, fleet.configuration, host)
+
+
+def _note_late(fleet: Fleet, now: float) -> None:
+    for entry in fleet.active.values():
+        if entry.ready:
             outlook = compute_urgency(entry, fleet.durations, now).outlook
             entry.late = outlook is not Outlook.IN_TIME
-        timely = {job: entry for job, entry in fleet.active.items() if not entry.late}
-        running = measure_running(workers, timely, host)
-        waiting = [entry for entry in ordered if not entry.late]
-        fleet.beyond = find_beyond(waiting, running, room, fleet.configuration, host)
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -85,7 +85,8 @@
         self.beyond: frozenset[str] = frozenset()
         """Ids of waiting jobs that are beyond what their organisations are due of all hosts."""
         self.full = False
-        """Whether more work is there than all hosts hold; only where organisations have weights."""
+        """Whether all hosts hold less than what runs and what draws hosts; only where organisations
+        have weights."""
         self.turn: Turn | None = None
         """Step that has the right to some hosts now."""
         self.turn_ends: dict[tuple[str, int, int], float] = {}
--- a/tests/test_allotting.py
+++ b/tests/test_allotting.py
@@ -130,6 +130,25 @@
     assert sum(draws_hosts(fleet, entry) for entry in fleet.active.values()) == 16
 
 
+@pytest.mark.parametrize("barred", ["limit", "share"])
+def test_what_draws_no_hosts_takes_no_part_of_them_from_the_others(barred: str) -> None:
+    """Seen in review: hosts stood off beside work within its share. Cause: the waiting work of an
+    organisation at its limit, or beyond its count by the second, drew no hosts and still had its
+    part of them. Proof: below all hosts hold what the other organisation asks for."""
+    fleet = make_fleet(4)
+    step = Step(shape=Shape(16_000, 1))
+    for number in range(100):
+        entry = enter(fleet, make_job(step, id=f"loud-{number:011}", owner="loud"))
+        entry.excess = barred == "share"
+    for number in range(8):
+        enter(fleet, make_job(step, id=f"calm-{number:011}", owner="calm"))
+    fleet.configuration = configure(loud=1000, calm=1000)
+    fleet.at_limit = frozenset({"loud"} if barred == "limit" else ())
+    note_full(fleet, measure_host(fleet), NOW)
+    drawing = [entry.job.owner for entry in fleet.active.values() if draws_hosts(fleet, entry)]
+    assert drawing == ["calm"] * 8
+
+
 def test_without_weights_nothing_is_noted() -> None:
     fleet = make_fleet(1)
     for number in range(9):
