Count credit left over beside jobs that go on coming

Cause: jobs beyond a share count again once their organisation leaves credit that a full bucket cannot hold, and only whole jobs of it were taken. Each job that came cut the credit to a full bucket, so of an organisation that goes on sending less than its share, at less than some jobs a second, none ever counted again.

Change: what a full bucket cannot hold is kept apart while jobs beyond the share wait.

--- a/src/foxtrestle/scheduling/shares.py
+++ b/src/foxtrestle/scheduling/shares.py
@@ -86,12 +86,15 @@
     theirs, since jobs of one priority go by age.
     """
 
-    __slots__ = ("_credit", "_seen_at")
+    __slots__ = ("_credit", "_seen_at", "_spare")
 
     def __init__(self) -> None:
         """Create shares of which nothing was used."""
         self._credit: dict[str, float] = {}
         self._seen_at: dict[str, float] = {}
+        self._spare: dict[str, float] = {}
+        """Credit that a full bucket could not hold, jobs; of organisations whose jobs beyond their
+        share wait. Kept apart, as jobs that come must not cut it to a full bucket."""
 
     def note_job(self, configuration: FleetConfiguration | None, owner: str, at: float) -> bool:
         """Take in a job that arrived.
@@ -107,7 +110,7 @@
         weight = _find_weight(configuration, owner)
         if not weight:
             return False
-        credit = min(_measure_bucket(weight), self._fill(owner, weight, at))
+        credit = self._fill(owner, weight, at)
         within = credit >= 1.0
         self._credit[owner] = credit - 1.0 if within else credit
         return not within
@@ -174,6 +177,7 @@
             Jobs that are not beyond a share any more.
         """
         redeemed: list[JobEntry] = []
+        spare: dict[str, float] = {}
         waiting = sorted(
             (entry for entry in entries if entry.excess), key=lambda entry: entry.revision
         )
@@ -181,19 +185,26 @@
             owner = entry.job.owner
             weight = _find_weight(configuration, owner)
             if weight:
-                self._credit[owner] = self._fill(owner, weight, now)
-                if self._credit[owner] < _measure_bucket(weight) + 1.0:
+                if owner not in spare:
+                    self._credit[owner] = self._fill(owner, weight, now)
+                    spare[owner] = self._spare.get(owner, 0.0)
+                if spare[owner] < 1.0:
                     continue
-                self._credit[owner] -= 1.0
+                spare[owner] -= 1.0
             entry.excess = False
             redeemed.append(entry)
+        self._spare = spare
         return redeemed
 
     def _fill(self, owner: str, weight: float, at: float) -> float:
-        """Return the credit at a time, also what the bucket cannot hold."""
+        """Return the credit in the bucket at a time; what that cannot hold is noted apart."""
         seen_at = self._seen_at.get(owner, at)
         self._seen_at[owner] = max(at, seen_at)
-        return self._credit.get(owner, _measure_bucket(weight)) + weight * max(0.0, at - seen_at)
+        bucket = _measure_bucket(weight)
+        filled = self._credit.get(owner, bucket) + weight * max(0.0, at - seen_at)
+        if owner in self._spare:
+            self._spare[owner] += max(0.0, filled - bucket)
+        return min(bucket, filled)
 
 
 def _find_weight(configuration: FleetConfiguration | None, owner: str) -> float:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -177,6 +177,35 @@
         assert not shares.note_job(held, "acme", times[-1]), "the burst is there still"
 
 
+def test_who_goes_on_sending_half_a_share_regains_the_other_half() -> None:
+    """Seen in review: jobs beyond a share of less than some jobs a second never counted again
+    while their organisation sent any. Cause: each job that came cut the credit to a full bucket,
+    also what it left over of less than a job. Proof: of a job a second every other is left over."""
+    held = configure(acme=1)
+    shares = Shares()
+    old = [arrive(number, "acme", NOW) for number in range(10)]
+    for entry in old:
+        entry.excess = True
+    regained = []
+    for tenth in range(1, 201):
+        at = NOW + tenth / 10
+        if tenth % 20 == 0:
+            assert not shares.note_job(held, "acme", at)
+        regained += shares.redeem(held, old, at)
+    assert len(regained) == pytest.approx(10, abs=1)
+
+
+def test_what_was_left_over_before_jobs_were_beyond_a_share_is_not_theirs() -> None:
+    held = configure(acme=1)
+    shares = Shares()
+    assert not shares.note_job(held, "acme", NOW)
+    old = [arrive(number, "acme", NOW + 60.0) for number in range(10)]
+    for entry in old:
+        entry.excess = shares.note_job(held, "acme", NOW + 60.0)
+    assert sum(entry.excess for entry in old) == 9
+    assert not shares.redeem(held, old, NOW + 60.1)
+
+
 gaps = st.floats(0.0, 0.5)
 streams = st.lists(st.tuples(gaps, st.sampled_from(["a", "b", "c"])), min_size=1, max_size=120)
 
