Work out each job's urgency once when all hosts are shared

Cause: jobs were ordered by urgency and it was computed again for each, the most costly part of the look at full hosts. The function also measured the room of all hosts.

Change: urgency.rank_jobs returns jobs with their urgencies; the room is measured apart.

--- a/src/foxtrestle/scheduling/allotting.py
+++ b/src/foxtrestle/scheduling/allotting.py
@@ -18,7 +18,7 @@
 from foxtrestle.scheduling.draining import is_drained
 from foxtrestle.scheduling.load import measure_share
 from foxtrestle.scheduling.shares import draws_hosts
-from foxtrestle.scheduling.urgency import Outlook, compute_urgency, order_jobs
+from foxtrestle.scheduling.urgency import Outlook, rank_jobs
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -172,27 +172,28 @@
     if fleet.configuration is None or not has_weights(fleet.configuration):
         return
     workers = [worker for worker in fleet.workers.values() if not worker.gone]
-    lasting = sum(measure_share(worker.lasting_used, host) for worker in workers)
-    there = (
-        one
-        for one in fleet.hosts.values()
-        if one.state not in {"down", "upkeep"} and not is_drained(fleet, one.zone)
-    )
-    room = max(0.0, sum(measure_share(one.room, host) for one in there) - lasting)
+    room = _measure_fleet(fleet, workers, host)
     # What draws no hosts anyway must not have a part of them that the others then go without.
     drawing = [entry for entry in fleet.active.values() if draws_hosts(fleet, entry)]
-    fleet.full = is_full(drawing, workers, room, host)
-    if not fleet.full:
+    if not is_full(drawing, workers, room, host):
         return
-    _note_late(fleet, now)
+    ranked = rank_jobs(fleet.active.values(), fleet.durations, now)
+    for urgency, entry in ranked:
+        entry.late = urgency.outlook is not Outlook.IN_TIME
+    drawing_ids = {entry.job.id for entry in drawing}
+    waiting = [entry for _, entry in ranked if not entry.late and entry.job.id in drawing_ids]
     timely = {job: entry for job, entry in fleet.active.items() if not entry.late}
     running = measure_running(workers, timely, host)
-    waiting = order_jobs((entry for entry in drawing if not entry.late), fleet.durations, now)
+    fleet.full = True
     fleet.beyond = find_beyond(waiting, running, room, fleet.configuration, host)
 
 
-def _note_late(fleet: Fleet, now: float) -> None:
-    for entry in fleet.active.values():
-        if entry.ready:
-            outlook = compute_urgency(entry, fleet.durations, now).outlook
-            entry.late = outlook is not Outlook.IN_TIME
+def _measure_fleet(fleet: Fleet, workers: Iterable[Worker], host: Shape) -> float:
+    """Return the room of all hosts that tasks which last do not take, in hosts, off or not."""
+    there = (
+        one.room
+        for one in fleet.hosts.values()
+        if one.state not in {"down", "upkeep"} and not is_drained(fleet, one.zone)
+    )
+    lasting = sum(measure_share(worker.lasting_used, host) for worker in workers)
+    return max(0.0, sum(measure_share(room, host) for room in there) - lasting)
--- a/src/foxtrestle/scheduling/urgency.py
+++ b/src/foxtrestle/scheduling/urgency.py
@@ -46,12 +46,20 @@
 
 def order_jobs(entries: Iterable[JobEntry], durations: Durations, now: float) -> list[JobEntry]:
     """Order jobs by priority, then by share, by whether they can be in time, and by age."""
+    return [entry for _, entry in rank_jobs(entries, durations, now)]
 
-    def rank(entry: JobEntry) -> tuple[int, bool, Urgency, str]:
-        urgency = compute_urgency(entry, durations, now)
+
+def rank_jobs(
+    entries: Iterable[JobEntry], durations: Durations, now: float
+) -> list[tuple[Urgency, JobEntry]]:
+    """Order jobs of which tasks wait, each with its urgency, which takes long to compute."""
+
+    def rank(ranked: tuple[Urgency, JobEntry]) -> tuple[int, bool, Urgency, str]:
+        urgency, entry = ranked
         return entry.job.priority, entry.excess, urgency, entry.job.id
 
-    return sorted((entry for entry in entries if entry.ready), key=rank)
+    ready = (entry for entry in entries if entry.ready)
+    return sorted(((compute_urgency(entry, durations, now), entry) for entry in ready), key=rank)
 
 
 def compute_urgency(entry: JobEntry, durations: Durations, now: float) -> Urgency:
