Split the measuring of a pool's pressure

Cause: one function of eight arguments summed up what waits and chose whom to list, and each job's urgency was computed twice.

Change: what waits is summed up apart, as is what an organisation asks for. What is told is the same.

--- a/src/foxtrestle/scheduling/pressure.py
+++ b/src/foxtrestle/scheduling/pressure.py
@@ -11,7 +11,7 @@
 from collections import deque
 from itertools import accumulate
 from math import ceil
-from typing import TYPE_CHECKING, Final, Literal
+from typing import TYPE_CHECKING, Final, Literal, TypeVar
 from zlib import crc32
 
 import msgspec
@@ -26,15 +26,18 @@
 )
 from foxtrestle.scheduling.load import measure_share, measure_work
 from foxtrestle.scheduling.needs import measure_host
-from foxtrestle.scheduling.urgency import LATE_FACTOR, Outlook, compute_urgency, order_jobs
+from foxtrestle.scheduling.urgency import LATE_FACTOR, Outlook, rank_jobs
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from foxtrestle.scheduling.durations import Durations
     from foxtrestle.scheduling.jobs import JobEntry
     from foxtrestle.scheduling.model import JobSpec, Queue, Shape
     from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.urgency import Urgency
+
+Name = TypeVar("Name")
 
 RATE_S: Final = 2.0
 """Seconds over which it is counted what an organisation hands in."""
@@ -137,13 +140,14 @@
     host, configuration = measure_host(fleet), fleet.configuration
     if host is None or configuration is None or not has_weights(configuration):
         return Pressure()
-    waiting: dict[str, list[JobEntry]] = {}
-    for entry in order_jobs(fleet.active.values(), fleet.durations, now):
+    waiting: dict[str, list[tuple[Urgency, JobEntry]]] = {}
+    for urgency, entry in rank_jobs(fleet.active.values(), fleet.durations, now):
         if _is_refusable(entry.job.spec) and entry.job.owner not in fleet.at_limit:
-            waiting.setdefault(entry.job.pool, []).append(entry)
+            waiting.setdefault(entry.job.pool, []).append((urgency, entry))
     pools: dict[str, PoolPressure] = {}
-    for pool, entries in waiting.items():
-        found = _measure_pool(fleet, pool, entries, host, hosts.get(pool, 0), asked, held, now)
+    for pool, ranked in waiting.items():
+        measure_asked = _measure_by(asked, held, pool, now)
+        found = _measure_pool(fleet, pool, ranked, host, hosts.get(pool, 0), measure_asked)
         if found is not None:
             pools[pool] = found
     known = fleet.durations.describe()
@@ -155,16 +159,51 @@
     return Pressure(pools, long_s)
 
 
+def _measure_by(asked: AskedWork, held: Pressure, pool: str, now: float) -> Callable[[str], float]:
+    """Build what tells the room that an organisation's new work in a pool asks for, hosts.
+
+    What is refused now is not among what was handed in, and is asked for all the same.
+    """
+    before = held.pools.get(pool, PoolPressure()).organisations
+
+    def measure_asked(owner: str) -> float:
+        refused = before[owner].refused if owner in before else 0.0
+        return asked.measure(pool, owner, now) / (1 - refused)
+
+    return measure_asked
+
+
+class _Backlog(msgspec.Struct):
+    """What waits in a pool; work is in hosts x seconds."""
+
+    demands: dict[str, float]
+    """Room that each organisation's tasks take or ask for, hosts."""
+    within: dict[int, float] = {}
+    """Work within shares that can be in time, by priority."""
+    works: dict[str, dict[int, float]] = {}
+    """Work of each organisation that is still of use, by priority."""
+    behind: set[str] = set()
+    """Organisations that have jobs beyond their shares."""
+
+
 def _measure_pool(
     fleet: Fleet,
     pool: str,
-    entries: list[JobEntry],
+    ranked: list[tuple[Urgency, JobEntry]],
     host: Shape,
     hosts: int,
-    asked: AskedWork,
-    held: Pressure,
-    now: float,
+    measure_asked: Callable[[str], float],
 ) -> PoolPressure | None:
+    """Return what nodes have to know of a pool; None if it is not under pressure.
+
+    Args:
+        fleet: The state.
+        pool: Name of the pool.
+        ranked: Its waiting jobs in the order in which they go, with their urgencies.
+        host: Room of the mean host.
+        hosts: Hosts that it has or will have.
+        measure_asked: Returns the room that an organisation's new work asks for, hosts.
+    """
     configuration = fleet.configuration
     workers = [w for w in fleet.workers.values() if w.info.pool == pool and not w.gone]
     lasting = sum(measure_share(worker.lasting_used, host) for worker in workers)
@@ -173,45 +212,60 @@
         # How long work waits for hosts that are not there is not known.
         return None
     running = measure_running(workers, fleet.jobs, host)
-    beyond = find_beyond(entries, running, room, configuration, host)
-    within: dict[int, float] = {}
-    works: dict[str, dict[int, float]] = {}
-    demands = dict(running)
-    behind: set[str] = set()
-    for entry in entries:
-        owner, work = entry.job.owner, _measure_waiting(entry, fleet.durations, host)
-        outlook = compute_urgency(entry, fleet.durations, now).outlook
-        if outlook is not Outlook.OVERDUE:
-            _add(works.setdefault(owner, {}), entry.job.priority, work)
-        demands[owner] = demands.get(owner, 0.0) + measure_ready(entry, host)
-        if entry.excess or (entry.job.id in beyond and entry.job.id in fleet.beyond):
-            # Beyond its part of the pool alone, it waits for hosts that are coming.
-            behind.add(owner)
-        elif outlook is Outlook.IN_TIME:
-            # What cannot be in time goes after what comes.
-            _add(within, entry.job.priority, work)
-    if sum(demands.values()) <= room:
+    beyond = find_beyond((entry for _, entry in ranked), running, room, configuration, host)
+    backlog = _sum_backlog(fleet, ranked, running, beyond & fleet.beyond, host)
+    if sum(backlog.demands.values()) <= room:
         return None
-    parts = share_room(demands, list_weights(configuration), room)
-    before = held.pools.get(pool, PoolPressure()).organisations
+    parts = share_room(backlog.demands, list_weights(configuration), room)
     listed: dict[str, OrganisationPressure] = {}
-    for owner in sorted(behind):
-        waits = _sum_waits(works.get(owner, {}), parts[owner] or room)
+    for owner in sorted(backlog.behind):
+        waits = _sum_waits(backlog.works.get(owner, {}), parts[owner] or room)
         if max(waits.values(), default=0.0) < LEAST_WAIT_S:
             continue
-        now_refused = before[owner].refused if owner in before else 0.0
-        wanted = asked.measure(pool, owner, now) / (1 - now_refused)
+        wanted = measure_asked(owner)
         refused = min(MOST_REFUSED, max(0.0, 1 - parts[owner] / wanted)) if wanted else 0.0
         if refused:
             listed[owner] = OrganisationPressure(_round(refused), waits)
-    waits = _sum_waits(within, room)
+    waits = _sum_waits(backlog.within, room)
     if not listed and max(waits.values(), default=0.0) < LEAST_WAIT_S:
         return None
     return PoolPressure(waits, listed)
 
 
-def _add(sums: dict[int, float], priority: int, work: float) -> None:
-    sums[priority] = sums.get(priority, 0.0) + work
+def _sum_backlog(
+    fleet: Fleet,
+    ranked: list[tuple[Urgency, JobEntry]],
+    running: Mapping[str, float],
+    beyond: frozenset[str],
+    host: Shape,
+) -> _Backlog:
+    """Sum up what waits in a pool.
+
+    Args:
+        fleet: The state.
+        ranked: Its waiting jobs, with their urgencies.
+        running: Room that each organisation's tasks take already, hosts.
+        beyond: Jobs beyond their organisations' parts of the pool and of all hosts. One beyond its
+            part of the pool alone waits for hosts that are coming.
+        host: Room of the mean host.
+    """
+    backlog = _Backlog(dict(running))
+    for urgency, entry in ranked:
+        owner, priority = entry.job.owner, entry.job.priority
+        work = _measure_waiting(entry, fleet.durations, host)
+        if urgency.outlook is not Outlook.OVERDUE:
+            _add(backlog.works.setdefault(owner, {}), priority, work)
+        _add(backlog.demands, owner, measure_ready(entry, host))
+        if entry.excess or entry.job.id in beyond:
+            backlog.behind.add(owner)
+        elif urgency.outlook is Outlook.IN_TIME:
+            # What cannot be in time goes after what comes.
+            _add(backlog.within, priority, work)
+    return backlog
+
+
+def _add(sums: dict[Name, float], name: Name, value: float) -> None:
+    sums[name] = sums.get(name, 0.0) + value
 
 
 def _sum_waits(works: Mapping[int, float], room: float) -> dict[int, float]:
