--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -193,14 +193,30 @@
             log("worker.answers", worker=worker.info.id)
         worker.note_answer(now)
         worker.clock_offset_ms = report.clock_ms - now * 1000
-        jobs: set[str] = set()
+        stops = self._take_ends(report, now)
+        unwanted = confirm_listing(self._fleet, worker, report.running, now)
+        stops += [stop for stop in unwanted if self._is_due(stop, now)]
+        if len(report.ends) < MAX_ENDS:
+            self._settle(report, sent_at, now)
+            if not worker.known:
+                self._note_known(now)
+        for stop in stops:
+            self._spawn_stop(stop)
+        for pace in choose_paces(self._fleet, worker, self._pace_s, now):
+            self._background.spawn(self._orders.pace(pace, worker))
+        if any(end.number > worker.acknowledged for end in report.ends):
+            self._wake()
+            await self._record({end.key.job for end in report.ends}, report)
+
+    def _take_ends(self, report: WorkerReport, now: float) -> list[StopOrder]:
+        """Take in the ends that are new; return the orders to stop what is not wanted any more."""
+        worker = self._worker
         stops: list[StopOrder] = []
         suspected = is_suspect(worker)
         for end in report.ends:
             if end.number <= worker.seen_end:
                 continue
             worker.seen_end = end.number
-            jobs.add(end.key.job)
             log("run.ended", job=end.key.job, rep=end.key.repetition, step=end.key.step,
                 index=end.key.number, run=end.run, how=end.kind, worker=worker.info.id)  # fmt: skip
             self._measures.note_end(end.kind)
@@ -208,26 +224,19 @@
         if is_suspect(worker) != suspected:
             log("worker.trusted" if suspected else "worker.suspect", worker=worker.info.id,
                 failed_jobs=sorted(worker.failed_jobs))  # fmt: skip
-        unwanted = confirm_listing(self._fleet, worker, report.running, now)
-        stops += [stop for stop in unwanted if self._is_due(stop, now)]
-        if len(report.ends) < MAX_ENDS:
-            self._settle(report, sent_at, now)
-            if not worker.known:
-                worker.known = True
-                worker.known_at = now
-                # Earlier controllers are fenced off from here on: what they leased ends soon. A
-                # later life may have taken a longer lease from a call that was not meant for it.
-                former = worker.lapse_at if worker.later_life else 0.0
-                worker.lapse_at = max(compute_lapse(now), former)
-                log("worker.known", worker=worker.info.id, runs=len(worker.runs))
-                self._wake()
-        for stop in stops:
-            self._spawn_stop(stop)
-        for pace in choose_paces(self._fleet, worker, self._pace_s, now):
-            self._background.spawn(self._orders.pace(pace, worker))
-        if any(end.number > worker.acknowledged for end in report.ends):
-            self._wake()
-            await self._record({end.key.job for end in report.ends}, report)
+        return stops
+
+    def _note_known(self, now: float) -> None:
+        """Note that all that runs there is known, at the first whole list under this term."""
+        worker = self._worker
+        worker.known = True
+        worker.known_at = now
+        # Earlier controllers are fenced off from here on: what they leased ends soon. A later life
+        # may have taken a longer lease from a call that was not meant for it.
+        former = worker.lapse_at if worker.later_life else 0.0
+        worker.lapse_at = max(compute_lapse(now), former)
+        log("worker.known", worker=worker.info.id, runs=len(worker.runs))
+        self._wake()
 
     def _is_due(self, stop: StopOrder, now: float) -> bool:
         """Tell whether an unwanted run is to be stopped now, no stop for it being under way."""
--- a/src/foxtrestle/node/intake.py
+++ b/src/foxtrestle/node/intake.py
@@ -134,7 +134,8 @@
             found = _find_held(conflict.records, keys, job_id)
             if found is not None:
                 return "accepted" if access.may_touch(*found) else "taken"
-            if not (weighed and self._learn(held, partition, configuration, conflict.records)):
+            learned = weighed and self._learn(held, partition, conflict.records)
+            if not learned or _has_changed(configuration, conflict.records):
                 held.attempts += 1
                 await self._refresh()
             return None
@@ -156,19 +157,12 @@
         await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
         return None
 
-    def _learn(
-        self,
-        held: _Submission,
-        partition: int,
-        configuration: FleetConfiguration,
-        records: Mapping[str, Record],
-    ) -> bool:
-        """Take in the pressure as a refused write told it; tell whether that alone had changed."""
+    def _learn(self, held: _Submission, partition: int, records: Mapping[str, Record]) -> bool:
+        """Take in the pressure as a refused write told it; tell whether it had changed."""
         if not self._pressures.learn(partition, records.get(build_keys(partition).pressure)):
             return False
         held.learned += 1
-        newest = records.get(CONFIGURATION)
-        return newest is not None and newest.revision == configuration.revision
+        return True
 
     def _judge(self, partition: Partition, access: Access, held: _Submission) -> Refusal | None:
         """Decide whether a job is refused by what is known; never one whose write is unsettled."""
@@ -301,6 +295,12 @@
     return find_unstartable(spec, share_limit(partition, held).limit) is not None
 
 
+def _has_changed(configuration: FleetConfiguration, records: Mapping[str, Record]) -> bool:
+    """Tell whether the records of a conflict show another configuration."""
+    newest = records.get(CONFIGURATION)
+    return newest is None or newest.revision != configuration.revision
+
+
 def _read_pending(record: Record | None, queue: Queue) -> int:
     if record is None:
         return 0
