--- a/src/foxtrestle/scheduling/placing.py
+++ b/src/foxtrestle/scheduling/placing.py
@@ -33,13 +33,13 @@
 
 RETURN_S: Final = 2.0
 """Seconds after which a task that has found no other place goes back to a worker where it failed:
-about as long as a host takes to come. Kept away for good, six tasks that only one worker could run
-waited 25 s for it, one of them until its job was given up."""
+about as long as a host takes to come. Kept away for good, a task that only this worker can run
+would never start."""
 RESERVE_S: Final = 0.5
 """Seconds that a lasting task waits before a worker is kept free for it. Each second that it is
-away counts, and beside a queue of small tasks the room for it never came free by itself: one waited
-22 s on workers that were full all the while. So with a task on probation, which joins no run that
-has just begun. Other tasks are not worth an idle worker."""
+away counts, and beside a queue of small tasks the room for it never comes free by itself. So with a
+task on probation, which joins no run that has just begun. Other tasks are not worth an idle
+worker."""
 
 
 class Placement(msgspec.Struct, frozen=True):
