--- a/src/foxtrestle/control/ownership.py
+++ b/src/foxtrestle/control/ownership.py
@@ -73,6 +73,10 @@
 GRACE_WITHOUT_STORE_S: Final = 5.0
 """Seconds after the end of its lease for which a controller that cannot reach the store goes on
 extending the workers' leases: nothing new starts, but a short outage kills nothing."""
+RESERVED_NUMBERS: Final = 1_000
+"""Numbers beyond its own that a term reserves at once, for the tokens of workers' calls. A worker
+takes one for each of its calls without an answer, some five a second at the most, and a controller
+goes on for 5 s without the store."""
 
 
 def compute_race_delay(processor_share: float, link_mbps: float) -> float:
@@ -81,12 +85,6 @@
     return lacks * UNFIT_DELAY_S
 
 
-RESERVED_NUMBERS: Final = 1_000
-"""Numbers beyond its own that a term reserves at once, for the tokens of workers' calls. A worker
-takes one for each of its calls without an answer, some five a second at the most, and a controller
-goes on for 5 s without the store."""
-
-
 class LockRecord(msgspec.Struct, frozen=True):
     """Value of the lock."""
 
--- a/src/foxtrestle/platform/front.py
+++ b/src/foxtrestle/platform/front.py
@@ -37,8 +37,8 @@
 RETRY_AFTER_S: Final = 1
 """Seconds after which a refused client is asked to come back; the least the header can say."""
 DRAINED_RETRY_AFTER_S: Final = (2, 3, 4, 5, 6)
-"""Seconds after which a client may come back while operators drain every zone, one of them by the
-job's id: all clients at once would be refused at once, or meet fleets that are not up again."""
+"""Seconds after which a client may come back while operators drain every zone; which of them, the
+job's id decides, so that clients do not all come back at once."""
 LIMIT_RETRY_AFTER_S: Final = 60
 """Seconds after which a client may come back with a job that its organisation's limit keeps from
 ever starting: operators raise limits, at the soonest, within minutes."""
--- a/src/foxtrestle/scheduling/pressure.py
+++ b/src/foxtrestle/scheduling/pressure.py
@@ -146,7 +146,7 @@
             waiting.setdefault(entry.job.pool, []).append((urgency, entry))
     pools: dict[str, PoolPressure] = {}
     for pool, ranked in waiting.items():
-        measure_asked = _measure_by(asked, held, pool, now)
+        measure_asked = _build_measure(asked, held, pool, now)
         found = _measure_pool(fleet, pool, ranked, host, hosts.get(pool, 0), measure_asked)
         if found is not None:
             pools[pool] = found
@@ -159,7 +159,9 @@
     return Pressure(pools, long_s)
 
 
-def _measure_by(asked: AskedWork, held: Pressure, pool: str, now: float) -> Callable[[str], float]:
+def _build_measure(
+    asked: AskedWork, held: Pressure, pool: str, now: float
+) -> Callable[[str], float]:
     """Build what tells the room that an organisation's new work in a pool asks for, hosts.
 
     What is refused now is not among what was handed in, and is asked for all the same.
--- a/src/foxtrestle/scheduling/shares.py
+++ b/src/foxtrestle/scheduling/shares.py
@@ -221,11 +221,10 @@
 def draws_hosts(fleet: Fleet, entry: JobEntry) -> bool:
     """Tell whether a job's waiting tasks are a reason to have further hosts.
 
-    Hosts are paid for by all. Those that an organisation at its limit asks for would stand idle;
-    those for work beyond a share, or beyond what its organisation is due of all hosts, would be
-    taken from who is within theirs; those for what is late anyway, while all are full, from what
-    could be in time. Such work runs where hosts stand free. Tasks that last are
-    served by how long they are away, whatever was sent.
+    Not those of an organisation at its limit, whose hosts would stand idle; nor, as others would go
+    without, work beyond a share, work beyond what its organisation is due of all hosts, and while
+    all are full what is late anyway. Such work runs where hosts stand free. Tasks that last draw
+    hosts also beyond a share: each second without them counts.
     """
     if entry.job.owner in fleet.at_limit or entry.job.id in fleet.beyond:
         return False
