--- a/src/foxtrestle/scheduling/shares.py
+++ b/src/foxtrestle/scheduling/shares.py
@@ -33,10 +33,11 @@
 """Seconds of its share that an organisation may hand in at once: jobs come one by one, and a
 second's worth that arrives together is still within the share of that second."""
 OPEN_SHARE: Final = 0.65
-"""Part of a pool's room up to which jobs beyond a share start. The rest is what is kept free for
-what arrives next (`needs.MARGIN`): a task that runs is not taken away again, so jobs that fill a
-pool make each one after them wait for an end, also one that would have found room. More than half,
-as the platform takes a job that waits in a pool of which less is used for forgotten."""
+"""Part of a pool's room up to which jobs beyond a share start, tasks that last aside. The rest is
+what is kept free for what arrives next (`needs.MARGIN`): a task that runs is not taken away again,
+so jobs that fill a pool make each one after them wait for an end, also one that would have found
+room. More than half, as the platform takes a job that waits in a pool of which less is used for
+forgotten."""
 NEIGHBOURS: Final = 2
 """Jobs before and after one of which the middle time is taken, so that one node whose clock is
 wrong does not shift the jobs that other nodes took."""
@@ -86,12 +87,15 @@
     theirs, since jobs of one priority go by age.
     """
 
-    __slots__ = ("_credit", "_seen_at")
+    __slots__ = ("_credit", "_seen_at", "_spare")
 
     def __init__(self) -> None:
         """Create shares of which nothing was used."""
         self._credit: dict[str, float] = {}
         self._seen_at: dict[str, float] = {}
+        self._spare: dict[str, float] = {}
+        """Credit that a full bucket could not hold, jobs; of organisations whose jobs beyond their
+        share wait. Kept apart, as jobs that come must not cut it to a full bucket."""
 
     def note_job(self, configuration: FleetConfiguration | None, owner: str, at: float) -> bool:
         """Take in a job that arrived.
@@ -107,7 +111,7 @@
         weight = _find_weight(configuration, owner)
         if not weight:
             return False
-        credit = min(_measure_bucket(weight), self._fill(owner, weight, at))
+        credit = self._fill(owner, weight, at)
         within = credit >= 1.0
         self._credit[owner] = credit - 1.0 if within else credit
         return not within
@@ -174,6 +178,7 @@
             Jobs that are not beyond a share any more.
         """
         redeemed: list[JobEntry] = []
+        spare: dict[str, float] = {}
         waiting = sorted(
             (entry for entry in entries if entry.excess), key=lambda entry: entry.revision
         )
@@ -181,19 +186,26 @@
             owner = entry.job.owner
             weight = _find_weight(configuration, owner)
             if weight:
-                self._credit[owner] = self._fill(owner, weight, now)
-                if self._credit[owner] < _measure_bucket(weight) + 1.0:
+                if owner not in spare:
+                    self._credit[owner] = self._fill(owner, weight, now)
+                    spare[owner] = self._spare.get(owner, 0.0)
+                if spare[owner] < 1.0:
                     continue
-                self._credit[owner] -= 1.0
+                spare[owner] -= 1.0
             entry.excess = False
             redeemed.append(entry)
+        self._spare = spare
         return redeemed
 
     def _fill(self, owner: str, weight: float, at: float) -> float:
-        """Return the credit at a time, also what the bucket cannot hold."""
+        """Return the credit in the bucket at a time; what that cannot hold is noted apart."""
         seen_at = self._seen_at.get(owner, at)
         self._seen_at[owner] = max(at, seen_at)
-        return self._credit.get(owner, _measure_bucket(weight)) + weight * max(0.0, at - seen_at)
+        bucket = _measure_bucket(weight)
+        filled = self._credit.get(owner, bucket) + weight * max(0.0, at - seen_at)
+        if owner in self._spare:
+            self._spare[owner] += max(0.0, filled - bucket)
+        return min(bucket, filled)
 
 
 def _find_weight(configuration: FleetConfiguration | None, owner: str) -> float:
@@ -209,11 +221,10 @@
 def draws_hosts(fleet: Fleet, entry: JobEntry) -> bool:
     """Tell whether a job's waiting tasks are a reason to have further hosts.
 
-    Hosts are paid for by all. Those that an organisation at its limit asks for would stand idle;
-    those for work beyond a share, or beyond what its organisation is due of all hosts, would be
-    taken from who is within theirs; those for what is late anyway, while all are full, from what
-    could be in time. Such work runs where hosts stand free. Tasks that last are
-    served by how long they are away, whatever was sent.
+    Not those of an organisation at its limit, whose hosts would stand idle; nor, as others would go
+    without, work beyond a share, work beyond what its organisation is due of all hosts, and while
+    all are full what is late anyway. Such work runs where hosts stand free. Tasks that last draw
+    hosts also beyond a share: each second without them counts.
     """
     if entry.job.owner in fleet.at_limit or entry.job.id in fleet.beyond:
         return False
