Claim a place for each task that is being moved out of a drained zone

Cause: looks at a drained zone come every 0.1 s, a stopped run goes on for up to stop_s, and only lasting tasks that are away counted as claims to free places. So each look stopped another task that saves its progress for the same place. Change: tasks that end and whose runs are being stopped in drained zones count as claims to places of their pool. Run: tests/test_zone_drain_hosts.py: the new test fails without the change, 23 passed with it; ruff and mypy clean. Conclusion: no more tasks are stopped than have a place, by these decisions; no play was run.

--- a/src/foxtrestle/scheduling/moving_out.py
+++ b/src/foxtrestle/scheduling/moving_out.py
@@ -20,8 +20,8 @@
     from foxtrestle.scheduling.workers import Worker
 
 MOST_AT_ONCE: Final = 4
-"""Runs that are stopped in one look at the hosts at the most: they come from all jobs, and each
-look sees where those of the look before have gone."""
+"""Runs that are stopped in one look at the hosts at the most: they come from all jobs, and other
+tasks that wait take places as well before these do."""
 WORTH_S: Final = 2.0
 """Seconds of work beyond the restore from which a task that saves its progress is worth moving:
 about as long as it waits for its next start where there is little room."""
@@ -56,7 +56,7 @@
     """
     stops: list[StopOrder] = []
     absences = Absences(fleet, limits.stop_s, now)
-    taken: Counter[str] = Counter()
+    taken = _count_leaving(fleet)
     full: set[tuple[str, int, int]] = set()
     for worker in _list_settled(fleet, ages_s, limits.settle_s):
         pool = worker.info.pool
@@ -67,7 +67,7 @@
             may_go = absences.may_add(task) if lasting else _is_worth(fleet, task, run, limits, now)
             if not may_go or where in full:
                 continue
-            # Those that are away already come first to the places that there are.
+            # Lasting tasks of the step that are away already come first to the places as well.
             claimed = taken[pool] + (absences.count(task) if lasting else 0)
             places = islice(list_places(fleet, worker, task, now), claimed + 1)
             if sum(1 for _ in places) <= claimed:
@@ -93,6 +93,23 @@
     return sorted(workers, key=lambda worker: worker.info.id)
 
 
+def _count_leaving(fleet: Fleet) -> Counter[str]:
+    """Count, by pool, the tasks that are being stopped in drained zones and need a place elsewhere.
+
+    A stopped run goes on for a while, and its task takes a place only after that. Lasting tasks are
+    left out: they count as absent from their step.
+    """
+    leaving: Counter[str] = Counter()
+    for worker in fleet.workers.values():
+        if not worker.drained:
+            continue
+        for key, number in worker.runs:
+            found = fleet.find_run(key, number)
+            if found is not None and found[1].state == "stopping" and not found[0].step.lasting:
+                leaving[worker.info.pool] += 1
+    return leaving
+
+
 def _is_worth(fleet: Fleet, task: Task, run: Run, limits: MoveLimits, now: float) -> bool:
     """Tell whether a task has saved progress and has much left; a gang would break as a whole."""
     if not task.step.checkpoints or task.step.gang or now - run.confirmed_at <= limits.save_s:
--- a/tests/test_zone_drain_hosts.py
+++ b/tests/test_zone_drain_hosts.py
@@ -25,7 +25,7 @@
 from foxtrestle.scheduling.state import Fleet, WaveEntry
 from foxtrestle.scheduling.turning_off import KEEP_S, DrainedHosts
 from foxtrestle.scheduling.turns import TURN_AFTER_S, take_turn
-from tests.scheduling_fakes import NOW, ROOM, enter, make_job
+from tests.scheduling_fakes import NOW, ROOM, add_worker, enter, make_job
 from tests.test_zone_drain import spread_over_zones
 
 if TYPE_CHECKING:
@@ -243,6 +243,26 @@
     assert len(choose_moved_out(fleet, LONG_AGO, LIMITS, NOW)) == 1
 
 
+def test_one_place_has_one_task_moved_until_that_has_taken_it() -> None:
+    """Of three tasks that save their progress, looks in a row stopped one each for one free place.
+
+    Cause: only lasting tasks that are away counted as claims to a place. A run that is stopped goes
+    on for up to `stop_s`, through many looks, and its task takes the place only after that. Proof:
+    the second look returned another stop while the first run was still stopping.
+    """
+    fleet = spread_over_zones("z0", "z1")
+    step = Step(count=3, checkpoints=True, estimate_ms=60_000, shape=Shape(8000, 100))
+    fleet.workers["w1"].used = Shape(ROOM.cpu - 8000, 0)
+    [stop] = drain_with(fleet, step, 10)
+    found = fleet.find_run(stop.key, stop.run)
+    assert found is not None
+    found[1].begin_stop()
+    assert choose_moved_out(fleet, LONG_AGO, LIMITS, NOW) == []
+    add_worker(fleet, "w2")
+    fleet.workers["w2"].used = Shape(ROOM.cpu - 8000, 0)
+    assert len(choose_moved_out(fleet, LONG_AGO, LIMITS, NOW)) == 1, "there is a second place"
+
+
 def test_no_lasting_task_is_moved_before_the_bound_or_without_a_place() -> None:
     fleet = spread_over_zones("z0", "z1")
     assert drain_with(fleet, Step(count=3, lasting=True, shape=Shape(1000, 100)))
