Find a job that ends while it is looked for

Cause: before a refusal the record of a job and that of its end were read at once; read before and after its end, neither is there, and a job that was kept was told as refused. Change: the job's record is read first, that of its end only after it. Conclusion: no such look misses a job that is kept.

--- a/src/foxtrestle/node/intake.py
+++ b/src/foxtrestle/node/intake.py
@@ -208,10 +208,11 @@
     async def _find_kept(self, access: Access, job_id: str) -> Acceptance | None:
         """Return what a caller is told of a job that may be kept already; None if it is not."""
         keys = self._layout.find_keys(job_id)
+        records = []
         try:
-            records = await asyncio.gather(
-                self._store.get(keys.jobs + job_id), self._store.get(ENDED + job_id)
-            )
+            # One after the other: a job that ends in between is found by the first read.
+            for key in (keys.jobs + job_id, ENDED + job_id):
+                records.append(await self._store.get(key))
         except StoreError as error:
             log("job.refusal-unsure", job=job_id, reason=error.reason)
             return "unknown"
--- a/tests/test_intake_pressure.py
+++ b/tests/test_intake_pressure.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 from zlib import crc32
 
@@ -23,6 +24,7 @@
     Pressure,
     Refusal,
 )
+from foxtrestle.scheduling.progress import Progress
 from foxtrestle.standins.keyvalue import Engine
 from foxtrestle.store import OutcomeUnknown, Record, StoreError, Transaction
 from tests.scheduling_fakes import make_configuration
@@ -153,6 +155,38 @@
     assert len(store.conditions) == 3
 
 
+async def test_a_job_that_ends_while_it_is_looked_for_is_not_refused() -> None:
+    """A job that was kept and ended between the two reads of the look was told as refused.
+
+    Cause: the record of its end and that of the job were read at once. If the first is read before
+    the end and the second after it, neither is there. Proof: the end is written between the two,
+    and the answer was a refusal.
+    """
+    store, _, intake = make()
+    assert await intake.submit(LOUD, REFUSED, SPEC) == "accepted"
+    store.tell(HARD)
+    assert isinstance(
+        await intake.submit(LOUD, pick(0.9, skip=frozenset({REFUSED})), SPEC), Refusal
+    )
+    held = f"foxtrestle/inbox/job/{REFUSED}"
+    read = store.get
+
+    async def end_between(key: str, *, stale: bool = False) -> Record | None:
+        if key == ENDED + REFUSED:
+            found = await read(key)
+            if store.engine.get(held) is not None:
+                progress = Progress("completed", [], 1, "loud", "q")
+                puts = {key: msgspec.msgpack.encode(progress)}
+                store.engine.commit(Transaction({}, puts, (held,)))
+            return found
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return await read(key)
+
+    store.get = end_between  # type: ignore[method-assign]
+    assert await intake.submit(LOUD, REFUSED, SPEC) == "accepted"
+
+
 async def test_pressure_that_is_over_is_learned_the_same_way() -> None:
     store, _, intake = make()
     store.tell(HARD)
