Tell in a hand-over the numbers that are reserved when it is written

Cause: a hand-over told the highest number that was reserved when it was decided on; calls without an answer may have more reserved before the lock is given up, and then candidates took the record for a former term's. Change: each try to give the lock up writes the number that is known then. Conclusion: open is a reservation that has taken effect and whose answer is not there yet.

--- a/src/foxtrestle/control/ownership.py
+++ b/src/foxtrestle/control/ownership.py
@@ -282,7 +282,9 @@
         lock = self._keys.lock
         left = {}
         if term.hand_over is not None:
-            left[self._keys.hand_over] = msgspec.json.encode(term.hand_over)
+            # More numbers may have been reserved since it was asked for.
+            hand_over = msgspec.structs.replace(term.hand_over, reserved=term.reserved)
+            left[self._keys.hand_over] = msgspec.json.encode(hand_over)
         transaction = Transaction({lock: term.lock.revision}, left, removals=(lock,))
         try:
             await self._store.commit(transaction)
--- a/tests/test_zones_apart.py
+++ b/tests/test_zones_apart.py
@@ -16,10 +16,11 @@
 from eliot import add_destinations, remove_destination
 
 from foxtrestle.clock import read_clock
-from foxtrestle.control.handing_over import HandOver
+from foxtrestle.control.handing_over import HandOver, decode_hand_over
 from foxtrestle.control.keys import build_keys
-from foxtrestle.control.ownership import RESERVED_NUMBERS
+from foxtrestle.control.ownership import RESERVED_NUMBERS, Ownership, Term
 from foxtrestle.standins.site import Site
+from foxtrestle.store import Record
 from tests.test_node import count_starts, is_state, name, short_times, wait_for
 from tests.zone_fakes import (
     ZONES,
@@ -34,6 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from foxtrestle.store import Transaction
     from tests.test_node import Client
 
 __all__ = ["short_times"]
@@ -252,3 +254,36 @@
         await nodes[0].kill()
         await wait_for(lambda: is_in_control(nodes[1]) or is_in_control(nodes[2]), 4.0)
         assert list_events(lines, "control.candidate") == []
+
+
+class Kept:
+    """A store that keeps what a transaction writes."""
+
+    def __init__(self) -> None:
+        self.puts: dict[str, bytes] = {}
+
+    async def commit(self, transaction: Transaction) -> int:
+        self.puts |= transaction.puts
+        return 1
+
+
+async def do_nothing(_: Term) -> None:
+    pass
+
+
+async def test_a_hand_over_counts_although_more_numbers_were_reserved_after_its_decision() -> None:
+    """A record that was decided on before a reservation took effect counted for nobody.
+
+    Cause: it told the highest number that was reserved at the decision, and more may be reserved
+    for calls without an answer until the lock is given up. Proof: candidates compare that number
+    with the newest one, and took the record for one that was used up.
+    """
+    store: Any = Kept()
+    ownership = Ownership(store, "n", 0.0, do_nothing)
+    term = Term(3, Record(KEYS.lock, b"", 1), read_clock() + 60.0, reserved=1000)
+    term.ask_hand_over(HandOver("n", "a", 3, ("b",), {}, term.reserved))
+    term.reserved = 2000
+    await ownership._hand_over(term)
+    left = Record(KEYS.hand_over, store.puts[KEYS.hand_over], 1)
+    assert decode_hand_over(left, 2000) is not None
+    assert decode_hand_over(left, 3001) is None
