Tell a host's name that cannot be encoded as a call without an answer

Cause: an address with a part of more than 63 characters raises UnicodeError in the client of HTTP, which no caller knows; in a candidate's look it ended the node's wait for the lock. Change: it is told as a call without an answer, which is safe whatever was sent. Run: tests/test_zones_apart.py -k nobody_can_call: one of four fails without the change, all pass with it. Conclusion: no address in a worker's entry ends a look.

--- a/src/foxtrestle/platform/http.py
+++ b/src/foxtrestle/platform/http.py
@@ -103,7 +103,8 @@
     except TimeoutError as error:
         connections.condemn(peer, pool)
         raise TimedOut(_describe(error), step=step, peer=url) from error
-    except (aiohttp.ClientError, OSError) as error:
+    except (aiohttp.ClientError, OSError, UnicodeError) as error:
+        # A host's name that cannot be encoded is told by the last.
         raise NoAnswer(_describe(error), step=step, peer=url) from error
     finally:
         connections.end(pool)
--- a/tests/test_zones_apart.py
+++ b/tests/test_zones_apart.py
@@ -19,6 +19,8 @@
 from foxtrestle.control.handing_over import HandOver, decode_hand_over
 from foxtrestle.control.keys import build_keys
 from foxtrestle.control.ownership import RESERVED_NUMBERS, Ownership, Term
+from foxtrestle.platform.connections import Connections
+from foxtrestle.platform.workers import WorkerCalls
 from foxtrestle.standins.site import Site
 from foxtrestle.store import Record
 from tests.test_node import count_starts, is_state, name, short_times, wait_for
@@ -287,3 +289,15 @@
     left = Record(KEYS.hand_over, store.puts[KEYS.hand_over], 1)
     assert decode_hand_over(left, 2000) is not None
     assert decode_hand_over(left, 3001) is None
+
+
+@pytest.mark.parametrize("address", ["", "a b:x", "[::", "a" * 300 + ":1"])
+async def test_an_address_that_nobody_can_call_does_not_answer(address: str) -> None:
+    """One name of a host in a worker's entry ended each candidate's wait for the lock.
+
+    Cause: a name with a part of more than 63 characters cannot be encoded, which the client of HTTP
+    tells by an error of its own kind, and a candidate looks at addresses of all zones. Proof: the
+    call raised `UnicodeError`, and a candidate's wait goes on after a `StoreError` only.
+    """
+    async with Connections() as connections:
+        assert not await WorkerCalls(connections).answers(address, 0.25)
