Delay no node for a zone that is not told

Cause: a lock that tells no zone and a node without one compared as being of the same zone. Change: a node without a zone lets nobody go first for that; the function that reads the zone of a lock is no namesake of the one that finds a worker's. Conclusion: nothing changes where zones are told.

--- a/src/foxtrestle/control/ownership.py
+++ b/src/foxtrestle/control/ownership.py
@@ -98,7 +98,7 @@
     """Availability zone of the node."""
 
 
-def find_zone(lock: Record) -> str:
+def read_zone(lock: Record) -> str:
     """Return the availability zone of the controller that wrote a lock; empty if it is not told."""
     try:
         return msgspec.json.decode(lock.value, type=LockRecord).zone
@@ -316,7 +316,8 @@
             return Takeover(read_clock(), handed_over=True, unreached=apart), yield_s
         takeover = Takeover(read_clock())
         if self._spreads and self._former is not None:
-            return takeover, SAME_ZONE_DELAY_S * (find_zone(self._former) == self._zone)
+            same = bool(self._zone) and read_zone(self._former) == self._zone
+            return takeover, SAME_ZONE_DELAY_S * same
         return takeover, 0.0
 
     async def _look_around(
--- a/tests/test_zones_apart.py
+++ b/tests/test_zones_apart.py
@@ -18,9 +18,10 @@
 from foxtrestle.clock import read_clock
 from foxtrestle.control.handing_over import HandOver, decode_hand_over
 from foxtrestle.control.keys import build_keys
-from foxtrestle.control.ownership import RESERVED_NUMBERS, Ownership, Term
+from foxtrestle.control.ownership import RESERVED_NUMBERS, LockRecord, Ownership, Term
 from foxtrestle.platform.connections import Connections
 from foxtrestle.platform.workers import WorkerCalls
+from foxtrestle.scheduling.reachability import SAME_ZONE_DELAY_S
 from foxtrestle.standins.site import Site
 from foxtrestle.store import Record
 from tests.test_node import count_starts, is_state, name, short_times, wait_for
@@ -301,3 +302,16 @@
     """
     async with Connections() as connections:
         assert not await WorkerCalls(connections).answers(address, 0.25)
+
+
+async def test_a_lock_that_tells_no_zone_delays_no_node_that_tells_none() -> None:
+    """Nodes without a zone let others go first, though nobody was of another zone.
+
+    Cause: two zones that are not told compared as the same one.
+    """
+    store: Any = Kept()
+    for zone, delay_s in (("", 0.0), ("a", SAME_ZONE_DELAY_S), ("b", 0.0)):
+        ownership = Ownership(store, "n", 0.0, do_nothing, zone=zone, spreads=True)
+        told = LockRecord("other", "1", "a" if zone else "")
+        ownership._former = Record(KEYS.lock, msgspec.json.encode(told), 1)
+        assert (await ownership._look())[1] == delay_s
