Give reasons instead of stories in comments on hosts, orders and lives

Cause: some comments told what was once measured or seen, which a reader of today cannot check. Change: they give the reason; no code is changed.

--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -180,8 +180,8 @@
     def note_unanswered(self, worker: Worker, token: int, error: CallError) -> None:
         """Raise a worker's token if a call may still be carried out: the next fences it off.
 
-        A late start was carried out by the next life of its worker, after the task had ended on the
-        former and that end was acknowledged.
+        A late start may reach the next life of its worker, after the task has ended on the former
+        and that end was acknowledged; the task would run once more.
 
         Args:
             worker: Whom the call was sent to.
--- a/src/foxtrestle/scheduling/candidates.py
+++ b/src/foxtrestle/scheduling/candidates.py
@@ -1,8 +1,8 @@
 """Workers of one pool in the order in which a task should take them, through one round.
 
-A round places some hundred tasks. Looking at every worker of the pool for each of them took 174 ms
-of a core for 270 workers and 1,080 tasks, in which no lease was renewed. Here the workers are kept
-in order of their free room, so that a task finds its place with few looks.
+A round places some hundred tasks, and no lease is renewed meanwhile, so not every worker of the
+pool can be looked at for each of them. Here the workers are kept in order of their free room, so
+that a task finds its place with few looks.
 """
 
 from __future__ import annotations
--- a/src/foxtrestle/scheduling/lives.py
+++ b/src/foxtrestle/scheduling/lives.py
@@ -33,8 +33,8 @@
     """Choose up to which end the next call lets a worker forget; 0 for none.
 
     Each number is told once, and only just after an answer. A number that is told to a later life
-    has it forget ends that nobody has seen: tasks that had ended well were then started again, up
-    to three times each. For that, too, the call that tells one must not wait at the worker.
+    has it forget ends that nobody has seen, and tasks that have ended well are started again. For
+    the same reason the call that tells one must not wait at the worker.
     """
     if worker.acknowledged <= worker.forgotten or worker.silence is not None:
         return 0
--- a/src/foxtrestle/scheduling/needs.py
+++ b/src/foxtrestle/scheduling/needs.py
@@ -21,9 +21,9 @@
 
 MARGIN: Final = 0.35
 """Share of a pool's load that is kept free for what arrives next, besides room for its largest
-recent job: what a rise brings in the 2 s until hosts come. Less of it saves 0.03 of a day's worth
-in hosts and loses as much or more in late jobs, on three deployments. None is kept while arrivals
-certainly become fewer: another pool's rise wants those hosts."""
+recent job: what a rise brings in the 2 s until hosts come. Less of it saves hosts and costs at
+least as much in late jobs. None is kept while arrivals certainly become fewer: another pool's rise
+wants those hosts."""
 SCATTER: Final = 1.5
 """Standard deviations of the load that are kept free at the most, if jobs come independently of
 each other: one second in fifteen asks for more. Relative to its load a large pool scatters less."""
@@ -34,8 +34,8 @@
 """Seconds over which a pool's present demand is taken; about the length of one task."""
 STUCK_S: Final = 0.4
 """Seconds that a task waits before its pool gets one more host than its room asks for: what is free
-may lie in pieces, or on hosts where the task may not run. Rounds of placement are 0.1 s apart.
-Without it a lasting task waited 14 s, until its pool grew for another reason."""
+may lie in pieces, or on hosts where the task may not run, and it would wait until its pool grows
+for another reason. Rounds of placement are 0.1 s apart."""
 STUCK_MORE_S: Final = 2.0
 """Seconds of further waiting after which it gets another, about as long as one takes to come: a
 gang, or tasks of more than half a host, may need several hosts whole."""
--- a/src/foxtrestle/scheduling/runs.py
+++ b/src/foxtrestle/scheduling/runs.py
@@ -319,8 +319,8 @@
 def _give_up(fleet: Fleet, entry: JobEntry, task: Task) -> list[StopOrder]:
     """Give a task up for good, and its job if nothing else of that can go on without it.
 
-    The other tasks of a lasting step serve on, each by itself, until the client cancels the job.
-    Ended with the job, a step of four that may miss one lost three sound tasks at once.
+    The other tasks of a lasting step serve on, each by itself, until the client cancels the job:
+    ended with the job, all of them would be away at once.
 
     Returns:
         Orders to stop what else runs of a job that has failed for it.
--- a/src/foxtrestle/scheduling/turning_off.py
+++ b/src/foxtrestle/scheduling/turning_off.py
@@ -17,13 +17,11 @@
 moves cost as much as 2.2 s of a host in a pool, and for 4 to 5 s it serves nobody: 1.5 s each way,
 and 1 to 2 s until the list shows that it is off. Kept about as long as turning it off would cost,
 it costs at most twice what foresight would. Where load goes by turns, the host that one pool does
-not want is the one that the next pool lacks. Kept for 3 and 5 s, hosts cost 0.007 and 0.015 of a
-quiet day's worth more than for 1.5 s, and served no better."""
+not want is the one that the next pool lacks."""
 OFF_SHARE: Final = 0.1
 """Share of all hosts that may be turned off in a second, in case load comes back. A host that is
-idle can be moved at once, one just turned off only when the list shows it, 2 to 3 s later: when the
-first load of a day had hosts turned off all at once, three of four small jobs of its first seconds
-were late."""
+idle can be moved at once, one just turned off only when the list shows it, 2 to 3 s later; if all
+went off at once, the next jobs would wait for that."""
 
 
 class OffBudget:
--- a/src/foxtrestle/scheduling/turns.py
+++ b/src/foxtrestle/scheduling/turns.py
@@ -1,9 +1,10 @@
 """Turns of steps that need several hosts whole, so that two of them do not wait for each other.
 
 Each pool gets hosts by its own load and waits. Two pools of which each needs most hosts for a gang,
-or for tasks as large as a host, took hosts from each other without end, and neither's work ever
-started. A step that has waited for long gets a turn: hosts that hold it whole are named, brought to
-its pool and kept free for it, and the others go without until it starts or its time is over.
+or for tasks as large as a host, would take hosts from each other without end, and neither's work
+would start. A step that has waited for long gets a turn: hosts that hold it whole are named,
+brought to its pool and kept free for it, and the others go without until it starts or its time is
+over.
 """
 
 from __future__ import annotations
