Split two long functions, name what a node remembers of the lock

Change: listing the waiting hosts and sorting are functions of their own; the fields say that they hold the own hand-over and the former lock; some comments there give reasons instead of stories. Behaviour is unchanged.

--- a/src/foxtrestle/control/ownership.py
+++ b/src/foxtrestle/control/ownership.py
@@ -66,8 +66,8 @@
 """Mean pause after a failed call, seconds."""
 RELEASE_S: Final = 2.5
 """Seconds for which a stopping controller tries to give the lock up: as long as its node serves on.
-Given up only once while the store was away, the lock was free 1.4 s after its return; nothing
-started until then."""
+A single try while the store is away leaves the lock to run out after the store's return, and
+nothing starts until then."""
 RELEASE_RETRY_S: Final = 0.15
 """Mean pause between these tries, seconds."""
 GRACE_WITHOUT_STORE_S: Final = 5.0
@@ -212,9 +212,10 @@
         self._zone = zone
         self._answers = answers
         self._spreads = spreads
-        self._former: Record | None = None
-        self._left: HandOver | None = None
-        self._left_at = 0.0
+        self._former_lock: Record | None = None
+        # Also known where the store has not taken its record.
+        self._own_hand_over: HandOver | None = None
+        self._handed_over_at = 0.0
         self._closing = False
         self._outage = Outage("store", "lock")
 
@@ -260,7 +261,7 @@
         await term.hand_over_asked.wait()
         hand_over = term.hand_over
         assert hand_over is not None
-        self._left, self._left_at = hand_over, read_clock()
+        self._own_hand_over, self._handed_over_at = hand_over, read_clock()
         log("control.handed-over", term=term.number, partition=self._partition.number,
             zone=self._zone, apart=hand_over.apart,
             looks={zone: len(group) for zone, group in hand_over.looks.items()},
@@ -309,14 +310,14 @@
             hand_over = decode_hand_over(held, int(newest.value)) if newest is not None else None
             if hand_over is not None:
                 return await self._look_around(hand_over, self._answers)
-        if self._left is not None and read_clock() - self._left_at < PAUSE_S:
-            # Its record was not taken by the store; it lets others go first all the same.
-            apart = frozenset(self._left.apart)
+        if self._own_hand_over is not None and read_clock() - self._handed_over_at < PAUSE_S:
+            # The store may not have taken its record; it lets others go first all the same.
+            apart = frozenset(self._own_hand_over.apart)
             yield_s = compute_candidate_delay(len(apart), gave_up=True)
             return Takeover(read_clock(), handed_over=True, unreached=apart), yield_s
         takeover = Takeover(read_clock())
-        if self._spreads and self._former is not None:
-            same = bool(self._zone) and read_zone(self._former) == self._zone
+        if self._spreads and self._former_lock is not None:
+            same = bool(self._zone) and read_zone(self._former_lock) == self._zone
             return takeover, SAME_ZONE_DELAY_S * same
         return takeover, 0.0
 
@@ -336,9 +337,9 @@
 
     async def _wait_until_free(self) -> None:
         record, revision = await self._read_lock()
-        self._former = record
+        self._former_lock = record
         while record is not None:
-            self._former = record
+            self._former_lock = record
             try:
                 changes, revision = await self._store.poll(self._keys.lock, revision)
             except Compacted:
--- a/src/foxtrestle/scheduling/maintaining.py
+++ b/src/foxtrestle/scheduling/maintaining.py
@@ -29,8 +29,8 @@
 task: one is fetched after 2 s of waiting, emptied within 3 and moved in 2."""
 POSTPONE_S: Final = 5.0
 """Seconds after which a host that cannot be emptied serves on, and as many until it is tried again.
-Left cordoned, the only host of its kind in a pool stood half empty for 30 s, while jobs that could
-run nowhere else waited for their whole day."""
+Left cordoned, the only host of its kind in a pool takes nothing, and jobs that can run nowhere else
+wait as long."""
 LATE_MARGIN_S: Final = 3.0
 """Seconds before the end of a wave's time at which all its hosts should be through."""
 
@@ -55,14 +55,7 @@
         postponed: Hosts that could not be emptied a moment ago.
     """
     wave = entry.wave
-    waiting = [
-        views[name]
-        for name in wave.hosts
-        if name in views
-        and name not in entry.done
-        and name not in postponed
-        and views[name].plan is None
-    ]
+    waiting = _list_waiting(entry, views, postponed)
     busy = sum(1 for name in wave.hosts if _is_under_way(views.get(name), wave.number))
     room = max(0, wave.max_parallel - busy)
     rounds_left = -(-len(waiting) // max(1, wave.max_parallel))
@@ -83,12 +76,26 @@
     return chosen
 
 
+def _list_waiting(
+    entry: WaveEntry, views: dict[str, HostView], postponed: Collection[str]
+) -> list[HostView]:
+    """List the hosts of a wave that have not been chosen yet and may be."""
+    return [
+        views[name]
+        for name in entry.wave.hosts
+        if name in views
+        and name not in entry.done
+        and name not in postponed
+        and views[name].plan is None
+    ]
+
+
 def _rank(view: HostView) -> tuple[bool, bool, int, int, str]:
     """Order hosts for maintenance: lasting tasks make emptying long, so those hosts begin first."""
-    worker, kept = view.worker, not view.drained
+    worker, in_open_zone = view.worker, not view.drained
     if worker is None:
-        return kept, view.is_up(), 0, 0, view.info.name
-    return kept, view.is_up(), -worker.lasting, worker.used.cpu, view.info.name
+        return in_open_zone, view.is_up(), 0, 0, view.info.name
+    return in_open_zone, view.is_up(), -worker.lasting, worker.used.cpu, view.info.name
 
 
 def _is_under_way(view: HostView | None, wave: int) -> bool:
@@ -148,7 +155,7 @@
 
 
 class Absences:
-    """Tasks of lasting steps that are away, and those that one look at the hosts stops."""
+    """Tasks of lasting steps that are away, and tasks that are stopped in one look at the hosts."""
 
     __slots__ = ("_fleet", "_now", "_stop_s", "_stopped")
 
@@ -196,8 +203,8 @@
 def _has_place(fleet: Fleet, worker: Worker, task: Task, now: float) -> bool:
     """Tell whether another worker of the pool could take a lasting task over now.
 
-    Stopped without one, it waits while its host stands empty, and as it is away, no other task of
-    its step may be stopped: the host was held up for 25 s, the task away for 22 s.
+    Stopped without one, it would wait while its host stands empty, and as it is away, no other task
+    of its step could be stopped.
     """
     return any(True for _ in list_places(fleet, worker, task, now))
 
--- a/src/foxtrestle/scheduling/movable.py
+++ b/src/foxtrestle/scheduling/movable.py
@@ -47,6 +47,21 @@
         self._off: deque[HostView] = deque()
         self._leaving: list[HostView] = []
         self._serving: dict[str, list[HostView]] = {}
+        self._sort(views, reserve, barred, now, kept)
+        for pool in self._serving.values():
+            # The last is handed out first: idle, else the least busy.
+            pool.reverse()
+            pool.sort(key=_measure_load, reverse=True)
+
+    def _sort(
+        self,
+        views: dict[str, HostView],
+        reserve: str,
+        barred: frozenset[str],
+        now: float,
+        kept: frozenset[str],
+    ) -> None:
+        """Sort the hosts by what they do now; those that may not be moved are left out."""
         for name, view in views.items():
             if name in barred or view.drained:
                 continue
@@ -62,10 +77,6 @@
                 self._kept.setdefault(view.pool, []).append(view)
             else:
                 self._serving.setdefault(view.pool, []).append(view)
-        for pool in self._serving.values():
-            # The last is handed out first: idle, else the least busy.
-            pool.reverse()
-            pool.sort(key=_measure_load, reverse=True)
 
     def take_off(self, pool: str) -> HostView | None:
         """Take a host that is off; one of the zone of which a pool has fewest, if it is spread."""
--- a/src/foxtrestle/scheduling/moving_out.py
+++ b/src/foxtrestle/scheduling/moving_out.py
@@ -22,7 +22,7 @@
 MOST_AT_ONCE: Final = 4
 """Runs that are stopped in one look at the hosts at the most: they come from all jobs, and other
 tasks that wait take places as well before these do."""
-WORTH_S: Final = 2.0
+WORTH_MOVING_S: Final = 2.0
 """Seconds of work beyond the restore from which a task that saves its progress is worth moving:
 about as long as it waits for its next start where there is little room."""
 
@@ -64,7 +64,11 @@
             if len(stops) == MOST_AT_ONCE:
                 return stops
             where, lasting = task.key[:3], task.step.lasting
-            may_go = absences.may_add(task) if lasting else _is_worth(fleet, task, run, limits, now)
+            may_go = (
+                absences.may_add(task)
+                if lasting
+                else _is_worth_moving(fleet, task, run, limits, now)
+            )
             if not may_go or where in full:
                 continue
             # Lasting tasks of the step that are away already come first to the places as well.
@@ -80,7 +84,7 @@
 
 
 def _list_settled(fleet: Fleet, ages_s: Mapping[str, float], settle_s: float) -> list[Worker]:
-    """List the workers whose zone has been drained for long; cordoned ones are emptied anyway."""
+    """List the workers whose zone has been drained for longer; cordoned ones are emptied anyway."""
     workers = [
         worker
         for worker in fleet.workers.values()
@@ -110,11 +114,11 @@
     return leaving
 
 
-def _is_worth(fleet: Fleet, task: Task, run: Run, limits: MoveLimits, now: float) -> bool:
+def _is_worth_moving(fleet: Fleet, task: Task, run: Run, limits: MoveLimits, now: float) -> bool:
     """Tell whether a task has saved progress and has much left; a gang would break as a whole."""
     if not task.step.checkpoints or task.step.gang or now - run.confirmed_at <= limits.save_s:
         return False
-    return estimate_rest(fleet, task, run) > limits.restore_s + WORTH_S
+    return estimate_rest(fleet, task, run) > limits.restore_s + WORTH_MOVING_S
 
 
 def estimate_rest(fleet: Fleet, task: Task, run: Run) -> float:
--- a/tests/test_zones_apart.py
+++ b/tests/test_zones_apart.py
@@ -313,5 +313,5 @@
     for zone, delay_s in (("", 0.0), ("a", SAME_ZONE_DELAY_S), ("b", 0.0)):
         ownership = Ownership(store, "n", 0.0, do_nothing, zone=zone, spreads=True)
         told = LockRecord("other", "1", "a" if zone else "")
-        ownership._former = Record(KEYS.lock, msgspec.json.encode(told), 1)
+        ownership._former_lock = Record(KEYS.lock, msgspec.json.encode(told), 1)
         assert (await ownership._look())[1] == delay_s
