Count the room of a worker when tasks that end are moved to it

Cause: a worker with room counted as one place for a task that is moved out of a drained zone. As each task that is being stopped claims a place now, a pool with one roomy worker elsewhere would have moved one task at a time. Change: for tasks that end, a worker is as many places as it has room for; for lasting ones one, as before. Run: tests/test_zone_drain_hosts.py, _zone_drain_nodes, _zone_drain: the new test fails without the change, all pass with it; ruff and mypy clean.

--- a/src/foxtrestle/scheduling/moving_out.py
+++ b/src/foxtrestle/scheduling/moving_out.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from itertools import islice
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -16,6 +15,7 @@
     from collections.abc import Collection, Mapping
 
     from foxtrestle.scheduling.jobs import Run, Task
+    from foxtrestle.scheduling.model import Step
     from foxtrestle.scheduling.state import Fleet
     from foxtrestle.scheduling.workers import Worker
 
@@ -73,8 +73,7 @@
                 continue
             # Lasting tasks of the step that are away already come first to the places as well.
             claimed = taken[pool] + (absences.count(task) if lasting else 0)
-            places = islice(list_places(fleet, worker, task, now), claimed + 1)
-            if sum(1 for _ in places) <= claimed:
+            if not _has_more_places(fleet, worker, task, claimed, now):
                 full.add(where)
                 continue
             absences.add(task)
@@ -97,6 +96,27 @@
     return sorted(workers, key=lambda worker: worker.info.id)
 
 
+def _has_more_places(fleet: Fleet, worker: Worker, task: Task, claimed: int, now: float) -> bool:
+    """Tell whether there are more places for a task than are claimed.
+
+    For a lasting task a worker counts as one place, whatever its room.
+    """
+    places = 0
+    for other in list_places(fleet, worker, task, now):
+        places += 1 if task.step.lasting else _count_fitting(task.step, other)
+        if places > claimed:
+            return True
+    return False
+
+
+def _count_fitting(step: Step, worker: Worker) -> int:
+    """Return how many tasks of a step find room on a worker that has room for one."""
+    free, each = worker.info.room.minus(worker.used), step.taken
+    parts = [(free.cpu, each.cpu), (free.memory_mb, each.memory_mb), (free.gpu, each.gpu)]
+    counts = [whole // part for whole, part in parts if part]
+    return min([*counts, step.max_per_worker or step.count, step.count])
+
+
 def _count_leaving(fleet: Fleet) -> Counter[str]:
     """Count, by pool, the tasks that are being stopped in drained zones and need a place elsewhere.
 
--- a/tests/test_zone_drain_hosts.py
+++ b/tests/test_zone_drain_hosts.py
@@ -263,6 +263,19 @@
     assert len(choose_moved_out(fleet, LONG_AGO, LIMITS, NOW)) == 1, "there is a second place"
 
 
+def test_a_worker_with_room_for_several_tasks_that_end_is_as_many_places() -> None:
+    """Of three tasks that save their progress one was stopped, with room for all on one worker.
+
+    Cause: a worker counted as one place whatever its room. As a task that is being stopped claims a
+    place, the others would wait until it has started elsewhere. Proof: one stop was returned.
+    """
+    step = Step(count=3, checkpoints=True, estimate_ms=60_000, shape=Shape(8000, 100))
+    assert len(drain_with(spread_over_zones("z0", "z1"), step, 10)) == 3
+    fleet = spread_over_zones("z0", "z1")
+    fleet.workers["w1"].used = Shape(ROOM.cpu - 23_999, 0)
+    assert len(drain_with(fleet, step, 10)) == 2
+
+
 def test_no_lasting_task_is_moved_before_the_bound_or_without_a_place() -> None:
     fleet = spread_over_zones("z0", "z1")
     assert drain_with(fleet, Step(count=3, lasting=True, shape=Shape(1000, 100)))
