Give a late gang its turn, and a worker whose zone is not told nothing while any zone is drained

Cause: while all hosts are full, work that is late draws no hosts; a gang, or a task for a label or a size, is late before its turn begins, so it never had one. A worker whose entry names no zone, and whose host is not listed, was taken for one of an open zone. Change: claims to particular hosts are not barred by being late; a zone that is not told counts as drained while any is. Both tests failed before. tests of turns, drains, shares, allotting, starvation: passed. Conclusion: found by review; without organisations' weights and without drains nothing changes.

--- a/src/foxtrestle/scheduling/draining.py
+++ b/src/foxtrestle/scheduling/draining.py
@@ -57,5 +57,7 @@
 
 
 def is_drained(fleet: Fleet, zone: str) -> bool:
-    """Tell whether a zone is drained, or may be as far as is known."""
-    return not fleet.drains_known or zone in fleet.drained
+    """Tell whether a zone is drained, or may be as far as is known; one that is not told may be."""
+    if not fleet.drains_known:
+        return True
+    return zone in fleet.drained if zone else bool(fleet.drained)
--- a/src/foxtrestle/scheduling/fitting.py
+++ b/src/foxtrestle/scheduling/fitting.py
@@ -67,7 +67,7 @@
     labelled: dict[tuple[str, str], list[JobEntry]] = {}
     large: dict[str, list[FittingNeed]] = {}
     for entry in fleet.active.values():
-        if not draws_hosts(fleet, entry):
+        if not draws_hosts(fleet, entry, particular=True):
             continue
         pool = entry.job.pool
         for label in {step.label for step in entry.job.spec.steps if step.label}:
--- a/src/foxtrestle/scheduling/shares.py
+++ b/src/foxtrestle/scheduling/shares.py
@@ -218,16 +218,22 @@
     return max(1.0, weight * BURST_S)
 
 
-def draws_hosts(fleet: Fleet, entry: JobEntry) -> bool:
+def draws_hosts(fleet: Fleet, entry: JobEntry, *, particular: bool = False) -> bool:
     """Tell whether a job's waiting tasks are a reason to have further hosts.
 
     Not those of an organisation at its limit, whose hosts would stand idle; nor, as others would go
     without, work beyond a share, work beyond what its organisation is due of all hosts, and while
     all are full what is late anyway. Such work runs where hosts stand free. Tasks that last draw
     hosts also beyond a share: each second without them counts.
+
+    Args:
+        fleet: The state.
+        entry: The job.
+        particular: Whether it is asked for hosts that hold a gang, a label or a large task. Without
+            these such a task never starts, however many hosts stand free, so being late counts not.
     """
     if entry.job.owner in fleet.at_limit or entry.job.id in fleet.beyond:
         return False
-    if fleet.full and entry.late:
+    if fleet.full and entry.late and not particular:
         return False
     return not entry.excess or any(step.lasting for step in entry.job.spec.steps)
--- a/src/foxtrestle/scheduling/turns.py
+++ b/src/foxtrestle/scheduling/turns.py
@@ -109,7 +109,7 @@
     have those wait that can still be in time.
     """
     for entry in fleet.active.values():
-        if not draws_hosts(fleet, entry):
+        if not draws_hosts(fleet, entry, particular=True):
             continue
         oldest: dict[Where, _Claim] = {}
         for key, task in entry.ready.items():
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -102,6 +102,15 @@
     assert turn_at(fleet, LATER) is None
 
 
+def test_a_gang_that_is_late_while_all_is_full_has_its_turn() -> None:
+    fleet = make()
+    wait(fleet, GANG, "main", 1).late = True
+    fleet.full = True
+    turn = turn_at(fleet, LATER)
+    assert turn is not None
+    assert turn.pool == "main"
+
+
 def test_hosts_in_maintenance_draining_or_with_lasting_tasks_elsewhere_are_not_chosen() -> None:
     fleet = make(main=2, side=5)
     wait(fleet, GANG, "main", 1)
--- a/tests/test_zone_drain.py
+++ b/tests/test_zone_drain.py
@@ -84,6 +84,17 @@
     return zones
 
 
+def test_a_worker_whose_zone_is_not_told_gets_nothing_while_any_zone_is_drained() -> None:
+    fleet = spread_over_zones("", "z1")
+    fleet.hosts.clear()
+    note_drained(fleet, frozenset({"z0"}))
+    enter(fleet, make_job(Step(count=4)))
+    assert set(place(fleet)) == {"z1"}
+    note_drained(fleet, frozenset())
+    enter(fleet, make_job(Step(count=4), id="1" * 16))
+    assert not fleet.workers["w0"].drained
+
+
 # What operators wrote.
 
 
