--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -283,11 +283,10 @@
 
 
 def test_a_job_beyond_a_share_is_held_back_for_long_only_while_all_hosts_are_full() -> None:
-    """Seen at 300 nodes, in eight partitions: a task of which nothing ran waited for 3 s while most
-    room was free. Cause: each partition has an eighth of a share, by which ordinary bursts of a
-    small organisation are beyond it, and such jobs drew no hosts until credit was left over. Proof:
-    without the limit the job below is never redeemed, and its pool of one full host asks for no
-    other."""
+    """Found by reading, while another cause was looked for of a job that waited beside free room:
+    a partition has its part of a share, by which ordinary bursts of a small organisation are beyond
+    it, and such jobs drew no hosts until credit was left over. Proof: without the limit the job
+    below is never redeemed, and its pool of one full host asks for no other."""
     fleet = make_fleet(1)
     fleet.configuration = configure(acme=0.1)
     entry = enter(fleet, make_job(Step(shape=Shape(13_000, 100)), owner="acme"))
