--- a/review/standin.py
+++ b/review/standin.py
@@ -21,8 +21,8 @@
 from typing import Any
 
 import aiohttp
-import msgspec
 from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
 from starlette.types import ASGIApp, Receive, Scope, Send
 
 from foxtrestle.listener import bind
@@ -155,6 +155,7 @@
         self._target = target
         self._open = asyncio.Event()
         self._open.set()
+        self._down = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
 
@@ -168,17 +169,27 @@
     def heal(self) -> None:
         self._open.set()
 
+    def break_down(self) -> None:
+        """Break all connections, as when the process at the address ends, and refuse new ones."""
+        self._down = True
+        for task in list(self._tasks):
+            task.cancel()
+
+    def come_up(self) -> None:
+        self._down = False
+
     async def close(self) -> None:
         assert self._server is not None
         self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
+        self.break_down()
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
         try:
+            if self._down:
+                return
             if not self._open.is_set():
                 await self._open.wait()
                 return
@@ -235,6 +246,10 @@
             await writer.drain()
 
 
+def _describe_capacity(capacity: Shape) -> dict[str, int]:
+    return {"cpu": capacity.cpu, "memMb": capacity.memory_mb, "gpu": capacity.gpu}
+
+
 class Platform(Site):
     """The stand-in of the platform, with the pages' times and a record of the orders."""
 
@@ -245,12 +260,55 @@
         """Orders for machines: time, machine, holder, token, order, status."""
         self.silent_tokens: range = range(0)
         """Tokens of a machine that is cut off: workers do not receive its calls."""
+        self._entries_written = 0
+
+    def write_entry(self, worker: Any, state: str = "ready") -> None:
+        """Write a runner's entry with all the fields that the pages name."""
+        info = worker.info
+        self._entries_written += 1
+        entry = {
+            "service": info.pool,
+            "address": self.describe_address(worker),
+            "zone": info.zone,
+            "version": "1",
+            "slots": 8,
+            "state": state,
+            "coldRemainingMs": 0,
+            "seq": self._entries_written,
+            "capacity": _describe_capacity(info.capacity),
+            "labels": list(info.labels),
+            "machine": info.host,
+            "born": worker.incarnation_started_ms,
+        }
+        self.write(f"servers/{info.id}", entry)
+
+    def describe_address(self, worker: Any) -> str:
+        """Return the address at which a runner is reached."""
+        return str(worker.info.address)
+
+    def _list_machines(self) -> Response:
+        machines = [
+            {
+                "machine": host.name,
+                "pool": host.pool,
+                "state": host.state,
+                "zone": host.zone,
+                "labels": ["a", "r1"],
+                "capacity": _describe_capacity(self._capacity),
+                "id": host.worker or None,
+            }
+            for host in self.hosts.values()
+        ]
+        return JSONResponse({"machines": machines, "nextToken": None})
 
     def _build_hosts(self) -> ASGIApp:
         app = super()._build_hosts()
 
         async def serve(scope: Scope, receive: Receive, send: Send) -> None:
-            if scope["type"] != "http" or scope["method"] != "POST":
+            if scope["type"] == "http" and scope["method"] == "GET":
+                await self._list_machines()(scope, receive, send)
+                return
+            if scope["type"] != "http":
                 await app(scope, receive, send)
                 return
             body = await Request(scope, receive).body()
@@ -296,6 +354,12 @@
         if pool != self._reserve_pool:
             await self._start_worker(host)
 
+    def note_start(self, worker: Any, order: dict[str, Any]) -> None:
+        """See the order for a start before the runner does."""
+
+    def note_hold(self, worker: Any, order: dict[str, Any]) -> None:
+        """See a hold before the runner does."""
+
     def _build_worker(self, worker: Any) -> ASGIApp:
         app = super()._build_worker(worker)
 
@@ -304,14 +368,31 @@
                 await app(scope, receive, send)
                 return
             body = await Request(scope, receive).body()
-            token = msgspec.json.decode(body).get("fencingToken", 0)
+            order = json.loads(body)
+            token = order.get("fencingToken", 0)
             if token in self.silent_tokens:
                 await asyncio.sleep(3600)
+            status = 0
+            call = scope["path"].rpartition("/")[2]
+            if call == "run-start":
+                self.note_start(worker, order)
+            elif call == "hold":
+                self.note_hold(worker, order)
 
             async def receive_again() -> dict[str, Any]:
                 return {"type": "http.request", "body": body, "more_body": False}
 
-            await app(scope, receive_again, send)
+            async def note(message: Any) -> None:
+                nonlocal status
+                status = message.get("status", status)
+                await send(message)
+
+            await app(scope, receive_again, note)
+            if call != "hold":
+                self.record.write(
+                    f"runner {worker.info.id} on {worker.info.host}: {call} {order['task']} "
+                    f"run {order['runId']}, token {token}: {status}"
+                )
 
         return serve
 
@@ -362,6 +443,14 @@
         self.store.heal()
         self.cloud.heal()
 
+    def freeze(self) -> None:
+        assert self._process is not None
+        self._process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        assert self._process is not None
+        self._process.send_signal(signal.SIGCONT)
+
     async def stop(self) -> None:
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(signal.SIGKILL)
@@ -380,7 +469,7 @@
                 method, url, json=body, headers={"Host": ROUTE_HOST}
             ) as response:
                 text = await response.read()
-                return response.status, json.loads(text) if text else None
+                return response.status, json.loads(text) if response.status == 200 and text else None
         return 0, None
 
 
