--- a/review/standin.py
+++ b/review/standin.py
@@ -222,14 +222,13 @@
                 if on_request is not None:
                     on_request(data)
                 chunks.put_nowait(data)
+            chunks.put_nowait(None)
+            await hand_on
         except OSError:
             # The sender has reset the connection: what was not delivered is lost.
-            hand_on.cancel()
             writer.transport.abort()
-            return
-        chunks.put_nowait(None)
-        with contextlib.suppress(OSError, asyncio.CancelledError):
-            await hand_on
+        finally:
+            hand_on.cancel()
 
     async def _hand_on(
         self, chunks: asyncio.Queue[bytes | None], writer: asyncio.StreamWriter
