--- a/review/standin.py
+++ b/review/standin.py
@@ -44,8 +44,15 @@
 CONFIGURATION: dict[str, Any] = {
     "version": 1,
     "routes": [
-        {"name": "r", "host": ROUTE_HOST, "pathPrefix": "/q/", "service": "main",
-         "targetLatencyMs": 600, "maxAttempts": 2, "stretch": 1.6}
+        {
+            "name": "r",
+            "host": ROUTE_HOST,
+            "pathPrefix": "/q/",
+            "service": "main",
+            "targetLatencyMs": 600,
+            "maxAttempts": 2,
+            "stretch": 1.6,
+        }
     ],
     "services": [{"name": "main"}, {"name": "spare", "headroom": True}],
 }
@@ -324,7 +331,9 @@
                 await send(message)
 
             await app(scope, receive_again, note)
-            what = f"upkeep, wave {order['wave']}" if "wave" in order else f"move to {order['pool']}"
+            what = (
+                f"upkeep, wave {order['wave']}" if "wave" in order else f"move to {order['pool']}"
+            )
             holder = headers["foxtrestle-duty-holder"]
             token = int(headers["foxtrestle-fencing-token"])
             entry = (self.record.now(), order["machine"], holder, token, what, status)
@@ -423,14 +432,23 @@
         settings = self._folder / f"{self.name}.toml"
         settings.write_text(
             SETTINGS.format(
-                name=self.name, zone=self._zone, front=self._front, ready=find_free_port(),
-                control=find_free_port(), store=self.store.address, cloud=self.cloud.address,
+                name=self.name,
+                zone=self._zone,
+                front=self._front,
+                ready=find_free_port(),
+                control=find_free_port(),
+                store=self.store.address,
+                cloud=self.cloud.address,
                 advice=self._advice,
             )
         )
         with (self._folder / f"{self.name}.log").open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                sys.executable, "src/foxtrestled_node.py", cwd=ROOT, stdout=log, stderr=log,
+                sys.executable,
+                "src/foxtrestled_node.py",
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
                 env={**os.environ, "FOXTRESTLE_SETTINGS": str(settings)},
             )
 
@@ -458,7 +476,11 @@
         await self.cloud.close()
 
     async def call(
-        self, session: aiohttp.ClientSession, method: str, job: str, body: Any = None,
+        self,
+        session: aiohttp.ClientSession,
+        method: str,
+        job: str,
+        body: Any = None,
         prefix: str = "/q/",
     ) -> tuple[int, Any]:
         """Make a client's call; status 0 if there was no answer."""
@@ -468,13 +490,13 @@
                 method, url, json=body, headers={"Host": ROUTE_HOST}
             ) as response:
                 text = await response.read()
-                return response.status, json.loads(text) if response.status == 200 and text else None
+                return response.status, json.loads(
+                    text
+                ) if response.status == 200 and text else None
         return 0, None
 
 
-def run_case(
-    record_path: Path, case: Callable[[Record, Path], Coroutine[Any, Any, int]]
-) -> int:
+def run_case(record_path: Path, case: Callable[[Record, Path], Coroutine[Any, Any, int]]) -> int:
     """Run a case in a temporary folder; return its exit code, `NOT_RUN` if it failed by itself."""
     record = Record(record_path)
     record.write(f"TROUBLE={int(TROUBLE)}")
