Count what hosts are used for, and log why a worker takes no tasks

Callers of a fleet whose machine interface went silent saw most of their jobs never run, with most of the workers' room free. The logs told of orders without an answer and of hosts that were back; they didn't tell why these hosts took nothing afterwards: cordoned, silent, unknown runs or suspect.

`hosts.account` (at most once a second, when it changes) and the gauges `foxtrestle_hosts` count every host once by its use.

Nothing is decided differently. The reasons of `is_usable` are one function now, `find_ineligibility`.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -54,6 +54,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from foxtrestle.control.host_accounts import HostAccounts
     from foxtrestle.control.leader_election import Term
     from foxtrestle.node.operators import OperatorMirror
     from foxtrestle.node.settings import NodeSettings
@@ -195,6 +196,11 @@
             task.cancel()
         await asyncio.gather(*everything, return_exceptions=True)
 
+    @property
+    def host_accounts(self) -> HostAccounts:
+        """Account of what the hosts are used for."""
+        return self._hosts.accounts
+
     def wake(self) -> None:
         """Start another scheduling round soon."""
         self._changed.set()
--- a/src/foxtrestle/control/host_order_sender.py
+++ b/src/foxtrestle/control/host_order_sender.py
@@ -75,7 +75,6 @@
         if not await self._records.record(plan.host):
             plan.apply_event("refused", read_clock())
             return
-        unanswered = False
         for _ in range(ATTEMPTS):
             if not self._term.is_valid():
                 break
@@ -90,7 +89,7 @@
             except RateLimited:
                 self._budget.note_refusal()
                 log("host.order-over-rate", host=plan.host, wave=plan.wave, pool=plan.pool)
-                if not unanswered:
+                if not plan.unanswered:
                     # The order was not executed: the host stays empty, and its plan waits for the
                     # budget.
                     plan.apply_event("refused", read_clock())
@@ -98,7 +97,7 @@
                 # An earlier attempt may still be executed, so the host must not serve again.
                 await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
             except CallError as error:
-                unanswered = True
+                plan.unanswered = True
                 log("host.order-unanswered", host=plan.host, wave=plan.wave, pool=plan.pool,
                     reason=error.reason)  # fmt: skip
                 await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -10,6 +10,7 @@
 
 from foxtrestle.clock import read_clock
 from foxtrestle.control.background_tasks import BackgroundTasks
+from foxtrestle.control.host_accounts import HostAccounts
 from foxtrestle.control.host_list import HostList
 from foxtrestle.control.host_order_sender import HostOrderSender
 from foxtrestle.control.log import log
@@ -91,6 +92,8 @@
         """Load of the pools."""
         self.targets: dict[str, int] = {}
         """Number of hosts that each pool has or will have."""
+        self.accounts = HostAccounts()
+        """Account of what the hosts are used for."""
         self._fleet = fleet
         self._term = term
         self._settings = settings
@@ -145,6 +148,12 @@
         self.targets = divide_hosts(needs, count_available(views))
         self._plan_waves(views, needs, now)
         self._plan_moves(views, needs, now)
+        self.accounts.update(build_host_views(fleet).values(), self._find_reserve(), now)
+
+    def _find_reserve(self) -> str:
+        """Return the name of the pool of powered-off hosts; empty if there is none."""
+        configuration = self._fleet.configuration
+        return configuration.find_reserve() if configuration is not None else ""
 
     def _add_waves(self) -> None:
         for number, (wave, seen_at) in self._operators.waves.items():
@@ -188,9 +197,7 @@
     def _advance(self, views: dict[str, HostView], now: float) -> None:
         """Advance plans to their next states."""
         limits = self._settings.operating_limits
-        configuration = self._fleet.configuration
-        reserve = configuration.find_reserve() if configuration is not None else ""
-        for plan in sort_by_urgency(self._fleet.plans.values(), reserve):
+        for plan in sort_by_urgency(self._fleet.plans.values(), self._find_reserve()):
             view = views.get(plan.host)
             if view is None:
                 if self._host_list.is_missing(plan.host, now):
@@ -298,10 +305,9 @@
     def _plan_moves(
         self, views: dict[str, HostView], needs: dict[str, PoolNeed], now: float
     ) -> None:
-        configuration = self._fleet.configuration
-        if configuration is None:
+        if self._fleet.configuration is None:
             return
-        reserve = configuration.find_reserve()
+        reserve = self._find_reserve()
         requirements = self._find_requirements(views, now)
         reservation = self._update_reservation(views, now)
         cancelled = choose_cancelled_moves(needs, views, reserve, now, requirements, reservation)
--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -13,6 +13,7 @@
 
 from foxtrestle.clock import read_clock
 from foxtrestle.control.controller import Controller
+from foxtrestle.control.host_accounts import read_host_gauges
 from foxtrestle.control.layout import Layout
 from foxtrestle.control.leader_election import LeaderElection, compute_election_delay
 from foxtrestle.control.log import log, start_logging
@@ -163,9 +164,15 @@
         def read_zones() -> dict[str, float]:
             return gauges.read(controller.zone_drains for controller in self.controllers.values())
 
+        def read_host_uses() -> dict[str, float]:
+            return read_host_gauges(
+                controller.host_accounts for controller in self.controllers.values()
+            )
+
         metrics.add_source("store_calls", "Calls to the store.", lambda: store.calls)
         metrics.add_source("store_share", "Share of the store's rates.", usage.read)
         metrics.add_source("host_calls", "Calls about hosts.", lambda: hosts.calls)
+        metrics.add_source("hosts", "Hosts by use.", read_host_uses)
         metrics.add_source("state", "State of this node.", self._read_state)
         metrics.add_source("drained_zones", "Drained zones.", read_zones)
 
--- a/src/foxtrestle/scheduling/eligibility.py
+++ b/src/foxtrestle/scheduling/eligibility.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
@@ -39,21 +40,65 @@
     return capacity.holds(step.shape, fills=step.fills)
 
 
+class Ineligibility(StrEnum):
+    """Reason why a worker gets no new runs."""
+
+    UNKNOWN = "runs unknown"
+    """The worker has not sent a complete report yet."""
+    GONE = "entry gone"
+    """The worker's entry has disappeared from the store."""
+    UNREADABLE = "entry unreadable"
+    """Another writer has made the worker's entry unreadable."""
+    OTHER_INCARNATION = "entry of another incarnation"
+    """The worker's entry describes another incarnation than the one that answers."""
+    CORDONED = "cordoned"
+    """The worker's host is being emptied or has been ordered away."""
+    DRAINED = "zone drained"
+    """The worker's zone is drained, or may be."""
+    UNKNOWN_RUNS = "unknown runs"
+    """The worker reports runs that the controller does not know."""
+    LEAVING = "leaving"
+    """The worker reports that it is about to leave."""
+    FULL = "full"
+    """The worker has just refused a run for lack of capacity."""
+    SILENT = "silent"
+    """The worker has not answered for `ANSWER_OVERDUE_S`."""
+    SUSPECT = "suspect"
+    """Tasks of several jobs have just failed on the worker."""
+
+
+def find_ineligibility(  # noqa: PLR0911 - one return for each reason
+    worker: Worker, now: float
+) -> Ineligibility | None:
+    """Return why a worker gets no new runs; None if it may get some."""
+    if not worker.runs_known:
+        return Ineligibility.UNKNOWN
+    if worker.entry_gone:
+        return Ineligibility.GONE
+    if not worker.info.readable:
+        return Ineligibility.UNREADABLE
+    if not worker.is_entry_current():
+        return Ineligibility.OTHER_INCARNATION
+    if worker.cordoned:
+        return Ineligibility.CORDONED
+    if worker.drained:
+        return Ineligibility.DRAINED
+    if worker.unknown_runs:
+        return Ineligibility.UNKNOWN_RUNS
+    if worker.info.draining:
+        return Ineligibility.LEAVING
+    if now < worker.full_until:
+        return Ineligibility.FULL
+    if now - worker.last_answer_at >= ANSWER_OVERDUE_S:
+        return Ineligibility.SILENT
+    if is_suspect(worker) and now - worker.failed_at < SUSPECT_S:
+        return Ineligibility.SUSPECT
+    return None
+
+
 def is_usable(worker: Worker, now: float) -> bool:
     """Return whether a worker may get new runs."""
-    return (
-        worker.runs_known
-        and not worker.entry_gone
-        and worker.info.readable
-        and worker.is_entry_current()
-        and not worker.cordoned
-        and not worker.drained
-        and not worker.unknown_runs
-        and not worker.info.draining
-        and now >= worker.full_until
-        and now - worker.last_answer_at < ANSWER_OVERDUE_S
-        and not (is_suspect(worker) and now - worker.failed_at < SUSPECT_S)
-    )
+    return find_ineligibility(worker, now) is None
 
 
 def is_cold(worker: Worker) -> bool:
--- a/src/foxtrestle/scheduling/hosts.py
+++ b/src/foxtrestle/scheduling/hosts.py
@@ -38,7 +38,16 @@
 class HostPlan:
     """A planned change of one host: a move to another pool, or planned maintenance."""
 
-    __slots__ = ("changed_at", "host", "old_started_ms", "old_worker", "pool", "state", "wave")
+    __slots__ = (
+        "changed_at",
+        "host",
+        "old_started_ms",
+        "old_worker",
+        "pool",
+        "state",
+        "unanswered",
+        "wave",
+    )
 
     def __init__(self, host: str, pool: str, wave: int, old_worker: str, now: float) -> None:
         """Create a plan in its start state, in which the host is emptied."""
@@ -56,6 +65,8 @@
         """State in the state chart `plan`."""
         self.changed_at = now
         """Monotonic time of the last change of state, seconds."""
+        self.unanswered = False
+        """Whether an attempt to send the order had no answer, so that its outcome is unknown."""
 
     def record_worker(self, worker: Worker) -> None:
         """Record the incarnation of the host's worker before the order."""
