Derive a worker's cordon from its host's plan, so that it ends with the plan

Cause: a worker was cordoned when its host was planned, and only a dropped plan removed the cordon. A plan that ended because the list shows the host as up again, or because another incarnation answers under the worker's id, left it behind.

Fix: the cordon is derived from the plan in each round (update_cordon, HostPlan.bars), so it can't outlive it, however the plan ends. Once an order is sent it bars only the incarnation before it.

--- a/src/foxtrestle/control/host_order_sender.py
+++ b/src/foxtrestle/control/host_order_sender.py
@@ -11,6 +11,7 @@
 from foxtrestle.control.log import log
 from foxtrestle.platform.hosts import HostOrderRefused
 from foxtrestle.platform.http import CallError, RateLimited
+from foxtrestle.scheduling.hosts import update_cordon
 from foxtrestle.scheduling.losses import LossReason
 
 if TYPE_CHECKING:
@@ -140,4 +141,4 @@
         self._fleet.plans.pop(plan.host, None)
         worker = self._fleet.workers.get(plan.old_worker)
         if worker is not None:
-            worker.cordoned = False
+            update_cordon(self._fleet, worker)
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -21,7 +21,13 @@
 from foxtrestle.scheduling.fair_share import update_saturation
 from foxtrestle.scheduling.host_list_polling import is_list_newer_than
 from foxtrestle.scheduling.host_requirements import find_host_requirements
-from foxtrestle.scheduling.hosts import LIST_LAG_S, HostPlan, build_host_views, is_order_complete
+from foxtrestle.scheduling.hosts import (
+    LIST_LAG_S,
+    HostPlan,
+    build_host_views,
+    is_order_complete,
+    update_cordon,
+)
 from foxtrestle.scheduling.maintenance_waves import (
     POSTPONE_S,
     choose_evacuation_stops,
@@ -140,6 +146,9 @@
         self._add_waves()
         views = build_host_views(fleet)
         self._advance(views, now)
+        for worker in fleet.workers.values():
+            # Plans end in several ways, and workers restart or change their hosts meanwhile.
+            update_cordon(fleet, worker)
         views = build_host_views(fleet)
         host = compute_mean_host(fleet)
         if host is not None:
@@ -224,7 +233,6 @@
             self._order_sender.drop(plan, "host is in its target pool already", now)
             return
         if worker is not None and not worker.entry_gone and (worker.runs or worker.unknown_runs):
-            worker.cordoned = True
             if plan.wave and is_emptying_blocked(self._fleet, worker, now - plan.changed_at, now):
                 self._postponed[plan.host] = now + POSTPONE_S
                 self._order_sender.drop(plan, "cannot be emptied now", now)
@@ -238,7 +246,6 @@
             if check_maintenance(entry, view, count_in_maintenance(entry, views)):
                 return
         if worker is not None:
-            worker.cordoned = True
             plan.record_worker(worker)
         if not self._budget.take(now):
             return
@@ -367,6 +374,6 @@
         self._fleet.plans[plan.host] = plan
         if view.worker is not None:
             plan.record_worker(view.worker)
-            view.worker.cordoned = True
+            update_cordon(self._fleet, view.worker)
         log("host.planned", host=plan.host, pool=pool, wave=wave,
             runs=len(view.worker.runs) if view.worker is not None else 0)  # fmt: skip
--- a/src/foxtrestle/scheduling/hosts.py
+++ b/src/foxtrestle/scheduling/hosts.py
@@ -84,6 +84,14 @@
         self.state = PLAN_CHART.apply_event(self.state, event)
         self.changed_at = now
 
+    def bars(self, worker: Worker) -> bool:
+        """Return whether a worker of the host gets no new runs because of this plan.
+
+        Once the order is sent, only the incarnation before it is barred: any other shows that the
+        order is over.
+        """
+        return self.state == "emptying" or self.is_old_incarnation(worker)
+
 
 class HostView(msgspec.Struct, frozen=True):
     """A listed host joined with its worker and its plan."""
@@ -115,6 +123,12 @@
         return self.worker is None or not self.worker.runs
 
 
+def update_cordon(fleet: Fleet, worker: Worker) -> None:
+    """Cordon a worker while a plan for its host bars it, and only that long."""
+    plan = fleet.plans.get(worker.info.host)
+    worker.cordoned = plan is not None and plan.bars(worker)
+
+
 def is_unresponsive(worker: Worker, now: float) -> bool:
     """Return whether a worker has not answered for so long that the host list decides its loss."""
     if worker.contact_loss is not None:
--- a/src/foxtrestle/scheduling/workers.py
+++ b/src/foxtrestle/scheduling/workers.py
@@ -76,7 +76,7 @@
         """Whether the entry has disappeared from the store."""
         self.cordoned = False
         """Whether the host is being emptied for a move to another pool or for maintenance, so that
-        the worker gets no new runs; set by the host's plan."""
+        the worker gets no new runs; derived from the host's plan by `hosts.update_cordon`."""
         self.drained = False
         """Whether the worker's zone is drained, or may be, so that no run is started on the worker;
         set by the module `scheduling.draining`."""
--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -78,6 +78,8 @@
         """How many of the next host orders exceed the rate limit."""
         self.hosts_down = False
         """Whether the host list rejects every call with status 503."""
+        self.hosts_silent = False
+        """Whether calls about hosts get no response and are not executed."""
         self.crashing_tasks: set[TaskKey] = set()
         """Tasks that crash each worker that starts them."""
         self.reuses_worker_ids = False
@@ -531,6 +533,8 @@
     def _build_hosts(self) -> Starlette:
         async def list_hosts(request: Request) -> Response:
             self.page_request_count += 1
+            if self.faults.hosts_silent:
+                await asyncio.sleep(3600)
             if self.faults.hosts_down:
                 return Response(status_code=503)
             if self.faults.rate_limited_lists:
@@ -557,6 +561,9 @@
             return JSONResponse({"machines": machines, "nextToken": next_token})
 
         async def order(request: Request) -> Response:
+            self.calls["order"] += 1
+            if self.faults.hosts_silent:
+                await asyncio.sleep(3600)
             if self.faults.rate_limited_orders:
                 self.faults.rate_limited_orders -= 1
                 return Response(status_code=429)
