Don't release a worker because its host's maintenance was confirmed

What callers would see: a host that takes nothing for the rest of the controller's term, after its maintenance was ordered a second time.

Cause: the platform confirms an order that it has carried out before and does nothing. The confirmation released the worker, which was running, and a released incarnation is never used again. An upkeep is repeated when all its answers were lost, or when the record of the wave's progress was (a takeover).

Fix: a confirmed upkeep releases nobody. Carried out now, the worker falls silent and the list or the next incarnation ends the plan; if the worker answers after the confirmation, nothing has happened and the plan is over. The host is empty at that time, so no run waits for it.

Test: test_repeated_host_orders, one host that was maintained for the wave before. It failed before with TimeoutError (the job never completed), and passes.

--- a/src/foxtrestle/control/host_order_sender.py
+++ b/src/foxtrestle/control/host_order_sender.py
@@ -113,15 +113,18 @@
         now = read_clock()
         log("host.ordered", host=plan.host, pool=plan.pool, wave=plan.wave, term=self._term.number)
         plan.apply_event("accepted", now)
+        if plan.wave:
+            # The host may have been maintained before, unknown to this controller. Then its worker
+            # is running, and the order changed nothing.
+            entry = self._fleet.waves[plan.wave]
+            entry.done.add(plan.host)
+            self._background.spawn(self._waves.record(entry))
+            return
         worker = self._fleet.workers.get(plan.old_worker)
         if worker is not None and plan.is_old_incarnation(worker):
             # The worker is not released if the answer is late and its next incarnation has already
             # answered.
             self._release_worker(worker, LossReason.ORDERED_AWAY)
-        if plan.wave:
-            entry = self._fleet.waves[plan.wave]
-            entry.done.add(plan.host)
-            self._background.spawn(self._waves.record(entry))
 
     def _handle_refusal(self, plan: HostPlan, refusal: HostOrderRefused) -> None:
         now = read_clock()
--- a/src/foxtrestle/scheduling/hosts.py
+++ b/src/foxtrestle/scheduling/hosts.py
@@ -30,6 +30,8 @@
 LIST_LAG_S: Final = 2.5
 """Seconds after an order for which the host list may still show the state before the order: the lag
 of the list of about 0.8 s, the second between two reads, and a margin."""
+ORDER_EFFECT_S: Final = 0.2
+"""Seconds after an order within which answers may arrive that its host's worker sent before it."""
 WORKER_OVERDUE_S: Final = 0.4
 """Seconds beyond the platform's own time for an order after which a missing worker is overdue;
 recording the order and starting the worker take 0.15 s."""
@@ -233,10 +235,11 @@
 ) -> bool:
     """Return whether a host's order is over, so that its plan can be removed.
 
-    An order is over once the host has a new worker. Without a new worker, a move is over when the
-    platform has had `order_s` for it and lists the host as `up` in the target pool, as it also
-    lists a powered-off host in the reserve pool. Any order is over when a list newer than the order
-    shows the host as `up` in any pool after `order_s` and `LIST_LAG_S`.
+    An order is over once the host has a new worker, or once the worker from before it has answered
+    after it: the platform has then done nothing, or had carried the order out before. Without a new
+    worker, a move is over when the platform has had `order_s` for it and lists the host as `up` in
+    the target pool, as it also lists a powered-off host in the reserve pool. Any order is over when
+    a list newer than the order shows the host as `up` in any pool after `order_s` and `LIST_LAG_S`.
 
     Args:
         view: The host.
@@ -248,7 +251,11 @@
     if plan is None:
         return True
     worker = view.worker
-    if worker is not None and not worker.entry_gone and not plan.is_old_incarnation(worker):
+    if (
+        worker is not None
+        and not worker.entry_gone
+        and (not plan.is_old_incarnation(worker) or has_outlived_order(plan, worker))
+    ):
         return True
     if not plan.wave and view.info.pool == plan.pool and view.info.state == "up":
         # `LIST_LAG_S` is not added: the list's own lag of about 0.8 s is less than a move takes,
@@ -259,6 +266,19 @@
     )
 
 
+def has_outlived_order(plan: HostPlan, worker: Worker) -> bool:
+    """Return whether the incarnation from before an order has answered since.
+
+    An order ends everything on its host as soon as it is carried out.
+    """
+    return (
+        plan.state == "changing"
+        and plan.is_old_incarnation(worker)
+        and worker.contact_loss is None
+        and worker.last_answer_at > plan.changed_at + ORDER_EFFECT_S
+    )
+
+
 def is_worker_overdue(plan: HostPlan, reserve: str, order_s: float, now: float) -> bool:
     """Return whether a host should have a new worker by now, after an order, and has none.
 
