Let a host serve on once its worker answers after an order without an answer

Cause: a host whose order had no answer was out of use through four attempts and until a newer host list showed it as up, 7 to 13 s in the logs (host.planned to host.back), which a silent interface can't give.

Fix: an order ends everything on its host as soon as it is carried out, so a worker that answers 0.2 s after the attempt or later shows that nothing has happened. The sender waits for that answer before it sends the order again, and ends the plan. The order may still come late: for 12 s an upkeep holds its slot of the wave's limit, the worker is chosen after all others, and a loss that the order explains counts as no crash. A call that was not sent at all leaves no doubt (NoResponse only).

--- a/src/foxtrestle/control/host_order_sender.py
+++ b/src/foxtrestle/control/host_order_sender.py
@@ -10,9 +10,10 @@
 from foxtrestle.control.background_tasks import BackgroundTasks
 from foxtrestle.control.log import log
 from foxtrestle.platform.hosts import HostOrderRefused
-from foxtrestle.platform.http import CallError, RateLimited
-from foxtrestle.scheduling.hosts import update_cordon
+from foxtrestle.platform.http import CallError, NoResponse, RateLimited
+from foxtrestle.scheduling.hosts import has_outlived_order, may_outlive_order, update_cordon
 from foxtrestle.scheduling.losses import LossReason
+from foxtrestle.scheduling.unsettled_orders import note_settled, note_unsettled
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,6 +31,8 @@
 """Attempts to send an order that is not answered; orders are idempotent."""
 RETRY_S: Final = 0.3
 """Mean pause before an order is retried, seconds."""
+EFFECT_POLL_S: Final = 0.05
+"""Seconds between two checks whether a worker has answered after an order without an answer."""
 
 
 class HostOrderSender:
@@ -80,10 +83,7 @@
             if not self._term.is_valid():
                 break
             try:
-                if plan.wave:
-                    await self._client.maintain(plan.host, plan.wave, self._term.number)
-                else:
-                    await self._client.move(plan.host, plan.pool, self._term.number)
+                await self._send_once(plan)
             except HostOrderRefused as refusal:
                 self._handle_refusal(plan, refusal)
                 return
@@ -95,24 +95,68 @@
                     # budget.
                     plan.apply_event("refused", read_clock())
                     return
-                # An earlier attempt may still be executed, so the host must not serve again.
+                # An earlier attempt may still be executed.
                 await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
+                if await self._watch_effect(plan):
+                    return
             except CallError as error:
-                plan.unanswered = True
+                if isinstance(error, NoResponse):
+                    plan.unanswered = True
+                    note_unsettled(self._fleet, plan, plan.sent_at)
                 log("host.order-unanswered", host=plan.host, wave=plan.wave, pool=plan.pool,
                     reason=error.reason)  # fmt: skip
                 await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
+                if await self._watch_effect(plan):
+                    return
             else:
                 self._accept(plan)
                 return
-        # The order may or may not have been executed; the host counts as away until the host list
-        # shows its state.
-        plan.apply_event("accepted", read_clock())
+        # An order that had no answer may have been executed; the host counts as away until its
+        # worker or the host list shows its state. Otherwise the host waits to be ordered again.
+        plan.apply_event("accepted" if plan.unanswered else "refused", read_clock())
+
+    async def _send_once(self, plan: HostPlan) -> None:
+        """Send an order and wait for its answer."""
+        plan.sent_at = read_clock()
+        plan.awaiting_answer = True
+        try:
+            if plan.wave:
+                await self._client.maintain(plan.host, plan.wave, self._term.number)
+            else:
+                await self._client.move(plan.host, plan.pool, self._term.number)
+        finally:
+            plan.awaiting_answer = False
+
+    async def _watch_effect(self, plan: HostPlan) -> bool:
+        """Wait until the host's worker shows whether an order without an answer had an effect.
+
+        Returns:
+            Whether it had none; then the plan is ended.
+        """
+        while self._fleet.plans.get(plan.host) is plan:
+            now = read_clock()
+            worker = self._fleet.workers.get(plan.old_worker)
+            if worker is not None and has_outlived_order(plan, worker, now):
+                self.end_without_effect(plan, worker, now)
+                return True
+            if not may_outlive_order(plan, worker, now):
+                return False
+            await asyncio.sleep(EFFECT_POLL_S)
+        return True
+
+    def end_without_effect(self, plan: HostPlan, worker: Worker, now: float) -> None:
+        """End a plan whose order has had no effect; its host keeps serving."""
+        log("host.order-without-effect", host=plan.host, pool=plan.pool, wave=plan.wave,
+            unanswered=plan.unanswered, sent_s=round(now - plan.sent_at, 2),
+            heard_s=round(now - worker.last_answer_at, 3))  # fmt: skip
+        self.drop(plan, "order without effect", now)
 
     def _accept(self, plan: HostPlan) -> None:
         now = read_clock()
+        note_settled(self._fleet, plan)
         log("host.ordered", host=plan.host, pool=plan.pool, wave=plan.wave, term=self._term.number)
         plan.apply_event("accepted", now)
+        plan.unanswered = False
         if plan.wave:
             # The host may have been maintained before, unknown to this controller. Then its worker
             # is running, and the order changed nothing.
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -25,7 +25,9 @@
     LIST_LAG_S,
     HostPlan,
     build_host_views,
+    has_outlived_order,
     is_order_complete,
+    is_overtaken,
     update_cordon,
 )
 from foxtrestle.scheduling.maintenance_waves import (
@@ -49,6 +51,7 @@
     divide_hosts,
 )
 from foxtrestle.scheduling.state import WaveEntry
+from foxtrestle.scheduling.unsettled_orders import note_settled, remove_expired
 from foxtrestle.store import StoreError
 
 if TYPE_CHECKING:
@@ -146,6 +149,7 @@
         self._add_waves()
         views = build_host_views(fleet)
         self._advance(views, now)
+        remove_expired(fleet, now)
         for worker in fleet.workers.values():
             # Plans end in several ways, and workers restart or change their hosts meanwhile.
             update_cordon(fleet, worker)
@@ -214,10 +218,17 @@
                 continue
             if plan.state == "emptying":
                 self._empty(plan, view, views, now)
+            elif view.worker is not None and has_outlived_order(plan, view.worker, now):
+                self._order_sender.end_without_effect(plan, view.worker, now)
+            elif is_overtaken(plan, view.worker):
+                # The order must not be sent again: it would end the tasks of the host's new worker.
+                self._order_sender.drop(plan, "host has a new worker", now)
             elif plan.state == "changing":
                 away_s = limits.maintenance_s if plan.wave else limits.move_s
                 list_is_newer = is_list_newer_than(self._fleet, plan.changed_at)
                 if is_order_complete(view, away_s, now, list_is_newer=list_is_newer):
+                    if view.pool == plan.pool and not plan.wave:
+                        note_settled(self._fleet, plan)
                     log("host.back", host=plan.host, pool=view.pool, wave=plan.wave,
                         took_s=round(now - plan.changed_at, 2))  # fmt: skip
                     plan.apply_event("back", now)
@@ -243,7 +254,8 @@
             return
         if plan.wave:
             entry = self._fleet.waves[plan.wave]
-            if check_maintenance(entry, view, count_in_maintenance(entry, views)):
+            in_maintenance = count_in_maintenance(entry, views, besides=plan.host)
+            if check_maintenance(entry, view, in_maintenance):
                 return
         if worker is not None:
             plan.record_worker(worker)
--- a/src/foxtrestle/scheduling/candidates.py
+++ b/src/foxtrestle/scheduling/candidates.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING, Final, TypeAlias
 
 from foxtrestle.scheduling.crashes import FRESH_S
-from foxtrestle.scheduling.eligibility import is_cold, is_suspect
+from foxtrestle.scheduling.eligibility import is_less_suitable, is_suspect
 from foxtrestle.scheduling.model import Shape
 from foxtrestle.scheduling.topology_spread import ZoneRackCounts
 
@@ -158,10 +158,10 @@
         ]
         """All candidates."""
         self._suspects = [candidate for candidate in self.all if is_suspect(candidate.worker)]
-        self._cold = [
+        self._less_suitable = [
             candidate
             for candidate in self.all
-            if is_cold(candidate.worker) and not is_suspect(candidate.worker)
+            if is_less_suitable(candidate.worker) and not is_suspect(candidate.worker)
         ]
         preferred = (candidate for candidate in self.all if not _is_last_resort(candidate.worker))
         self._preferred = sorted(
@@ -299,9 +299,10 @@
         for _, _, candidate in reversed(preferred) if task.probation else preferred:
             if candidate.has_capacity(needed):
                 yield candidate
-        if self._cold:
+        if self._less_suitable:
             yield from sorted(
-                (candidate for candidate in self._cold if candidate.has_capacity(needed)), key=_rank
+                (candidate for candidate in self._less_suitable if candidate.has_capacity(needed)),
+                key=_rank,
             )
         # A suspect worker gets one task at a time.
         idle = [
@@ -359,8 +360,8 @@
 
 
 def _is_last_resort(worker: Worker) -> bool:
-    """Return whether a worker is used only after all workers that are neither suspect nor cold."""
-    return is_suspect(worker) or is_cold(worker)
+    """Return whether a worker is used only after all workers that have nothing against them."""
+    return is_suspect(worker) or is_less_suitable(worker)
 
 
 def sum_shapes(shapes: Iterable[Shape]) -> Shape:
@@ -374,4 +375,4 @@
 
 def _rank_reserve(candidate: Candidate) -> tuple[bool, bool, int, str]:
     worker = candidate.worker
-    return is_suspect(worker), is_cold(worker), -candidate.cpu, worker.info.id
+    return is_suspect(worker), is_less_suitable(worker), -candidate.cpu, worker.info.id
--- a/src/foxtrestle/scheduling/eligibility.py
+++ b/src/foxtrestle/scheduling/eligibility.py
@@ -101,9 +101,12 @@
     return find_ineligibility(worker, now) is None
 
 
-def is_cold(worker: Worker) -> bool:
-    """Return whether a worker is still warming up, according to its entry."""
-    return worker.info.warmup_left_s > 0
+def is_less_suitable(worker: Worker) -> bool:
+    """Return whether other workers are preferred.
+
+    The worker is still warming up, according to its entry, or a late order may end its runs.
+    """
+    return worker.info.warmup_left_s > 0 or worker.may_be_ordered_away
 
 
 def is_suspect(worker: Worker) -> bool:
--- a/src/foxtrestle/scheduling/hosts.py
+++ b/src/foxtrestle/scheduling/hosts.py
@@ -8,7 +8,7 @@
 
 from foxtrestle.chart import load_chart
 from foxtrestle.scheduling.draining import is_drained
-from foxtrestle.scheduling.eligibility import RENEWAL_WAIT_S
+from foxtrestle.scheduling.eligibility import ANSWER_OVERDUE_S, RENEWAL_WAIT_S
 from foxtrestle.scheduling.host_list_polling import is_list_newer_than
 from foxtrestle.scheduling.losses import HOST_LOSS_REASONS, LossReason
 from foxtrestle.scheduling.model import Shape
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from foxtrestle.scheduling.model import HostInfo
     from foxtrestle.scheduling.state import Fleet
+    from foxtrestle.scheduling.unsettled_orders import UnsettledOrder
     from foxtrestle.scheduling.workers import Worker
 
 PLAN_CHART: Final = load_chart("plan")
@@ -41,11 +42,13 @@
     """A planned change of one host: a move to another pool, or planned maintenance."""
 
     __slots__ = (
+        "awaiting_answer",
         "changed_at",
         "host",
         "old_started_ms",
         "old_worker",
         "pool",
+        "sent_at",
         "state",
         "unanswered",
         "wave",
@@ -67,6 +70,10 @@
         """State in the state chart `plan`."""
         self.changed_at = now
         """Monotonic time of the last change of state, seconds."""
+        self.sent_at = now
+        """Monotonic time at which the order was last sent, seconds; first, that of the plan."""
+        self.awaiting_answer = False
+        """Whether the order was sent and its answer may still arrive."""
         self.unanswered = False
         """Whether an attempt to send the order had no answer, so that its outcome is unknown."""
 
@@ -109,6 +116,8 @@
     drained: bool = False
     """Whether its zone is drained: as recorded for the worker if its entry still exists, otherwise
     by the listed zone. A drained host takes no tasks."""
+    unsettled: UnsettledOrder | None = None
+    """Order that had no answer and may still be carried out; None if there is none."""
 
     @property
     def capacity(self) -> Shape:
@@ -129,6 +138,7 @@
     """Cordon a worker while a plan for its host bars it, and only that long."""
     plan = fleet.plans.get(worker.info.host)
     worker.cordoned = plan is not None and plan.bars(worker)
+    worker.may_be_ordered_away = worker.info.host in fleet.unsettled_orders
 
 
 def is_unresponsive(worker: Worker, now: float) -> bool:
@@ -216,7 +226,8 @@
             if registered_worker is not None
             else is_drained(fleet, info.zone)
         )
-        views[name] = HostView(info, newest_worker, fleet.plans.get(name), pool, drained)
+        plan, unsettled = fleet.plans.get(name), fleet.unsettled_orders.get(name)
+        views[name] = HostView(info, newest_worker, plan, pool, drained, unsettled)
     return views
 
 
@@ -235,11 +246,10 @@
 ) -> bool:
     """Return whether a host's order is over, so that its plan can be removed.
 
-    An order is over once the host has a new worker, or once the worker from before it has answered
-    after it: the platform has then done nothing, or had carried the order out before. Without a new
-    worker, a move is over when the platform has had `order_s` for it and lists the host as `up` in
-    the target pool, as it also lists a powered-off host in the reserve pool. Any order is over when
-    a list newer than the order shows the host as `up` in any pool after `order_s` and `LIST_LAG_S`.
+    An order is over once the host has a new worker. Without a new worker, a move is over when the
+    platform has had `order_s` for it and lists the host as `up` in the target pool, as it also
+    lists a powered-off host in the reserve pool. Any order is over when a list newer than the order
+    shows the host as `up` in any pool after `order_s` and `LIST_LAG_S`.
 
     Args:
         view: The host.
@@ -251,11 +261,7 @@
     if plan is None:
         return True
     worker = view.worker
-    if (
-        worker is not None
-        and not worker.entry_gone
-        and (not plan.is_old_incarnation(worker) or has_outlived_order(plan, worker))
-    ):
+    if worker is not None and not worker.entry_gone and not plan.is_old_incarnation(worker):
         return True
     if not plan.wave and view.info.pool == plan.pool and view.info.state == "up":
         # `LIST_LAG_S` is not added: the list's own lag of about 0.8 s is less than a move takes,
@@ -266,16 +272,45 @@
     )
 
 
-def has_outlived_order(plan: HostPlan, worker: Worker) -> bool:
-    """Return whether the incarnation from before an order has answered since.
+def has_outlived_order(plan: HostPlan, worker: Worker, now: float) -> bool:
+    """Return whether an order has had no effect: the worker from before it has answered since.
 
-    An order ends everything on its host as soon as it is carried out.
+    An order ends everything on its host as soon as it is carried out. One that had no answer may
+    still be carried out later; one that was confirmed had been carried out before.
     """
+    if plan.awaiting_answer or not (plan.unanswered or plan.state == "changing"):
+        return False
+    since = plan.sent_at if plan.unanswered else plan.changed_at
     return (
-        plan.state == "changing"
-        and plan.is_old_incarnation(worker)
-        and worker.contact_loss is None
-        and worker.last_answer_at > plan.changed_at + ORDER_EFFECT_S
+        plan.state in {"ordering", "changing"}
+        and _may_answer(plan, worker)
+        and since + ORDER_EFFECT_S < worker.last_answer_at <= now
+    )
+
+
+def may_outlive_order(plan: HostPlan, worker: Worker | None, now: float) -> bool:
+    """Return whether an answer of the worker may soon show that an order has had no effect."""
+    overdue = now - plan.sent_at > ANSWER_OVERDUE_S
+    return worker is not None and not overdue and _may_answer(plan, worker)
+
+
+def _may_answer(plan: HostPlan, worker: Worker) -> bool:
+    """Return whether the incarnation from before an order is, as far as is known, still there."""
+    return plan.is_old_incarnation(worker) and not worker.entry_gone and worker.contact_loss is None
+
+
+def is_overtaken(plan: HostPlan, worker: Worker | None) -> bool:
+    """Return whether a host has a new worker while its order, which had no answer, is sent again.
+
+    The new worker is the result of the order, or of a crash.
+    """
+    return (
+        plan.state == "ordering"
+        and plan.unanswered
+        and not plan.awaiting_answer
+        and worker is not None
+        and not worker.entry_gone
+        and not plan.is_old_incarnation(worker)
     )
 
 
--- a/src/foxtrestle/scheduling/losses.py
+++ b/src/foxtrestle/scheduling/losses.py
@@ -54,6 +54,12 @@
 been removed."""
 
 
+RESTART_REASONS: Final = frozenset(
+    {LossReason.ADDRESS_REUSED, LossReason.RESTARTED, LossReason.NEW_WORKER}
+)
+"""Reasons for which a worker is lost that a late order has as well: its host has another one."""
+
+
 def is_crash(fleet: Fleet, worker: Worker, reason: LossReason) -> bool:
     """Return whether a worker has certainly crashed, rather than left by itself or by an order.
 
@@ -63,5 +69,22 @@
     """
     plan = fleet.plans.get(worker.info.host)
     ordered = plan is not None and plan.state != "emptying"
+    ordered = ordered or _is_ordered_late(fleet, worker, reason)
     leaving = worker.contact_loss.leaving if worker.contact_loss is not None else worker.entry_gone
     return reason in CRASH_REASONS and not leaving and not ordered
+
+
+def _is_ordered_late(fleet: Fleet, worker: Worker, reason: LossReason) -> bool:
+    """Return whether an order that had no answer, rather than a crash, explains a worker's loss.
+
+    A move shows in the pool of the host's next worker, or of the list's entry. Maintenance leaves
+    the host in its pool, so that another worker there may be the result of it or of a crash.
+    """
+    order = fleet.unsettled_orders.get(worker.info.host)
+    if order is None or reason not in RESTART_REASONS:
+        return False
+    if order.wave:
+        return True
+    host = fleet.hosts.get(worker.info.host)
+    pools = {worker.info.pool} if host is None else {worker.info.pool, host.pool}
+    return order.pool in pools
--- a/src/foxtrestle/scheduling/maintenance_waves.py
+++ b/src/foxtrestle/scheduling/maintenance_waves.py
@@ -61,7 +61,7 @@
     """
     wave = entry.wave
     pending = _list_pending(entry, views, postponed)
-    in_progress = sum(1 for name in wave.hosts if _is_under_way(views.get(name), wave.number))
+    in_progress = sum(1 for name in wave.hosts if _holds_slot(views.get(name), wave.number))
     free_slots = max(0, wave.max_parallel - in_progress)
     rounds_left = -(-len(pending) // max(1, wave.max_parallel))
     time_left = wave.within_s - DEADLINE_MARGIN_S - elapsed_s
@@ -69,14 +69,17 @@
     chosen: list[HostView] = []
     spare_left = dict(spare)
     for view in sorted(pending, key=_rank_for_maintenance):
-        if len(chosen) >= free_slots:
-            break
+        # A host whose maintenance may still begin by an earlier order holds its slot already.
+        needs_slot = not _holds_slot(view, wave.number)
+        if needs_slot and not free_slots:
+            continue
         if view.info.state in {"moving", "upkeep", "down"}:
             continue
         cost = 1.0 if view.is_serving() and not view.drained else 0.0
         if not deadline_near and cost and spare_left.get(view.pool, 0.0) < cost:
             continue
         spare_left[view.pool] = spare_left.get(view.pool, 0.0) - cost
+        free_slots -= needs_slot
         chosen.append(view)
     return chosen
 
@@ -103,19 +106,40 @@
     return in_open_zone, view.is_serving(), -worker.lasting_count, worker.used.cpu, view.info.name
 
 
-def _is_under_way(view: HostView | None, wave: int) -> bool:
-    return view is not None and view.plan is not None and view.plan.wave == wave
+def _is_under_way(view: HostView, wave: int) -> bool:
+    return view.plan is not None and view.plan.wave == wave
+
+
+def _may_begin_late(view: HostView, wave: int) -> bool:
+    """Return whether a host's maintenance may still begin by an order that had no answer."""
+    return view.unsettled is not None and view.unsettled.wave == wave
+
+
+def _holds_slot(view: HostView | None, wave: int) -> bool:
+    """Return whether a host counts towards the limit of a wave."""
+    return view is not None and (_is_under_way(view, wave) or _may_begin_late(view, wave))
 
 
-def count_in_maintenance(entry: WaveEntry, views: dict[str, HostView]) -> int:
-    """Count the hosts of a wave that are, or may be, in maintenance."""
+def count_in_maintenance(entry: WaveEntry, views: dict[str, HostView], besides: str = "") -> int:
+    """Count the hosts of a wave that are, or may be, in maintenance.
+
+    Args:
+        entry: The wave.
+        views: All hosts.
+        besides: Name of a host that is not counted unless its order is being sent.
+    """
     in_maintenance = 0
+    wave = entry.wave.number
     for name in entry.wave.hosts:
         view = views.get(name)
         if view is None:
             continue
         ordered = view.plan is not None and view.plan.state in {"ordering", "changing"}
-        if view.info.state == "upkeep" or (ordered and _is_under_way(view, entry.wave.number)):
+        if (
+            view.info.state == "upkeep"
+            or (ordered and _is_under_way(view, wave))
+            or (name != besides and _may_begin_late(view, wave))
+        ):
             in_maintenance += 1
     return in_maintenance
 
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -13,6 +13,7 @@
     from foxtrestle.scheduling.jobs import JobEntry, Run, Task
     from foxtrestle.scheduling.model import FleetConfiguration, HostInfo, TaskKey, Wave
     from foxtrestle.scheduling.reservations import HostReservation
+    from foxtrestle.scheduling.unsettled_orders import UnsettledOrder
     from foxtrestle.scheduling.workers import Worker
 
 MAX_ENDED_IDS: Final = 10_000
@@ -75,6 +76,8 @@
         """Waves by number."""
         self.plans: dict[str, HostPlan] = {}
         """Planned moves and maintenance, by host name."""
+        self.unsettled_orders: dict[str, UnsettledOrder] = {}
+        """Orders that had no answer and may still be carried out, by host name."""
         self.tickets: dict[tuple[str, int, int], dict[str, tuple[str, float]]] = {}
         """Tickets of the policy service by step and worker, each with the monotonic time at which
         it expires; an empty ticket means that the worker may not run the step."""
--- a/src/foxtrestle/scheduling/workers.py
+++ b/src/foxtrestle/scheduling/workers.py
@@ -49,6 +49,7 @@
         "lasting_count",
         "lasting_used",
         "lease_expires_at",
+        "may_be_ordered_away",
         "probation_runs",
         "recorded_end",
         "restarted",
@@ -77,6 +78,9 @@
         self.cordoned = False
         """Whether the host is being emptied for a move to another pool or for maintenance, so that
         the worker gets no new runs; derived from the host's plan by `hosts.update_cordon`."""
+        self.may_be_ordered_away = False
+        """Whether an order for the host had no answer and may still be carried out, which would end
+        all runs; derived by `hosts.update_cordon`."""
         self.drained = False
         """Whether the worker's zone is drained, or may be, so that no run is started on the worker;
         set by the module `scheduling.draining`."""
--- a/tests/test_unanswered_host_orders.py
+++ b/tests/test_unanswered_host_orders.py
@@ -70,6 +70,19 @@
         assert site.host_orders == []
 
 
+async def test_a_host_takes_tasks_while_the_interface_is_still_silent() -> None:
+    """The worker answers, so the order has had no effect; it is not sent again meanwhile."""
+    site = Site()
+    async with run_nodes(site, hosts=1) as (client, nodes):
+        controller = await wait_for_controller(nodes, 1)
+        site.faults.hosts_silent = True
+        plan = plan_power_off(controller)
+        assert await client.submit(make_job_id(1)) == 200
+        await wait_for(lambda: has_job_state(client, make_job_id(1), "completed"))
+        assert plan.unanswered
+        assert site.calls["order"] == 1
+
+
 async def test_a_worker_that_restarts_under_its_id_during_an_order_takes_tasks_again() -> None:
     site = Site()
     async with run_nodes(site, hosts=1) as (client, nodes):
