Order and empty no hosts while the interface for hosts does not answer

What callers saw: under silences, resets or refusals of the machine interface pools lost workers that were running well: hosts were emptied for waves and moves whose orders couldn't be sent, given back, and chosen again.

Cause: every decision ordered as if the interface answered; nothing kept what its answers tell.

Change: HostInterface, a state machine without I/O (answering, overdue, away, recovering). While away nothing is ordered, hosts being emptied serve again and no reservation takes hosts of other pools; then 4 orders at a time, doubled with each answer. Time-outs follow known answer times. A status of 500 or more is no refusal of this host.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -201,6 +201,10 @@
         """Account of what the hosts are used for."""
         return self._hosts.accounts
 
+    def is_host_interface_away(self) -> bool:
+        """Return whether the platform's interface for hosts does not answer."""
+        return self._hosts.is_interface_away()
+
     def wake(self) -> None:
         """Start another scheduling round soon."""
         self._changed.set()
--- a/src/foxtrestle/control/host_order_sender.py
+++ b/src/foxtrestle/control/host_order_sender.py
@@ -11,6 +11,7 @@
 from foxtrestle.control.log import log
 from foxtrestle.platform.hosts import HostOrderRefused
 from foxtrestle.platform.http import CallError, NoResponse, RateLimited
+from foxtrestle.scheduling.host_interface import HostInterface
 from foxtrestle.scheduling.hosts import has_outlived_order, may_outlive_order, update_cordon
 from foxtrestle.scheduling.losses import LossReason
 from foxtrestle.scheduling.unsettled_orders import note_settled, note_unsettled
@@ -47,6 +48,7 @@
         waves: WaveRecords,
         release_worker: Callable[[Worker, LossReason], None],
         budget: OrderBudget,
+        interface: HostInterface | None = None,
     ) -> None:
         """Create a sender for one term.
 
@@ -58,7 +60,9 @@
             waves: Where the progress of waves is recorded.
             release_worker: Called when a worker's incarnation has certainly ended.
             budget: Rate limit of orders, from which the caller takes each order before sending it.
+            interface: Health of the platform's host interface, which is updated.
         """
+        self._interface = interface or HostInterface()
         self._fleet = fleet
         self._term = term
         self._client = client
@@ -105,6 +109,8 @@
                     note_unsettled(self._fleet, plan, plan.sent_at)
                 log("host.order-unanswered", host=plan.host, wave=plan.wave, pool=plan.pool,
                     reason=error.reason)  # fmt: skip
+                if not plan.unanswered:
+                    break
                 await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S * 1.5))
                 if await self._watch_effect(plan):
                     return
@@ -119,11 +125,28 @@
         """Send an order and wait for its answer."""
         plan.sent_at = read_clock()
         plan.awaiting_answer = True
+        interface = self._interface
+        number = interface.begin_order(plan.sent_at)
+        self._client.timeout_s = interface.choose_timeout()
         try:
             if plan.wave:
                 await self._client.maintain(plan.host, plan.wave, self._term.number)
             else:
                 await self._client.move(plan.host, plan.pool, self._term.number)
+        except HostOrderRefused:
+            interface.note_order_answer(number, read_clock())
+            raise
+        except RateLimited:
+            interface.end_order(number)
+            raise
+        except CallError:
+            interface.note_order_failure(number)
+            raise
+        except asyncio.CancelledError:
+            interface.end_order(number)
+            raise
+        else:
+            interface.note_order_answer(number, read_clock())
         finally:
             plan.awaiting_answer = False
 
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -19,6 +19,7 @@
 from foxtrestle.control.wave_records import WaveRecords
 from foxtrestle.scheduling.checks import check_maintenance
 from foxtrestle.scheduling.fair_share import update_saturation
+from foxtrestle.scheduling.host_interface import HostInterface, InterfaceState
 from foxtrestle.scheduling.host_list_polling import is_list_newer_than
 from foxtrestle.scheduling.host_requirements import find_host_requirements
 from foxtrestle.scheduling.hosts import (
@@ -116,10 +117,21 @@
         self._background = BackgroundTasks()
         self._records = OrderRecords(store, term, settings.operating_limits.hand_over_gap_s)
         self._waves = WaveRecords(store, term)
-        self._host_list = HostList(fleet, term.partition, client, wake, settings.host_reads_per_s)
+        self._interface = HostInterface()
+        self._interface_state = InterfaceState.ANSWERING
+        self._host_list = HostList(
+            fleet, term.partition, client, wake, settings.host_reads_per_s, self._interface
+        )
         self._budget = OrderBudget(settings.host_orders_per_s, term.partition.count)
         self._order_sender = HostOrderSender(
-            fleet, term, client, self._records, self._waves, release_worker, self._budget
+            fleet,
+            term,
+            client,
+            self._records,
+            self._waves,
+            release_worker,
+            self._budget,
+            self._interface,
         )
         self._loaded = False
 
@@ -147,6 +159,7 @@
             return
         self._evaluated_at = now
         self._add_waves()
+        self._check_interface(now)
         views = build_host_views(fleet)
         self._advance(views, now)
         remove_expired(fleet, now)
@@ -163,6 +176,35 @@
         self._plan_moves(views, needs, now)
         self.accounts.update(build_host_views(fleet).values(), self._find_reserve(), now)
 
+    def is_interface_away(self) -> bool:
+        """Return whether the platform's interface for hosts does not answer."""
+        return self._interface_state is InterfaceState.AWAY
+
+    def _check_interface(self, now: float) -> None:
+        """Let hosts serve that are being emptied for orders that cannot be sent now."""
+        state = self._interface.find_state(now)
+        if state is not self._interface_state:
+            log("host-interface.changed", state=state, former=self._interface_state)
+            self._interface_state = state
+        if state is not InterfaceState.AWAY:
+            return
+        for plan in list(self._fleet.plans.values()):
+            if plan.state == "emptying":
+                self._order_sender.drop(plan, "host interface is away", now)
+
+    def _limit_plans(self, views: dict[str, HostView], now: float) -> int:
+        """Return how many further hosts may be planned now.
+
+        Hosts that are being emptied are not counted: their orders are not waiting yet.
+        """
+        waiting = sum(
+            1
+            for plan in self._fleet.plans.values()
+            if plan.state == "emptying" and (plan.host not in views or views[plan.host].is_idle())
+        )
+        limit = self._interface.count_further_orders(waiting, now)
+        return len(self._fleet.hosts) if limit is None else limit
+
     def _find_reserve(self) -> str:
         """Return the name of the pool of powered-off hosts; empty if there is none."""
         configuration = self._fleet.configuration
@@ -271,7 +313,7 @@
         the earlier orders for all hosts: the list may not show yet which hosts are away, and a
         wave's limit counts them.
         """
-        if not self._term.is_valid():
+        if not self._term.is_valid() or self._interface.count_further_orders(0, now) == 0:
             return False
         limits = self._settings.operating_limits
         term_age_s = now - self._started_at
@@ -314,7 +356,8 @@
             # A node that started late read the wave late; the wave's record states when it began.
             elapsed_s = max(now - seen_at, time.time() - entry.begun_ms / 1000)
             postponed = [name for name, until in self._postponed.items() if now < until]
-            for view in choose_wave_hosts(entry, views, spare_hosts, elapsed_s, postponed):
+            chosen = choose_wave_hosts(entry, views, spare_hosts, elapsed_s, postponed)
+            for view in chosen[: self._limit_plans(views, now)]:
                 self._plan(view, view.pool, entry.wave.number, now)
             if entry.done.issuperset(entry.wave.hosts):
                 entry.completed = True
@@ -351,9 +394,14 @@
             reservation,
             spread_zones=self._fleet.spread_lasting,
         )
-        self._power_off_budget.take(sum(1 for move in moves if move.pool == reserve))
+        redirected = [move for move in moves if move.host in self._fleet.plans]
+        new_moves = [move for move in moves if move.host not in self._fleet.plans]
         idle_hosts = self._idle_drained.list_idle(views, reserve, now)
-        moves += [HostMove(name, reserve) for name in idle_hosts if name not in cooling_down]
+        new_moves += [HostMove(name, reserve) for name in idle_hosts if name not in cooling_down]
+        moves = redirected + new_moves[: self._limit_plans(views, now)]
+        self._power_off_budget.take(
+            sum(1 for move in moves if move.pool == reserve and move.host not in idle_hosts)
+        )
         logged_needs = {
             name: [round(need.demand, 2), need.wanted, need.have, round(need.growth, 1)]
             for name, need in needs.items()
@@ -368,7 +416,8 @@
 
     def _update_reservation(self, views: dict[str, HostView], now: float) -> HostReservation | None:
         previous = self._fleet.reservation
-        reservation = update_reservation(self._fleet, views, now)
+        may_move = not self.is_interface_away()
+        reservation = update_reservation(self._fleet, views, now, may_move=may_move)
         if previous is not None and reservation is not previous:
             log("turn.ended", job=previous.step_key[0], step=previous.step_key[2],
                 took_s=round(now - previous.since, 2))  # fmt: skip
--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -222,6 +222,9 @@
             state["term"] = max(fleet.term for fleet in fleets)
             state["jobs_active"] = sum(len(fleet.active) for fleet in fleets)
             state["workers"] = sum(len(fleet.workers) for fleet in fleets)
+            state["host_interface_away"] = sum(
+                controller.is_host_interface_away() for controller in self.controllers.values()
+            )
             state["host_plans"] = sum(len(fleet.plans) for fleet in fleets)
             state["organisations_at_limit"] = sum(
                 len(fleet.organisations_at_limit) for fleet in fleets
--- a/src/foxtrestle/platform/hosts.py
+++ b/src/foxtrestle/platform/hosts.py
@@ -21,6 +21,8 @@
 
 TOO_MANY_REQUESTS: Final = 429
 """HTTP status of a call beyond the platform's rate limit for all nodes together."""
+SERVER_ERROR: Final = 500
+"""Lowest HTTP status of a call that the platform could not serve; it did nothing."""
 LIST_RETRY_BUDGET_S: Final = 10.0
 """Default limit of the total pause while one list is read, seconds: a list that is read only once,
 when a fleet starts, can wait. The list of 57,000 hosts has 115 pages, which take 1.8 s at 64 pages
@@ -68,17 +70,18 @@
             address: `ip:port` of the platform's interface for hosts.
             node: Name of this node, which is sent with each order.
             connections: Connections of this process.
-            timeout_s: Time-out of a call, seconds.
+            timeout_s: Time-out of a call, seconds, until it is changed.
         """
         self.calls = {"list": 0, "list refused": 0, "order": 0}
         """Calls made, by kind; `list refused` counts list pages refused by the rate limit."""
         self.pages = 1
         """Number of pages of the newest list; each page is one call."""
+        self.timeout_s = timeout_s
+        """Time-out of a call, seconds."""
         self._rng = random.Random()
         self._base = f"http://{address}/-/"
         self._node = node
         self._connections = connections
-        self._timeout_s = timeout_s
         self._unreadable: set[bytes] = set()
 
     async def list_hosts(self, retry_budget_s: float = LIST_RETRY_BUDGET_S) -> list[HostInfo]:
@@ -132,7 +135,7 @@
             "GET",
             self._base + "machines",
             step="hosts.list",
-            timeout_s=self._timeout_s,
+            timeout_s=self.timeout_s,
             query=query,
         )
         self.calls["list refused"] += reply.status == TOO_MANY_REQUESTS
@@ -170,7 +173,7 @@
             "POST",
             self._base + path,
             step=step,
-            timeout_s=self._timeout_s,
+            timeout_s=self.timeout_s,
             body=msgspec.json.encode(body),
             headers={
                 "Foxtrestle-Duty-Holder": self._node,
@@ -181,6 +184,8 @@
             return
         if reply.status == TOO_MANY_REQUESTS:
             raise RateLimited("call rate limit exceeded", step=step, peer=str(body["machine"]))
+        if reply.status >= SERVER_ERROR:
+            raise CallError(f"status {reply.status}", step=step, peer=str(body["machine"]))
         reason = str(reply.status)
         if reply.status == 409:
             reason = decode(reply.body, _Refused, step=step, peer=self._base).reason or reason
--- a/src/foxtrestle/scheduling/reservations.py
+++ b/src/foxtrestle/scheduling/reservations.py
@@ -62,7 +62,7 @@
 
 
 def update_reservation(
-    fleet: Fleet, views: dict[str, HostView], now: float
+    fleet: Fleet, views: dict[str, HostView], now: float, *, may_move: bool = True
 ) -> HostReservation | None:
     """Keep or end the current reservation, or make one; return the reservation that applies now.
 
@@ -70,6 +70,8 @@
         fleet: The state.
         views: All hosts.
         now: Monotonic time, seconds.
+        may_move: Whether hosts can be moved now; if not, only hosts of the step's pool are
+            reserved, and the others go on serving theirs.
     """
     smallest = find_smallest_capacity(views.values())
     candidates = {candidate.step_key: candidate for candidate in _list_candidates(fleet, smallest)}
@@ -78,7 +80,7 @@
         if (
             current.step_key in candidates
             and now - current.since < MAX_RESERVATION_S
-            and _are_hosts_usable(current, views)
+            and _are_hosts_usable(current, views, may_move=may_move)
         ):
             return current
         fleet.reservation_ends[current.step_key] = now
@@ -103,7 +105,7 @@
         )
     )
     for candidate in waiting:
-        hosts = _choose_hosts(candidate, fleet, views, now)
+        hosts = _choose_hosts(candidate, fleet, views, now, may_move=may_move)
         if hosts:
             fleet.reservation = HostReservation(
                 candidate.step_key, candidate.entry.job.pool, hosts, now
@@ -112,13 +114,24 @@
     return fleet.reservation
 
 
-def _are_hosts_usable(reservation: HostReservation, views: dict[str, HostView]) -> bool:
-    """Return whether all reserved hosts are still listed and none is in a drained zone."""
-    return reservation.hosts <= views.keys() and not any(
-        views[name].drained for name in reservation.hosts
+def _are_hosts_usable(
+    reservation: HostReservation, views: dict[str, HostView], *, may_move: bool
+) -> bool:
+    """Return whether all reserved hosts are listed, in no drained zone, and can get to the pool."""
+    return all(
+        name in views
+        and not views[name].drained
+        and (may_move or _is_in_pool(views[name], reservation.pool))
+        for name in reservation.hosts
     )
 
 
+def _is_in_pool(view: HostView, pool: str) -> bool:
+    """Return whether a host is in a pool, or has been ordered there."""
+    ordered = view.plan is not None and view.plan.state != "emptying" and view.plan.pool == pool
+    return ordered or view.pool == pool
+
+
 def _list_candidates(fleet: Fleet, smallest: Shape) -> Iterator[_Candidate]:
     """List the waiting steps that not every free host could run.
 
@@ -147,7 +160,7 @@
 
 
 def _choose_hosts(
-    candidate: _Candidate, fleet: Fleet, views: dict[str, HostView], now: float
+    candidate: _Candidate, fleet: Fleet, views: dict[str, HostView], now: float, *, may_move: bool
 ) -> frozenset[str]:
     """Choose hosts that can hold a whole step; none if there are not enough.
 
@@ -161,7 +174,7 @@
     ranked = sorted(views.items(), key=lambda item: _rank_host(pool, item[1]))
     for name, view in ranked:
         slots = min(missing, _count_task_slots(candidate.step, view, pool, now))
-        if not slots:
+        if not slots or not (may_move or _is_in_pool(view, pool)):
             continue
         if view.pool != pool and hosts_left.get(view.pool, 0) == 1:
             continue
