Repeat a failed write of the queues' counts alone

Cause: a finished write stays in the writer's set until the next one is sent, and a change of the counts alone led to no next one while the set wasn't empty. If that write had failed, the store counted as unavailable for ever, so nothing was placed, and no job changed that would have led to a write.

Fix: ask whether the writes have finished, not whether the set is empty.

--- a/src/foxtrestle/control/progress_writer.py
+++ b/src/foxtrestle/control/progress_writer.py
@@ -150,7 +150,9 @@
         """Return whether there is anything to write that is not in flight."""
         if self._fleet.dirty.keys() - self._jobs_in_flight:
             return True
-        return not self._writes and self._count_pending() != self._pending
+        # The writes that have finished stay in the set until the next one is sent.
+        idle = all(write.done() for write in self._writes)
+        return idle and self._count_pending() != self._pending
 
     async def _wait_for_slot(self) -> None:
         """Wait until the next batch may be sent; re-raises an exception of a write."""
