Let a host serve while its maintenance is refused

What callers would see: a host that takes nothing while the platform refuses its upkeep.

Cause: the plan of a refused maintenance went back to emptying; the empty host was ordered again in each round and stayed cordoned. A refused move was dropped.

Fix: a refused plan is dropped whatever it is for, and a maintenance is tried again after 1 s, when the host list shows why it was refused.

Test: test_refused_maintenance, one host, every order refused as busy: the job timed out before, and is done while the refusals go on now; the wave is completed once they end.

--- a/src/foxtrestle/control/host_order_sender.py
+++ b/src/foxtrestle/control/host_order_sender.py
@@ -32,6 +32,9 @@
 """Attempts to send an order that is not answered; orders are idempotent."""
 RETRY_S: Final = 0.3
 """Mean pause before an order is retried, seconds."""
+REFUSED_RETRY_S: Final = 1.0
+"""Seconds after which a refused maintenance is tried again, and for which the host serves: it was
+moving or about to leave, and the host list will show it."""
 EFFECT_POLL_S: Final = 0.05
 """Seconds between two checks whether a worker has answered after an order without an answer."""
 
@@ -62,6 +65,9 @@
             budget: Rate limit of orders, from which the caller takes each order before sending it.
             interface: Health of the platform's host interface, which is updated.
         """
+        self.refused_until: dict[str, float] = {}
+        """Hosts whose maintenance was refused, each with the monotonic time until which it is not
+        tried again."""
         self._interface = interface or HostInterface()
         self._fleet = fleet
         self._term = term
@@ -199,10 +205,9 @@
             reason=refusal.refusal)  # fmt: skip
         if refusal.refusal == "wave":
             self._fleet.waves[plan.wave].done.add(plan.host)
-        if refusal.refusal in {"wave", "400"} or not plan.wave:
-            self.drop(plan, refusal.refusal, now)
-            return
-        plan.apply_event("refused", now)
+        elif plan.wave:
+            self.refused_until[plan.host] = now + REFUSED_RETRY_S
+        self.drop(plan, refusal.refusal, now)
 
     def drop(self, plan: HostPlan, reason: str, now: float) -> None:
         """Drop a plan; its host keeps serving."""
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -355,7 +355,8 @@
                     entry.done.add(name)
             # A node that started late read the wave late; the wave's record states when it began.
             elapsed_s = max(now - seen_at, time.time() - entry.begun_ms / 1000)
-            postponed = [name for name, until in self._postponed.items() if now < until]
+            not_before = self._postponed | self._order_sender.refused_until
+            postponed = [name for name, until in not_before.items() if now < until]
             chosen = choose_wave_hosts(entry, views, spare_hosts, elapsed_s, postponed)
             for view in chosen[: self._limit_plans(views, now)]:
                 self._plan(view, view.pool, entry.wave.number, now)
--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -76,6 +76,8 @@
         """How many of the next requests for host list pages exceed the rate limit."""
         self.rate_limited_orders = 0
         """How many of the next host orders exceed the rate limit."""
+        self.refuses_orders = False
+        """Whether the platform refuses every order for hosts as `busy`."""
         self.hosts_down = False
         """Whether the host list rejects every call with status 503."""
         self.hosts_silent = False
@@ -575,7 +577,7 @@
             if body.get("wave") in host.waves or body.get("pool") == host.pool:
                 # A repeated order gets the same response as a new one.
                 return JSONResponse({})
-            if host.state != "up":
+            if host.state != "up" or self.faults.refuses_orders:
                 return JSONResponse({"reason": "busy"}, status_code=409)
             kind = "maintain" if "wave" in body else "move"
             if "wave" in body:
