Empty no host for a wave before its maintenance may be ordered

What callers would see: after a takeover during a wave, hosts up to the wave's limit idle for up to 4.5 s.

Cause: a new controller may order maintenance only when its predecessor's orders are old enough, but it chose and emptied the wave's hosts at once.

Fix: hosts are chosen at most EMPTYING_LEAD_S (1 s) ahead of that time.

Test: test_after_a_takeover_hosts_are_emptied_only_shortly_before_they_may_be_ordered failed before (planned although not to be ordered within a second), passes three times of three.

--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -82,6 +82,11 @@
 """Minimum seconds between two evaluations of the hosts."""
 
 
+EMPTYING_LEAD_S: Final = 1.0
+"""Seconds for which hosts are emptied ahead of the time from which they may be ordered; most tasks
+end within about as long."""
+
+
 class HostReconciler:
     """Reads the host list, plans moves and maintenance, and starts sending the orders."""
 
@@ -315,12 +320,16 @@
         """
         if not self._term.is_valid() or self._interface.count_further_orders(0, now) == 0:
             return False
-        limits = self._settings.operating_limits
-        term_age_s = now - self._started_at
-        if plan.wave and self._records.inherited:
-            return term_age_s > max(limits.hand_over_gap_s, limits.maintenance_s + LIST_LAG_S)
+        if plan.wave:
+            return self._may_maintain(now)
         return plan.host not in self._records.list_cooling_down(now)
 
+    def _may_maintain(self, now: float) -> bool:
+        """Return whether the earlier controller's orders are old enough for maintenance."""
+        limits = self._settings.operating_limits
+        wait_s = max(limits.hand_over_gap_s, limits.maintenance_s + LIST_LAG_S)
+        return not self._records.inherited or now - self._started_at > wait_s
+
     def _stop_remaining(self, plan: HostPlan, view: HostView, now: float) -> None:
         if view.worker is None:
             return
@@ -357,7 +366,9 @@
             elapsed_s = max(now - seen_at, time.time() - entry.begun_ms / 1000)
             not_before = self._postponed | self._order_sender.refused_until
             postponed = [name for name, until in not_before.items() if now < until]
-            chosen = choose_wave_hosts(entry, views, spare_hosts, elapsed_s, postponed)
+            chosen: list[HostView] = []
+            if self._may_maintain(now + EMPTYING_LEAD_S):
+                chosen = choose_wave_hosts(entry, views, spare_hosts, elapsed_s, postponed)
             for view in chosen[: self._limit_plans(views, now)]:
                 self._plan(view, view.pool, entry.wave.number, now)
             if entry.done.issuperset(entry.wave.hosts):
