Empty only as many hosts as can be ordered within the rate soon

What callers would see, where the platform takes few orders a second: empty hosts that wait for their turn.

Cause: hosts were chosen, cordoned and emptied without regard to the budget from which orders are sent.

Change: at most as many hosts are being emptied as the budget has orders for within EMPTYING_LEAD_S (1 s), and one at least (OrderBudget.count_soon).

Test: test_only_as_many_hosts_are_prepared_as_can_be_ordered_soon (the function is new).

--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -200,15 +200,16 @@
     def _limit_plans(self, views: dict[str, HostView], now: float) -> int:
         """Return how many further hosts may be planned now.
 
-        Hosts that are being emptied are not counted: their orders are not waiting yet.
+        Those for which an order can be sent soon, by the health of the interface and by its rate.
+        The interface is not asked to wait for hosts that are still being emptied.
         """
+        emptying = [plan for plan in self._fleet.plans.values() if plan.state == "emptying"]
         waiting = sum(
-            1
-            for plan in self._fleet.plans.values()
-            if plan.state == "emptying" and (plan.host not in views or views[plan.host].is_idle())
+            1 for plan in emptying if plan.host not in views or views[plan.host].is_idle()
         )
+        in_rate = max(1, self._budget.count_soon(now, EMPTYING_LEAD_S)) - len(emptying)
         limit = self._interface.count_further_orders(waiting, now)
-        return len(self._fleet.hosts) if limit is None else limit
+        return max(0, in_rate if limit is None else min(limit, in_rate))
 
     def _find_reserve(self) -> str:
         """Return the name of the pool of powered-off hosts; empty if there is none."""
--- a/src/foxtrestle/scheduling/order_budget.py
+++ b/src/foxtrestle/scheduling/order_budget.py
@@ -42,13 +42,21 @@
     def _max_credit(self) -> float:
         return max(1.0, self._per_s * BURST_S)
 
-    def take(self, now: float) -> bool:
-        """Return whether an order may be sent now; if so, charge the budget for it."""
+    def count_soon(self, now: float, seconds: float) -> int:
+        """Return how many orders may be sent until some seconds from now."""
+        self._earn(now)
+        return int(self._credit + seconds * self._per_s)
+
+    def _earn(self, now: float) -> None:
         if self._updated_at is not None:
             self._credit = min(
                 self._max_credit, self._credit + (now - self._updated_at) * self._per_s
             )
         self._updated_at = now
+
+    def take(self, now: float) -> bool:
+        """Return whether an order may be sent now; if so, charge the budget for it."""
+        self._earn(now)
         if self._credit < 1.0:
             return False
         self._credit -= 1.0
--- a/tests/test_order_budget.py
+++ b/tests/test_order_budget.py
@@ -62,6 +62,18 @@
     assert budget.take(NOW + 1.1 * interval_s)
 
 
+def test_only_as_many_hosts_are_prepared_as_can_be_ordered_soon() -> None:
+    budget = OrderBudget(1.0 / ORDER_SHARE, 1)
+    burst = int(BURST_S)
+    assert budget.count_soon(NOW, 1.0) == burst + 1
+    assert [budget.take(NOW) for _ in range(burst + 1)] == [True] * burst + [False]
+    assert budget.count_soon(NOW, 0.5) == 0
+    assert budget.count_soon(NOW, 1.0) == 1
+    assert budget.count_soon(NOW + 2.0, 1.0) == 3
+    budget.note_refusal()
+    assert budget.count_soon(NOW + 2.0, 1.0) == 1
+
+
 def test_power_offs_are_ordered_last() -> None:
     power_off, wave, move = (
         HostPlan("a", "off", 0, "", NOW),
