Count the age of a worker's answer from its call before acknowledging ends

Cause: ends are acknowledged only within 0.1 s of an answer, counted from when the node processed it.

Fix: the age counts from the call that was answered, 0.2 s at the most. After a long poll it takes one call more. A confirmed maintenance counts as without effect only if the worker was called after it.

--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -225,7 +225,7 @@
         worker.discarded_end = max(worker.discarded_end, acknowledged)
         if worker.contact_loss is not None:
             log("worker.answers", worker=worker.info.id)
-        worker.record_answer(now)
+        worker.record_answer(now, waited_s=now - sent_at)
         worker.clock_offset_ms = report.clock_ms - now * 1000
         stops = self._process_ends(report, now)
         unwanted = reconcile_runs(self._fleet, worker, report.running, now)
--- a/src/foxtrestle/scheduling/hosts.py
+++ b/src/foxtrestle/scheduling/hosts.py
@@ -276,16 +276,16 @@
     """Return whether an order has had no effect: the worker from before it has answered since.
 
     An order ends everything on its host as soon as it is carried out. One that had no answer may
-    still be carried out later; one that was confirmed had been carried out before.
+    still be carried out later; one that was confirmed had been carried out before. The worker must
+    have been called after a confirmation, as an answer from before it may arrive late, and a wave's
+    limit depends on it.
     """
-    if plan.awaiting_answer or not (plan.unanswered or plan.state == "changing"):
+    if plan.awaiting_answer or not _may_answer(plan, worker):
         return False
-    since = plan.sent_at if plan.unanswered else plan.changed_at
-    return (
-        plan.state in {"ordering", "changing"}
-        and _may_answer(plan, worker)
-        and since + ORDER_EFFECT_S < worker.last_answer_at <= now
-    )
+    if plan.unanswered and plan.state in {"ordering", "changing"}:
+        return plan.sent_at + ORDER_EFFECT_S < worker.last_answer_at <= now
+    called_at = worker.last_answer_at - worker.last_answer_wait_s
+    return plan.state == "changing" and plan.changed_at < called_at <= now
 
 
 def may_outlive_order(plan: HostPlan, worker: Worker | None, now: float) -> bool:
--- a/src/foxtrestle/scheduling/incarnations.py
+++ b/src/foxtrestle/scheduling/incarnations.py
@@ -20,9 +20,9 @@
     from foxtrestle.scheduling.state import Fleet
     from foxtrestle.scheduling.workers import Worker
 
-FRESH_ANSWER_S: Final = 0.1
-"""Seconds for which an answer shows which incarnation is running. A process takes longer to
-restart, and an end is recorded within a fifth of this time while the store is healthy."""
+FRESH_ANSWER_S: Final = 0.2
+"""Seconds after a call for which its answer shows which incarnation is running. A process takes
+longer to restart, and an end is recorded within a tenth of this time while the store is healthy."""
 
 
 def is_other_incarnation(worker: Worker, report: WorkerReport) -> bool:
@@ -36,14 +36,16 @@
 def choose_end_acknowledgement(worker: Worker, now: float) -> int:
     """Choose the end up to which the next call acknowledges ends to a worker; 0 for none.
 
-    A number is sent only right after an answer, and not again once a call with it was answered. A
-    later incarnation that received it would discard ends that no controller has processed, so that
-    completed tasks would be started again. For the same reason, a call with an acknowledgement must
-    not wait at the worker.
+    A number is sent only right after a call that was answered at once, and not again once a call
+    with it was answered. A later incarnation that received it would discard ends that no controller
+    has processed, so that completed tasks would be started again. The age of an answer counts from
+    its call, because the answer may have waited for a frozen or busy node, or on its way. For the
+    same reason, a call with an acknowledgement must not wait at the worker.
     """
     if worker.recorded_end <= worker.discarded_end or worker.contact_loss is not None:
         return 0
-    return worker.recorded_end if now - worker.last_answer_at <= FRESH_ANSWER_S else 0
+    called_at = worker.last_answer_at - worker.last_answer_wait_s
+    return worker.recorded_end if now - called_at <= FRESH_ANSWER_S else 0
 
 
 def begin_next_incarnation(
--- a/src/foxtrestle/scheduling/workers.py
+++ b/src/foxtrestle/scheduling/workers.py
@@ -45,6 +45,7 @@
         "info",
         "last_alive_at",
         "last_answer_at",
+        "last_answer_wait_s",
         "last_reached_at",
         "lasting_count",
         "lasting_used",
@@ -115,6 +116,9 @@
         """Monotonic time of the first complete report to this controller, seconds."""
         self.last_answer_at = -1e9
         """Monotonic time of the last answer, seconds."""
+        self.last_answer_wait_s = 0.0
+        """Seconds between the call that was answered last and the processing of its answer: the
+        worker sent the answer at some time in between."""
         self.last_reached_at = -1e9
         """Monotonic time of the last answer or refusal, seconds."""
         self.last_alive_at = -1e9
@@ -165,9 +169,15 @@
         self.fenced = False
         self.restarted = True
 
-    def record_answer(self, now: float) -> None:
-        """Note that the worker has answered."""
+    def record_answer(self, now: float, *, waited_s: float = 0.0) -> None:
+        """Note that the worker has answered.
+
+        Args:
+            now: Monotonic time, seconds.
+            waited_s: Seconds since the call that was answered.
+        """
         self.last_answer_at = now
+        self.last_answer_wait_s = waited_s
         self.last_reached_at = now
         self.last_alive_at = now
         self.contact_loss = None
--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -70,6 +70,9 @@
         self.long_poll_delay_s = 0.0
         """Seconds that a long-polling lease renewal takes to reach its worker; the incarnation that
         is running by then receives it."""
+        self.late_answer_s = 0.0
+        """Seconds by which the response to a lease renewal that reports ends arrives late, even if
+        the incarnation that sent it has ended meanwhile."""
         self.lost_order_answer_share = 0.0
         """Fraction of host orders that take effect and get no response."""
         self.rate_limited_lists = 0
@@ -443,13 +446,16 @@
                     answer, status = await handle(body), 200
                 except OrderRejected as refusal:
                     answer, status = {"reason": str(refusal)}, 409
+                clock = {"clockMs": int(worker.read_clock_ms())}
+                if answer.get("endTime") and self.faults.late_answer_s:
+                    await asyncio.sleep(self.faults.late_answer_s)
+                    return JSONResponse(clock | answer, status_code=status)
                 unpowered = worker.info.zone in self.faults.unpowered_zones
                 if worker.down or unpowered or worker.incarnation != incarnation:
                     # The incarnation that received the call cannot respond any more.
                     await asyncio.sleep(3600)
                 if worker.terminated:
                     return Response(status_code=421)
-                clock = {"clockMs": int(worker.read_clock_ms())}
                 return JSONResponse(clock | answer, status_code=status)
 
             return Route(f"/-/{path}", serve, methods=["POST"])
