Reset the connections of calls that are given up, and end orders with their term

Cause: a connection of a call that timed out was closed in the ordinary way, so the kernel kept its bytes and sent them when the partition healed.

Fix: connections to the platform are reset when they are closed (SO_LINGER of no time); orders that are being sent are cancelled with the term; an order's time-out (2 s at the most) stays under the gap between two controllers' orders (3 s).

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -191,7 +191,12 @@
         return StatisticsRecord(self.fleet.durations.build_record(), shares)
 
     async def _close(self, tasks: list[asyncio.Task[None]]) -> None:
-        everything = [*tasks, *self._registry.links.values(), *self._background.tasks]
+        everything = [
+            *tasks,
+            *self._registry.links.values(),
+            *self._background.tasks,
+            *self._hosts.sends,
+        ]
         for task in everything:
             task.cancel()
         await asyncio.gather(*everything, return_exceptions=True)
--- a/src/foxtrestle/control/hosts.py
+++ b/src/foxtrestle/control/hosts.py
@@ -120,6 +120,7 @@
         self._power_off_budget = PowerOffBudget()
         self._idle_drained = IdleDrainedHosts()
         self._background = BackgroundTasks()
+        self._sends = BackgroundTasks()
         self._records = OrderRecords(store, term, settings.operating_limits.hand_over_gap_s)
         self._waves = WaveRecords(store, term)
         self._interface = HostInterface()
@@ -140,6 +141,11 @@
         )
         self._loaded = False
 
+    @property
+    def sends(self) -> set[asyncio.Task[None]]:
+        """Orders that are being sent, to be cancelled at the end of the term."""
+        return self._sends.tasks
+
     async def run(self) -> None:
         """Load earlier records, then read the host list until cancelled."""
         await self._load()
@@ -310,7 +316,7 @@
         if not self._budget.take(now):
             return
         plan.apply_event("empty", now)
-        self._background.spawn(self._order_sender.send(plan))
+        self._sends.spawn(self._order_sender.send(plan))
 
     def _may_order(self, plan: HostPlan, now: float) -> bool:
         """Return whether an order may be sent now, which an earlier controller's order may delay.
--- a/src/foxtrestle/platform/connections.py
+++ b/src/foxtrestle/platform/connections.py
@@ -10,6 +10,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from typing import TYPE_CHECKING, Final
 
 import aiohttp
@@ -19,6 +21,8 @@
 if TYPE_CHECKING:
     from types import TracebackType
 
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
+"""Value of the socket option `SO_LINGER`: linger for no time, which means a reset."""
 KEEP_ALIVE_S: Final = 60.0
 """Seconds an idle connection is kept open; the platform charges for new connections to workers."""
 SWEEP_INTERVAL_S: Final = 5.0
@@ -35,6 +39,18 @@
 smallest nodes allow, and could open no more."""
 
 
+def _create_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+    """Create a socket that resets its connection when it is closed.
+
+    Bytes that could not be delivered are then discarded. Otherwise the kernel would deliver them
+    once a partition has healed, long after the caller has given the call up.
+    """
+    family, kind, protocol, *_ = address
+    created = socket.socket(family, kind, protocol)
+    created.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    return created
+
+
 class ConnectionPool:
     """Pool of connections that are kept open for further calls."""
 
@@ -51,6 +67,7 @@
             limit_per_host=per_peer,
             keepalive_timeout=KEEP_ALIVE_S,
             enable_cleanup_closed=False,
+            socket_factory=_create_socket,
         )
         self.session = aiohttp.ClientSession(
             connector=connector,
--- a/src/foxtrestle/scheduling/host_interface.py
+++ b/src/foxtrestle/scheduling/host_interface.py
@@ -18,8 +18,9 @@
 few milliseconds."""
 MIN_TIMEOUT_S: Final = 0.8
 """Time-out of a call while answers are fast, seconds."""
-MAX_TIMEOUT_S: Final = 3.0
-"""Time-out of a call while answers are slow, and of reads while there are none, seconds."""
+MAX_TIMEOUT_S: Final = 2.0
+"""Time-out of a call while answers are slow, and of reads while there are none, seconds. An order
+that is held up is given up before the next controller may order the same host."""
 ANSWER_TIME_DECAY: Final = 0.5
 """Fraction of a slow answer's time that still counts after the next answer."""
 FIRST_ORDERS: Final = 4
