Start all members of a gang with the same checkpoint

What callers saw (review, gang): an accepted gang that worked for some seconds and was never done.

Cause: each member was started with the checkpoint of its own runs. After a crash the lost member's is older, and all members must bring the same one (PROTOCOL.md), so every start ended alone after 3 s.

Fix: a checkpoint that one member reports is that of its whole gang; members whose records differ, from an earlier version, share one before they are placed.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -46,6 +46,7 @@
     end_job,
     place_run,
     release_steps,
+    share_checkpoint,
 )
 from foxtrestle.scheduling.share_limits import ShareLimiter, justifies_scale_up, spread_arrivals
 from foxtrestle.scheduling.state import Fleet
@@ -463,6 +464,8 @@
 
     def _carry_out(self, placement: Placement, now: float) -> None:
         starts: list[Start] = []
+        if placement.members[0][0].step.gang:
+            share_checkpoint([task for task, _ in placement.members])
         for task, worker in placement.members:
             violation = check_start(self.fleet, task, worker)
             if violation:
--- a/src/foxtrestle/scheduling/runs.py
+++ b/src/foxtrestle/scheduling/runs.py
@@ -146,8 +146,7 @@
     ):
         task.probation = False
         worker.probation_runs.discard((listed.key, listed.run))
-    if listed.checkpoint:
-        task.checkpoint = listed.checkpoint
+    _note_checkpoint(fleet.jobs[listed.key.job], task, listed.checkpoint)
     return None
 
 
@@ -164,8 +163,7 @@
     run = task.runs.get(end.run)
     drop_run(task, end.run, worker)
     fleet.mark_dirty(end.key.job)
-    if end.checkpoint:
-        task.checkpoint = end.checkpoint
+    _note_checkpoint(entry, task, end.checkpoint)
     if end.kind in {"done", "failed"}:
         # The run ended by itself and its worker still runs, so the task has not crashed the worker.
         task.probation = False
@@ -189,6 +187,30 @@
     return []
 
 
+def _note_checkpoint(entry: JobEntry, task: Task, checkpoint: str) -> None:
+    """Note a checkpoint that a run has reported; that of one member serves its whole gang."""
+    if not checkpoint:
+        return
+    for member in _list_members(entry, task) if task.step.gang else [task]:
+        member.checkpoint = checkpoint
+
+
+def _list_members(entry: JobEntry, task: Task) -> list[Task]:
+    """List the tasks of the gang that a task belongs to."""
+    step_key = task.key[:3]
+    return [member for member in entry.tasks.values() if member.key[:3] == step_key]
+
+
+def share_checkpoint(members: Collection[Task]) -> None:
+    """Give all members of a gang one checkpoint; they could not begin with different ones.
+
+    They differ only if an earlier version of foxtrestle recorded them.
+    """
+    checkpoint = next((member.checkpoint for member in members if member.checkpoint), "")
+    for member in members:
+        member.checkpoint = checkpoint
+
+
 def _note_failure(fleet: Fleet, task: Task, worker: Worker, now: float) -> None:
     """Attribute a failure to the worker, or to the task once it has failed on two workers."""
     worker.failed_at = now
@@ -223,13 +245,7 @@
 def _complete_task(fleet: Fleet, entry: JobEntry, task: Task, now: float) -> list[StopOrder]:
     """Mark a task as done, or all members of its gang."""
     key = task.key
-    members = [task]
-    if task.step.gang:
-        members = [
-            job_task
-            for job_task in entry.tasks.values()
-            if (job_task.key.repetition, job_task.key.step) == (key.repetition, key.step)
-        ]
+    members = _list_members(entry, task) if task.step.gang else [task]
     stops: list[StopOrder] = []
     for member in members:
         if member.done:
