Ask the policy service about each waiting step in its turn

Cause: the first waiting step in order of arrival was asked about, also if no worker could run it. Once the questions about the oldest steps took as long as answers are valid, later ones were never asked about.

Fix: choose_question, pure: workers without room or label are left out, and the step whose turn was longest ago comes next.

--- a/src/foxtrestle/control/policy_prefetch.py
+++ b/src/foxtrestle/control/policy_prefetch.py
@@ -8,13 +8,15 @@
 from foxtrestle.clock import read_clock
 from foxtrestle.control.log import Outage, log
 from foxtrestle.platform.http import CallError
-from foxtrestle.scheduling.eligibility import is_usable
+from foxtrestle.platform.policy import MAX_WORKERS
+from foxtrestle.scheduling.policy_steps import choose_question
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from foxtrestle.platform.policy import PolicyClient
-    from foxtrestle.scheduling.model import TaskKey
+    from foxtrestle.platform.policy import PolicyClient, PolicyDecision
+    from foxtrestle.scheduling.policy_steps import PolicyQuestion
+    from foxtrestle.scheduling.reservations import StepKey
     from foxtrestle.scheduling.state import Fleet
 
 RENEW_MARGIN_S: Final = 0.5
@@ -34,19 +36,21 @@
         self._fleet = fleet
         self._client = client
         self._wake = wake
+        # Monotonic time at which each step was last asked about, seconds.
+        self._asked_at: dict[StepKey, float] = {}
 
     async def run(self) -> None:
         """Fetch missing tickets until cancelled."""
         outage = Outage("advice", "advisor")
         while True:
-            step_and_workers = self._find_needed(read_clock())
-            if step_and_workers is None:
+            requested_at = read_clock()
+            question = choose_question(self._fleet, self._asked_at, MAX_WORKERS, requested_at)
+            if question is None:
                 await asyncio.sleep(IDLE_S)
                 continue
-            key, workers = step_and_workers
-            requested_at = read_clock()
+            self._note_asked(question, requested_at)
             try:
-                decision = await self._client.request_decision(key, workers)
+                decision = await self._client.request_decision(question.key, question.workers)
             except CallError as error:
                 outage.note_failure(error)
                 await asyncio.sleep(RETRY_S)
@@ -54,33 +58,22 @@
             outage.note_success()
             # The tickets may have been issued as early as the call was sent.
             expires_at = requested_at + decision.valid_s - RENEW_MARGIN_S
-            tickets = self._fleet.tickets.setdefault((key.job, key.repetition, key.step), {})
-            tickets.update(
-                {worker: (decision.tickets.get(worker, ""), expires_at) for worker in workers}
-            )
-            log("advice.taken", job=key.job, step=key.step, asked=len(workers),
-                allowed=len(decision.tickets), valid_s=decision.valid_s)  # fmt: skip
+            self._store_tickets(question, decision, expires_at)
             self._wake()
 
-    def _find_needed(self, now: float) -> tuple[TaskKey, list[str]] | None:
-        """Find the oldest waiting step that lacks a valid answer for some of its workers."""
-        configuration = self._fleet.configuration
-        if configuration is None:
-            return None
-        policy_queues = {queue.name for queue in configuration.queues if queue.uses_policy}
-        for entry in self._fleet.active.values():
-            if entry.job.queue not in policy_queues:
-                continue
-            for task in entry.ready.values():
-                key = task.key
-                tickets = self._fleet.tickets.get((key.job, key.repetition, key.step), {})
-                missing = [
-                    worker.info.id
-                    for worker in self._fleet.workers.values()
-                    if worker.info.pool == entry.job.pool
-                    and is_usable(worker, now)
-                    and tickets.get(worker.info.id, ("", 0.0))[1] < now
-                ]
-                if missing:
-                    return key, missing
-        return None
+    def _note_asked(self, question: PolicyQuestion, now: float) -> None:
+        self._asked_at = {
+            step: at for step, at in self._asked_at.items() if step[0] in self._fleet.active
+        }
+        self._asked_at[question.key[:3]] = now
+
+    def _store_tickets(
+        self, question: PolicyQuestion, decision: PolicyDecision, expires_at: float
+    ) -> None:
+        key = question.key
+        tickets = self._fleet.tickets.setdefault(key[:3], {})
+        tickets.update(
+            {worker: (decision.tickets.get(worker, ""), expires_at) for worker in question.workers}
+        )
+        log("advice.taken", job=key.job, step=key.step, asked=len(question.workers),
+            allowed=len(decision.tickets), valid_s=decision.valid_s)  # fmt: skip
--- a/src/foxtrestle/platform/policy.py
+++ b/src/foxtrestle/platform/policy.py
@@ -47,10 +47,15 @@
         self._connections = connections
 
     async def request_decision(self, key: TaskKey, workers: list[str]) -> PolicyDecision:
-        """Request the decision about which workers may run the step of a task."""
+        """Request the decision about which workers may run the step of a task.
+
+        Args:
+            key: A task of the step.
+            workers: Ids of the workers, at most `MAX_WORKERS`.
+        """
         body = {
             "step": f"{key.job}.{key.repetition}.{key.step}",
-            "workers": workers[:MAX_WORKERS],
+            "workers": workers,
         }
         reply = await call(
             self._connections,
