Stand-in: don't restart a later incarnation for an earlier crash

Cause: a crashed worker's pending restart was carried out though its host had been moved meanwhile and the next incarnation already ran under the same id, at once and without time down.

Fix: a pending restart belongs to the incarnation that crashed.

--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -244,8 +244,10 @@
             # The restart after an earlier crash is still pending and must not be brought forward.
             return
         worker.crash()
+        crashed_incarnation = worker.incarnation
         await asyncio.sleep(away_s)
-        if worker.terminated:
+        if worker.terminated or worker.incarnation != crashed_incarnation:
+            # The host was ordered away meanwhile, and its next worker may have begun already.
             return
         worker.restart(self._choose_start_ms())
         if updates_entry:
