Count a crash for the task whose start broke the worker's connection

What was seen: a task that crashes its workers started six times in place of five (KNOWN-RED.txt, traced).

Cause: only a lease renewal's broken connection was noted as evidence, not the start's own. If another worker answered first, the crash counted for no task.

Fix: a start whose connection breaks notes the loss of contact. If a crash is found before any call has failed, a start sent within 0.1 s of the worker's last answer counts as active. The registry no longer notes a failed call that never was, and a task is given up once.

--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -10,7 +10,12 @@
 from foxtrestle.clock import read_clock
 from foxtrestle.control.background_tasks import BackgroundTasks
 from foxtrestle.control.log import log
-from foxtrestle.platform.http import CallError, MalformedMessage, NoResponse
+from foxtrestle.platform.http import (
+    CallError,
+    MalformedMessage,
+    NoResponse,
+    is_connection_lost,
+)
 from foxtrestle.platform.workers import IncarnationMismatch, OrderRefused
 from foxtrestle.scheduling.checks import DRAINED, ZONES_UNKNOWN, check_send
 from foxtrestle.scheduling.losses import LossReason
@@ -141,6 +146,9 @@
                 return
             except (NoResponse, MalformedMessage) as error:
                 sent = True
+                if is_connection_lost(error):
+                    # The next answer may come from another incarnation, and then shows a crash.
+                    worker.record_unanswered_call(read_clock(), connection_lost=True)
                 self.note_unanswered(worker, token, error)
                 log("start.unanswered", job=task.key.job, worker=worker.info.id, token=token,
                     reason=error.reason)  # fmt: skip
--- a/src/foxtrestle/control/worker_registry.py
+++ b/src/foxtrestle/control/worker_registry.py
@@ -221,7 +221,6 @@
         """Release the runs of a worker whose incarnation or lease has certainly ended."""
         now = read_clock()
         unanswered = worker.contact_loss is not None
-        worker.record_unanswered_call(now)
         crashed = is_crash(self._fleet, worker, reason)
         release = release_worker(self._fleet, worker, now, crashed=crashed)
         self._log_lost_runs(release, worker, reason, crashed=crashed)
@@ -256,7 +255,6 @@
         now = read_clock()
         reason = LossReason.RESTARTED
         unanswered = worker.contact_loss is not None
-        worker.record_unanswered_call(now)
         crashed = is_crash(self._fleet, worker, reason)
         log("worker.other-life", worker=worker.info.id, born_ms=report.incarnation_started_ms,
             former_ms=worker.incarnation_started_ms, acknowledged=worker.recorded_end,
--- a/src/foxtrestle/scheduling/crashes.py
+++ b/src/foxtrestle/scheduling/crashes.py
@@ -31,6 +31,8 @@
 """Seconds after its start during which a run is a likely cause of its task's first crash; an older
 run is a likely cause only from the second crash on. Tasks that crash a worker do so after about
 10 ms; of the tasks that take 0.6 s, six in ten are older than this limit at any time."""
+ALIVE_BEFORE_START_S: Final = 0.1
+"""Seconds after a worker's last answer within which a start counts as having reached it."""
 PROBATION_S: Final = 0.5
 """Minimum age of a run on probation at which its task is cleared, seconds. Until then the worker
 gets no other runs, which costs a pool of 8 workers a sixteenth of the starts of one second."""
@@ -68,15 +70,18 @@
     """Return whether a run was certainly active on its worker when the worker crashed.
 
     The run was active if its start was answered, or if a connection to the worker broke after the
-    start was sent. A start that timed out does not count, because the worker may have been down for
-    1.5 s when the start was sent: a task that had never run was given up after two such starts.
+    start was sent. If the crash was noted before any call to the worker had failed, the run was
+    active if its start was sent just after an answer. A start that timed out does not count,
+    because the worker may have been down for 1.5 s when the start was sent: a task that had never
+    run was given up after two such starts.
     """
     if run.confirmed_at or run.state == "running":
         return True
     contact_loss = worker.contact_loss
-    if contact_loss is None or not contact_loss.connection_lost:
-        return False
-    return 0 < run.sent_at <= contact_loss.since
+    if contact_loss is None:
+        alive_at = max(worker.last_answer_at, worker.last_alive_at)
+        return bool(run.sent_at) and run.sent_at - alive_at <= ALIVE_BEFORE_START_S
+    return contact_loss.connection_lost and 0 < run.sent_at <= contact_loss.since
 
 
 def note_crash(lost: list[LostRun]) -> list[Task]:
@@ -106,7 +111,8 @@
     return [
         lost_run.task
         for lost_run in suspects
-        if _is_limit_reached(lost_run.task, proven=lost_run in proven_causes)
+        if not lost_run.task.given_up
+        and _is_limit_reached(lost_run.task, proven=lost_run in proven_causes)
     ]
 
 
--- a/src/foxtrestle/scheduling/losses.py
+++ b/src/foxtrestle/scheduling/losses.py
@@ -70,7 +70,8 @@
     plan = fleet.plans.get(worker.info.host)
     ordered = plan is not None and plan.state != "emptying"
     ordered = ordered or _is_ordered_late(fleet, worker, reason)
-    leaving = worker.contact_loss.leaving if worker.contact_loss is not None else worker.entry_gone
+    contact_loss = worker.contact_loss
+    leaving = worker.is_leaving() if contact_loss is None else contact_loss.leaving
     return reason in CRASH_REASONS and not leaving and not ordered
 
 
--- a/src/foxtrestle/scheduling/workers.py
+++ b/src/foxtrestle/scheduling/workers.py
@@ -195,12 +195,14 @@
                 until now.
         """
         if self.contact_loss is None:
-            self.contact_loss = ContactLoss(
-                now, self.entry_gone or self.info.draining, connection_lost
-            )
+            self.contact_loss = ContactLoss(now, self.is_leaving(), connection_lost)
             if connection_lost:
                 self.last_alive_at = now
 
+    def is_leaving(self) -> bool:
+        """Return whether the worker is draining, or its entry has disappeared."""
+        return self.entry_gone or self.info.draining
+
     def is_entry_current(self) -> bool:
         """Return whether the entry is of the incarnation that answers.
 
