Measure pressure on marks of the same moment

What callers would see: 429 for an organisation within its share, just after another one's burst.

Cause: rounds mark the jobs over their organisation's share; pressure is measured between rounds, and jobs that arrived since counted as work within shares, for which every organisation waits.

--- a/src/foxtrestle/scheduling/pressure.py
+++ b/src/foxtrestle/scheduling/pressure.py
@@ -24,6 +24,7 @@
     list_effective_weights,
     measure_ready_demand,
     measure_running,
+    update_saturation,
 )
 from foxtrestle.scheduling.load import compute_dominant_share, measure_work
 from foxtrestle.scheduling.pool_needs import compute_mean_host
@@ -133,7 +134,7 @@
     """Return the pressure to publish to the nodes.
 
     Args:
-        fleet: The state.
+        fleet: The state, whose saturation is updated.
         hosts: Number of hosts that each pool has or will have.
         submitted: Recently submitted work.
         published: Pressure last published, according to which nodes refuse jobs now.
@@ -142,6 +143,9 @@
     host, configuration = compute_mean_host(fleet), fleet.configuration
     if host is None or configuration is None or not has_weights(configuration):
         return Pressure()
+    # Jobs that arrived since the last scheduling round are not marked as over their share yet, and
+    # would count as work within shares, for which every organisation waits.
+    update_saturation(fleet, host, now)
     waiting: dict[str, list[tuple[Urgency, JobEntry]]] = {}
     for urgency, entry in rank_jobs(fleet.active.values(), fleet.durations, now):
         if _is_refusable(entry.job.spec) and entry.job.owner not in fleet.organisations_at_limit:
