--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 WORKERS ?= 4
 SECONDS ?= 60
 
-.PHONY: try test explore lint bench soak clean
+.PHONY: try test crowds explore lint bench soak clean
 
 $(VENV)/ready: requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -21,7 +21,11 @@
 	$(BIN)/python -m foxtrestle.trial examples/$(EXAMPLE).toml
 
 test: $(VENV)/ready
-	$(BIN)/python -m pytest -n $(WORKERS) --dist worksteal
+	$(BIN)/python -m pytest -n $(WORKERS) --dist worksteal -m "not crowd"
+	$(MAKE) crowds
+
+crowds: $(VENV)/ready
+	$(BIN)/python -m pytest -m crowd
 
 explore: $(VENV)/ready
 	FOXTRESTLE_EXAMPLES=$(EXAMPLES) $(BIN)/python -m pytest -n $(WORKERS) -m hypothesis --hypothesis-profile=fresh
