Count clients' connections, and close one for each that is too many

Callers: clients that only connect took every descriptor of a node, which then could call neither the store nor a worker. Cause: connections were not counted, and maxFds and memoryMb of the settings file were not read.

--- a/src/foxtrestle/control/node_metrics.py
+++ b/src/foxtrestle/control/node_metrics.py
@@ -10,6 +10,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from foxtrestle.listening.admission import Admission
+    from foxtrestle.listening.refusals import Reason
+
 CONTENT_TYPE: Final = "text/plain; version=0.0.4"
 BUCKETS_S: Final = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0]
 """Upper bounds of the histograms' buckets, seconds; they cover the store's response time as well as
@@ -52,6 +55,12 @@
         self._organisations = Counter(
             "foxtrestle_organisation_jobs", "Jobs by organisation.", registry=self._registry
         )
+        self._refused_connections = Counter(
+            "foxtrestle_connections_refused",
+            "Requests and connections of clients that do not keep the limits.",
+            registry=self._registry,
+        )
+        self._refusal_counts: Mapping[tuple[str, Reason], int] = {}
         self._labelled: set[str] = set()
         self._sources: dict[str, tuple[Gauge, Callable[[], Mapping[str, float]]]] = {}
 
@@ -116,6 +125,11 @@
         """Count an action that a check prevented."""
         self._violations.inc({"promise": check})
 
+    def add_admission(self, admission: Admission) -> None:
+        """Add the gauges of clients' connections, and the refusals."""
+        self.add_source("connections", "Clients' connections.", admission.read_gauges)
+        self._refusal_counts = admission.refusals.counts
+
     def add_source(self, name: str, text: str, read: Callable[[], Mapping[str, float]]) -> None:
         """Add a gauge whose values are read whenever the metrics are rendered."""
         gauge = Gauge(f"foxtrestle_{name}", text, registry=self._registry)
@@ -126,5 +140,9 @@
         for gauge, read in self._sources.values():
             for label, value in read().items():
                 gauge.set({"name": label}, float(value))
+        for (listener, reason), count in self._refusal_counts.items():
+            self._refused_connections.set(
+                {"listener": listener, "reason": reason.value}, float(count)
+            )
         body, _ = render(self._registry, [CONTENT_TYPE])
         return bytes(body)
--- a/src/foxtrestle/listener.py
+++ b/src/foxtrestle/listener.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from contextlib import asynccontextmanager, contextmanager
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import uvicorn
 
+from foxtrestle.listening.limits import ACCEPTED_AT_ONCE, LISTEN_BACKLOG, SOCKET_BUFFER_BYTES
+from foxtrestle.listening.protocol import BoundedHttpProtocol
+
 if TYPE_CHECKING:
-    import socket
     from collections.abc import AsyncIterator, Iterator
 
+    from foxtrestle.listening.protocol import ListenerPolicy
+
 
 class _Server(uvicorn.Server):
     """A server that installs no signal handlers in the process."""
@@ -29,7 +35,7 @@
     stop_limit_s: float = 1.0,
     certificate: str = "",
     key: str = "",
-    limit_concurrency: int | None = None,
+    policy: ListenerPolicy | None = None,
 ) -> AsyncIterator[uvicorn.Server]:
     """Serve an ASGI application on sockets until the context ends.
 
@@ -42,11 +48,12 @@
         stop_limit_s: Maximum seconds to wait for requests in flight at the end.
         certificate: Path of a PEM certificate; empty for plain HTTP.
         key: Path of the PEM key.
-        limit_concurrency: Maximum number of concurrent connections and requests.
+        policy: Limits of the connections; None only for clients that are trusted, which a stand-in
+            has.
     """
     config = uvicorn.Config(
         app,
-        http="httptools",
+        http=_choose_protocol(policy),
         ws="none",
         interface="asgi3",
         lifespan="off",
@@ -57,32 +64,47 @@
         date_header=False,
         timeout_graceful_shutdown=max(1, round(stop_limit_s)),
         timeout_keep_alive=30,
+        backlog=ACCEPTED_AT_ONCE,
         ssl_certfile=certificate or None,
         ssl_keyfile=key or None,
-        limit_concurrency=limit_concurrency,
-        h11_max_incomplete_event_size=64 * 1024,
     )
+    if policy is not None:
+        _limit_socket_buffers(sockets)
     server = _Server(config)
     task = asyncio.create_task(server.serve(sockets=sockets))
     try:
         while not server.started and not task.done():  # noqa: ASYNC110 - the server has no event
             await asyncio.sleep(0.005)
+        if server.started:
+            # The server has set the queue's length to the number of connections accepted at once.
+            for bound in sockets:
+                bound.listen(LISTEN_BACKLOG)
         yield server
     finally:
         server.should_exit = True
         await task
 
 
+def _choose_protocol(policy: ListenerPolicy | None) -> Any:
+    """Return what creates the protocol of a new connection."""
+    return "httptools" if policy is None else partial(BoundedHttpProtocol, policy)
+
+
+def _limit_socket_buffers(sockets: list[socket.socket]) -> None:
+    """Limit the kernel's buffers of the connections that the sockets accept."""
+    for bound in sockets:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+
+
 def bind(address: str, port: int) -> socket.socket:
     """Bind a TCP socket.
 
     Raises:
         OSError: The address or port is not available.
     """
-    import socket as sockets  # noqa: PLC0415 - imported above for type checking only
-
-    bound = sockets.socket(sockets.AF_INET6 if ":" in address else sockets.AF_INET)
-    bound.setsockopt(sockets.SOL_SOCKET, sockets.SO_REUSEADDR, 1)
+    bound = socket.socket(socket.AF_INET6 if ":" in address else socket.AF_INET)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     bound.bind((address, port))
     bound.setblocking(False)
     return bound
--- /dev/null
+++ b/src/foxtrestle/listening/__init__.py
@@ -0,0 +1,1 @@
+"""Listeners that bound what their clients can make the process hold."""
--- a/src/foxtrestle/node/operators.py
+++ b/src/foxtrestle/node/operators.py
@@ -8,6 +8,7 @@
 
 from foxtrestle.clock import read_clock
 from foxtrestle.control.log import Outage, log
+from foxtrestle.listening.limits import RequestLimits
 from foxtrestle.node.drained_zones import DrainedZones
 from foxtrestle.platform.http import MalformedMessage
 from foxtrestle.platform.operators import (
@@ -207,6 +208,18 @@
             queues=len(newer.queues), organisations=len(newer.organisations),
             keys=len(newer.owners))  # fmt: skip
 
+    def read_request_limits(self) -> RequestLimits:
+        """Return the limits of a client's request; the usual ones without a configuration."""
+        configuration = self.configuration
+        if configuration is None:
+            return RequestLimits()
+        return RequestLimits(
+            configuration.max_header_bytes,
+            configuration.max_body_bytes,
+            configuration.header_timeout_s,
+            configuration.idle_timeout_s,
+        )
+
     def authorise(self, target: RequestTarget) -> AccessGrant | Denial:
         """Authorise a client's request by the configuration; deny it if that may be stale."""
         if not self.is_current():
--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -19,6 +19,12 @@
 from foxtrestle.control.log import log, start_logging
 from foxtrestle.control.node_metrics import NodeMetrics
 from foxtrestle.listener import bind, listen
+from foxtrestle.listening.admission import Admission
+from foxtrestle.listening.limits import (
+    plan_process_limits,
+    read_descriptor_limit,
+)
+from foxtrestle.listening.protocol import ListenerPolicy
 from foxtrestle.node.drained_zones import DrainedZones
 from foxtrestle.node.job_service import JobService
 from foxtrestle.node.loop_lag import measure_loop_lag
@@ -130,22 +136,24 @@
             client_app = build_client_app(
                 job_service, self.operators, lambda: self.health.unavailable, metrics
             )
+            admission = _build_admission(settings)
+            metrics.add_admission(admission)
             sockets = [_bind(settings.ready_address), *_bind_metrics(settings)]
             await stack.enter_async_context(listen(status_app, sockets))
-            call_log = _log_calls(store, hosts)
-            lag_monitor = measure_loop_lag(metrics)
+            clients = self._build_client_policy(admission)
             for component in (
                 self.operators.run(),
                 self.health.run(),
                 run_elections(),
-                call_log,
-                lag_monitor,
+                _log_calls(store, hosts),
+                measure_loop_lag(metrics),
             ):
                 stack.push_async_callback(
                     _cancel, asyncio.create_task(_run_or_stop_node(component))
                 )
+            sockets = [_bind(settings.client_address)]
             await stack.enter_async_context(
-                listen(client_app, [_bind(settings.client_address)], stop_limit_s=REQUEST_GRACE_S)
+                listen(client_app, sockets, stop_limit_s=REQUEST_GRACE_S, policy=clients)
             )
             log("node.started", zone=settings.zone)
             await stop.wait()
@@ -176,6 +184,10 @@
         metrics.add_source("state", "State of this node.", self._read_state)
         metrics.add_source("drained_zones", "Drained zones.", read_zones)
 
+    def _build_client_policy(self, admission: Admission) -> ListenerPolicy:
+        listener = admission.add_listener("clients", admission.limits.max_connections)
+        return ListenerPolicy(listener, self.operators.read_request_limits)
+
     def _build_mirror(self, store: PlatformStore) -> OperatorMirror:
         limits = self.settings.operating_limits
         zones = DrainedZones(self.settings.zones, limits.drain_zone_s)
@@ -264,6 +276,13 @@
     await asyncio.gather(task, return_exceptions=True)
 
 
+def _build_admission(settings: NodeSettings) -> Admission:
+    descriptors = min(settings.max_descriptors, read_descriptor_limit())
+    limits = plan_process_limits(settings.memory_mb, descriptors)
+    log("limits.planned", connections=limits.max_connections, held_bytes=limits.max_held_bytes)
+    return Admission(limits)
+
+
 def _bind(address: str) -> socket:
     ip, _, port = address.rpartition(":")
     return bind(ip, int(port))
--- a/src/foxtrestle/node/settings.py
+++ b/src/foxtrestle/node/settings.py
@@ -84,5 +84,9 @@
     """CPU cores that this process may use."""
     link_mbps: float = 1000.0
     """Bandwidth of the host's network link, Mbit/s."""
+    memory_mb: int = 300
+    """Memory that this process may use, MB."""
+    max_descriptors: int = 4100
+    """Descriptors that this process may open."""
     operating_limits: OperatingLimits = OperatingLimits()
     """Times and limits of the platform."""
--- a/src/foxtrestle/platform/operators.py
+++ b/src/foxtrestle/platform/operators.py
@@ -66,7 +66,10 @@
 
 
 class _Limits(msgspec.Struct):
-    maxBodyBytes: int = 262_144
+    maxBodyBytes: Annotated[int, msgspec.Meta(ge=1)] = 262_144
+    maxHeaderBytes: Annotated[int, msgspec.Meta(ge=1)] = 16_384
+    headerTimeoutMs: Annotated[float, msgspec.Meta(gt=0)] = 3000
+    idleTimeoutMs: Annotated[float, msgspec.Meta(gt=0)] = 15_000
 
 
 class _Configuration(msgspec.Struct):
@@ -123,6 +126,9 @@
         queues,
         pools,
         raw.limits.maxBodyBytes,
+        raw.limits.maxHeaderBytes,
+        raw.limits.headerTimeoutMs / 1000,
+        raw.limits.idleTimeoutMs / 1000,
         requires_keys=raw.tenants is not None,
         organisations={organisation.name: organisation for organisation in organisations},
         owners=owners,
--- a/src/foxtrestle/platform/settings.py
+++ b/src/foxtrestle/platform/settings.py
@@ -5,7 +5,7 @@
 import os
 import tomllib
 from pathlib import Path
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -24,7 +24,8 @@
 
 
 class _Limits(msgspec.Struct):
-    memoryMb: int = 300
+    memoryMb: Annotated[int, msgspec.Meta(ge=1)] = 300
+    maxFds: Annotated[int, msgspec.Meta(ge=1)] = 4100
     linkMbps: float = 1000.0
     cpuShare: float = 0.5
     cores: float = 2
@@ -124,6 +125,8 @@
             zone_failures_tolerated=raw.faultTolerance.zones,
             cpu_cores=raw.limits.cpuShare * raw.limits.cores,
             link_mbps=raw.limits.linkMbps,
+            memory_mb=raw.limits.memoryMb,
+            max_descriptors=raw.limits.maxFds,
             operating_limits=OperatingLimits(
                 stop_grace_s=bounds.graceS,
                 max_lease_s=bounds.maxHoldMs / 1000,
--- a/src/foxtrestle/scheduling/model.py
+++ b/src/foxtrestle/scheduling/model.py
@@ -212,6 +212,12 @@
     """All pools by name."""
     max_body_bytes: int = 262_144
     """Maximum size of the body of a client's request, bytes."""
+    max_header_bytes: int = 16_384
+    """Maximum size of the header fields of a client's request, bytes."""
+    header_timeout_s: float = 3.0
+    """Seconds within which a client sends the header fields of a request."""
+    idle_timeout_s: float = 15.0
+    """Seconds for which a client may keep a connection without a request."""
     requires_keys: bool = False
     """Whether callers of queues that are not public must present an organisation's key."""
     organisations: dict[str, Organisation] = {}
