Refuse heads beyond the limits of the configuration

Callers: a request line, a header field, or header fields without end were kept for as long as they came; empty lines before a request kept a connection for good. No client that keeps the limits meets either.

--- a/src/foxtrestle/listening/protocol.py
+++ b/src/foxtrestle/listening/protocol.py
@@ -206,6 +206,9 @@
         """
         if not self._head_complete:
             self._head_bytes += len(part)
+            if self._head_bytes > self._limits.max_head_bytes:
+                self._refuse(Reason.HEAD_TOO_LARGE)
+                return
         self._former = (self._former + part[-2:])[-2:]
         try:
             self.parser.feed_data(part)
@@ -385,6 +388,7 @@
         self._timed_stage = self._stage
         seconds = {
             Stage.IDLE: TIMEOUT_SLACK * self._limits.idle_timeout_s,
+            Stage.HEAD: TIMEOUT_SLACK * self._limits.header_timeout_s,
             Stage.QUEUED: TURN_TIMEOUT_S,
             Stage.ANSWERED: ANSWER_TIMEOUT_S,
             Stage.CLOSING: LINGER_S,
@@ -401,6 +405,8 @@
         """Act on a time limit that has passed."""
         if self._stage is Stage.IDLE:
             self.transport.close()
+        elif self._stage is Stage.HEAD:
+            self._refuse(Reason.HEAD_TOO_SLOW)
         elif self._stage is Stage.QUEUED:
             self._refuse(Reason.NO_TURN)
         elif self._stage is Stage.ANSWERED:
