Drop trailers, and refuse those that are longer than a head may be

Callers: trailer fields without end behind a chunked body filled a node's memory; a chunk extension without end kept a connection for good. Cause: the parser reports trailers as it does header fields, and all were kept. Now they are dropped, and bytes of a chunked body that bring none of the body may be as many as those of a head; beyond that the request, which the application has not seen, is refused with 431.

--- a/src/foxtrestle/listening/protocol.py
+++ b/src/foxtrestle/listening/protocol.py
@@ -209,6 +209,8 @@
             if self._head_bytes > self._limits.max_head_bytes:
                 self._refuse(Reason.HEAD_TOO_LARGE)
                 return
+        elif self._chunked:
+            self._framing_bytes += len(part)
         self._former = (self._former + part[-2:])[-2:]
         try:
             self.parser.feed_data(part)
@@ -217,6 +219,8 @@
             self.cycle.keep_alive = False
         except httptools.HttpParserError:
             self._refusal = self._refusal or Reason.MALFORMED
+        if self._framing_bytes > self._limits.max_head_bytes:
+            self._refusal = self._refusal or Reason.TRAILERS_TOO_LARGE
         if self._refusal is not None:
             self._refuse(self._refusal)
         elif self._message_complete:
@@ -232,6 +236,11 @@
         self._stage = Stage.HEAD
         self._limits = self._policy.read_limits()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header field; those behind a body are dropped, no application reads them."""
+        if not self._head_complete:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         """Create the request, which is not begun before its body has arrived."""
         http_version = self.parser.get_http_version()
