Refuse bodies beyond the limit of the configuration

Callers: a node read a request's whole body, whatever its length. Cause: maxBodyBytes was decoded and not used.

--- a/src/foxtrestle/listening/protocol.py
+++ b/src/foxtrestle/listening/protocol.py
@@ -23,6 +23,7 @@
 from foxtrestle.listening.framing import find_slice_end, read_body_framing
 from foxtrestle.listening.limits import (
     ANSWER_TIMEOUT_S,
+    BODY_TIMEOUT_S,
     SOCKET_BUFFER_BYTES,
     TIMEOUT_SLACK,
     TURN_TIMEOUT_S,
@@ -269,6 +270,8 @@
         self._stage = Stage.BODY
         self._chunked, self._body_left = read_body_framing(self.headers)
         self._continue_wanted = self.expect_100_continue
+        if self._body_left > self._limits.max_body_bytes:
+            self._refusal = Reason.BODY_TOO_LARGE
 
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body."""
@@ -276,7 +279,10 @@
         self._framing_bytes = 0
         if not self._chunked:
             self._body_left -= len(body)
-        self.cycle.body += body
+        if self._body_bytes > self._limits.max_body_bytes:
+            self._refusal = Reason.BODY_TOO_LARGE
+        elif self._refusal is None:
+            self.cycle.body += body
 
     def on_message_complete(self) -> None:
         """Note that the request has arrived completely."""
@@ -398,6 +404,7 @@
         seconds = {
             Stage.IDLE: TIMEOUT_SLACK * self._limits.idle_timeout_s,
             Stage.HEAD: TIMEOUT_SLACK * self._limits.header_timeout_s,
+            Stage.BODY: BODY_TIMEOUT_S,
             Stage.QUEUED: TURN_TIMEOUT_S,
             Stage.ANSWERED: ANSWER_TIMEOUT_S,
             Stage.CLOSING: LINGER_S,
@@ -416,6 +423,8 @@
             self.transport.close()
         elif self._stage is Stage.HEAD:
             self._refuse(Reason.HEAD_TOO_SLOW)
+        elif self._stage is Stage.BODY:
+            self._refuse(Reason.BODY_TOO_SLOW)
         elif self._stage is Stage.QUEUED:
             self._refuse(Reason.NO_TURN)
         elif self._stage is Stage.ANSWERED:
