Let go of a request once it is answered

Callers: a kept connection held the header fields of its last request, up to 0.6 MB for 4,000 empty fields within the limit. Cause: the protocol referred to its last request until the next one. Now it forgets it with the answer.

--- a/src/foxtrestle/listening/protocol.py
+++ b/src/foxtrestle/listening/protocol.py
@@ -346,7 +346,7 @@
 
     def _await_request(self) -> None:
         self._stage = Stage.IDLE
-        self._head_bytes = self._body_bytes = 0
+        self._forget_request()
         self._framing_bytes = 0
         self._body_left = 0
         self._chunked = False
