Give clients' requests turns, and connections to the store of their own

Callers: 200 clients with valid requests sent ahead kept a node from answering anybody. Evidence: 60 attempts of an ordinary client failed; the log had dependency.lost of store.kv-keep with TimeoutError each second and 48,127 request.denied in 20 s. Cause: clients' requests shared 16 connections to the store with the node's own calls, so that renewals of the lock and the watch of the configuration timed out behind them.

--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -33,7 +33,11 @@
 from foxtrestle.node.store_rate_usage import StoreRateUsage
 from foxtrestle.node.zone_gauges import ZoneGauges
 from foxtrestle.platform.client_api import build_client_app, build_status_app
-from foxtrestle.platform.connections import CONNECTIONS_PER_WORKER, Connections
+from foxtrestle.platform.connections import (
+    CONNECTIONS_PER_PEER,
+    CONNECTIONS_PER_WORKER,
+    Connections,
+)
 from foxtrestle.platform.hosts import HostClient
 from foxtrestle.platform.policy import PolicyClient
 from foxtrestle.platform.settings import find_settings, read_settings
@@ -55,6 +59,8 @@
 stops sending requests to a node after two failed checks."""
 CALL_LOG_INTERVAL_S: Final = 10.0
 """Seconds between two log lines with the number of calls for which the platform charges."""
+MAX_CLIENT_REQUESTS: Final = 32
+"""Maximum number of clients' requests in process at once, each with a call to the store."""
 METRICS_PORT: Final = 9464
 """TCP port of the metrics, as named in the deploy file."""
 REQUEST_GRACE_S: Final = 2.0
@@ -95,10 +101,10 @@
         """Serve until a stop is requested, then shut down in order."""
         settings = self.settings
         async with AsyncExitStack() as stack:
-            connections = await stack.enter_async_context(Connections())
-            worker_connections = await stack.enter_async_context(
-                Connections(CONNECTIONS_PER_WORKER)
-            )
+            connections, worker_connections, client_calls = [
+                await stack.enter_async_context(Connections(per_peer))
+                for per_peer in (CONNECTIONS_PER_PEER, CONNECTIONS_PER_WORKER, MAX_CLIENT_REQUESTS)
+            ]
             store = PlatformStore(settings.store_address, connections, STORE_TIMEOUT_S)
             workers = WorkerClient(worker_connections)
             policy = None
@@ -130,7 +136,8 @@
                 elections.extend(self._build_elections(store, workers, run_controller))
                 await asyncio.gather(*(election.run() for election in elections))
 
-            job_service = JobService(store, self.operators, self.layout)
+            # Requests of clients never make this node's own calls wait for a connection.
+            job_service = JobService(store.lend(client_calls), self.operators, self.layout)
             self._add_sources(metrics, store, hosts)
             status_app = build_status_app(self.is_ready, metrics)
             client_app = build_client_app(
@@ -185,7 +192,9 @@
         metrics.add_source("drained_zones", "Drained zones.", read_zones)
 
     def _build_client_policy(self, admission: Admission) -> ListenerPolicy:
-        listener = admission.add_listener("clients", admission.limits.max_connections)
+        listener = admission.add_listener(
+            "clients", admission.limits.max_connections, MAX_CLIENT_REQUESTS
+        )
         return ListenerPolicy(listener, self.operators.read_request_limits)
 
     def _build_mirror(self, store: PlatformStore) -> OperatorMirror:
--- a/src/foxtrestle/platform/store.py
+++ b/src/foxtrestle/platform/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import copy
 from typing import TYPE_CHECKING, Any, Final
 
 import msgspec
@@ -92,6 +93,16 @@
         self._connections = connections
         self._timeout_s = timeout_s
 
+    def lend(self, connections: Connections) -> PlatformStore:
+        """Return a client of the same store on other connections; its calls count as this one's.
+
+        Calls of one of them never wait for a connection that calls of the other occupy.
+        """
+        lent = copy.copy(self)
+        lent._connections = connections
+        lent._note_outcome = self._note_outcome  # type: ignore[method-assign]
+        return lent
+
     async def get(
         self, key: str, *, stale: bool = False, timeout_s: float | None = None
     ) -> Record | None:
