Limit the listener for readiness and metrics as that of clients

Callers: a crowd on the ready address or the metrics port filled a node's memory as one on the front did. Cause: the same, on a listener of its own.

--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -21,6 +21,7 @@
 from foxtrestle.listener import bind, listen
 from foxtrestle.listening.admission import Admission
 from foxtrestle.listening.limits import (
+    MAX_STATUS_CONNECTIONS,
     plan_process_limits,
     read_descriptor_limit,
 )
@@ -146,7 +147,8 @@
             admission = _build_admission(settings)
             metrics.add_admission(admission)
             sockets = [_bind(settings.ready_address), *_bind_metrics(settings)]
-            await stack.enter_async_context(listen(status_app, sockets))
+            status = ListenerPolicy(admission.add_listener("status", MAX_STATUS_CONNECTIONS))
+            await stack.enter_async_context(listen(status_app, sockets, policy=status))
             clients = self._build_client_policy(admission)
             for component in (
                 self.operators.run(),
