Limit the own daemon's listeners for callers and operators

Callers: the same crowds filled a daemon's memory. Now its listeners have the limits of the nodes', from the settings: memory_mb (the machine's by default), max_header_bytes, header_timeout_s, idle_timeout_s; refusals on the callers' listener say whether the request ran, as every answer does; an answer of a runner counts while it is read.

--- a/src/foxtrestle/daemon.py
+++ b/src/foxtrestle/daemon.py
@@ -28,6 +28,18 @@
 from foxtrestle.invariant_checks import InvariantChecks
 from foxtrestle.job_shard import JobShard
 from foxtrestle.listener import bind, listen
+from foxtrestle.listening.admission import Admission
+from foxtrestle.listening.limits import (
+    CONNECTION_BYTES,
+    MAX_STATUS_CONNECTIONS,
+    TLS_CONNECTION_BYTES,
+    ProcessLimits,
+    RequestLimits,
+    plan_process_limits,
+    read_descriptor_limit,
+    read_machine_memory_mb,
+)
+from foxtrestle.listening.protocol import ListenerPolicy
 from foxtrestle.membership import Membership
 from foxtrestle.messages import (
     Claim,
@@ -43,7 +55,7 @@
 from foxtrestle.operation_router import RANGE_SHARD_PREFIX, OperationRouter
 from foxtrestle.operations import RANGE_COUNT, WitnessClaims
 from foxtrestle.peers import DaemonIdentity, PeerLinks, PeerServer
-from foxtrestle.proxy import Proxy
+from foxtrestle.proxy import Proxy, encode_caller_refusal
 from foxtrestle.range_shard import RangeShard, choose_witnesses
 from foxtrestle.ranges import OwnedRange, RangeContext, handle_witness_request
 from foxtrestle.records import (
@@ -103,6 +115,8 @@
         """Claims of other daemons that this daemon keeps as a witness."""
         self.fleets: dict[str, FleetRecord] = {}
         """Newest fleet record by region."""
+        self.admission = Admission(_plan_limits(settings))
+        """What the clients of all listeners may hold together."""
         self._identity = DaemonIdentity(settings.name, self.incarnation, settings.peer_token)
         self.links = PeerLinks(self._identity, self.timeline.clock)
         """Connections to the other daemons."""
@@ -164,7 +178,14 @@
         pooled = await open_session(keepalive_timeout=2.0)
         unpooled = await open_session(force_close=True)
         self.dispatcher = Dispatcher(
-            Upstream(pooled, unpooled, settings.max_body_bytes), self.checks
+            Upstream(
+                pooled,
+                unpooled,
+                settings.max_body_bytes,
+                reserve=self.admission.reserve,
+                release=self.admission.release,
+            ),
+            self.checks,
         )
         self.router = OperationRouter(
             self.incarnation,
@@ -388,6 +409,9 @@
         add("store_calls", "Calls to the platform's store.", lambda: self.store.calls)
         for name, counter in self.counters.items():
             add(name, f"Counters of {name}.", counter.copy)
+        add("connections", "Clients' connections.", self.admission.read_gauges)
+        add("connections_refused", "Requests and connections of clients that do not keep the "
+            "limits.", self.admission.read_refusals)  # fmt: skip
         add("violations", "Promises found broken.", lambda: self.checks.violations)
         add("state", "State of this daemon.", self._read_state)
 
@@ -435,12 +459,19 @@
             stack.push_async_callback(_cancel, task)
         serve = partial(listen, certificate=settings.tls_certificate, key=settings.tls_key)
         admin = bind(settings.address, settings.admin_port)
-        await stack.enter_async_context(serve(build_admin(daemon), [admin]))
+        await stack.enter_async_context(
+            serve(build_admin(daemon), [admin], policy=_make_operator_policy(daemon))
+        )
         # Runs after the listener has closed, which waits for the requests in flight.
         stack.callback(_check_no_requests_in_flight, daemon)
         callers = bind(settings.address, settings.caller_port)
         await stack.enter_async_context(
-            serve(daemon.proxy, [callers], stop_limit_s=settings.stop_limit_s)
+            serve(
+                daemon.proxy,
+                [callers],
+                stop_limit_s=settings.stop_limit_s,
+                policy=_make_caller_policy(daemon),
+            )
         )
         daemon.timeline.add("daemon.started", settings.name, daemon.incarnation)
         try:
@@ -449,6 +480,32 @@
             await daemon.stop()
 
 
+def _plan_limits(settings: Settings) -> ProcessLimits:
+    connection_bytes = TLS_CONNECTION_BYTES if settings.tls_certificate else CONNECTION_BYTES
+    memory_mb = settings.memory_mb or read_machine_memory_mb()
+    return plan_process_limits(memory_mb, read_descriptor_limit(), connection_bytes)
+
+
+def _make_operator_policy(daemon: Daemon) -> ListenerPolicy:
+    from foxtrestle.admin import MAX_BODY_BYTES  # noqa: PLC0415 - admin needs Daemon
+
+    limits = RequestLimits(max_body_bytes=MAX_BODY_BYTES)
+    listener = daemon.admission.add_listener("operators", MAX_STATUS_CONNECTIONS)
+    return ListenerPolicy(listener, lambda: limits)
+
+
+def _make_caller_policy(daemon: Daemon) -> ListenerPolicy:
+    settings = daemon.settings
+    limits = RequestLimits(
+        settings.max_header_bytes,
+        settings.max_body_bytes,
+        settings.header_timeout_s,
+        settings.idle_timeout_s,
+    )
+    listener = daemon.admission.add_listener("callers", daemon.admission.limits.max_connections)
+    return ListenerPolicy(listener, lambda: limits, encode_caller_refusal)
+
+
 async def _supervise(loop: Callable[[], Awaitable[None]], daemon: Daemon) -> None:
     """Restart a loop that returned or failed, after a pause; count and record each failure."""
     while True:
--- a/src/foxtrestle/proxy.py
+++ b/src/foxtrestle/proxy.py
@@ -11,6 +11,7 @@
 
 from foxtrestle.dispatch import SAFE_METHODS
 from foxtrestle.errors import FoxtrestleError
+from foxtrestle.listening.refusals import encode_refusal, is_temporary
 from foxtrestle.upstream import (
     OUTCOMES,
     Outcome,
@@ -26,6 +27,7 @@
     from foxtrestle.declaration import Service
     from foxtrestle.dispatch import Dispatcher
     from foxtrestle.invariant_checks import InvariantChecks
+    from foxtrestle.listening.refusals import Reason
     from foxtrestle.messages import Answer
     from foxtrestle.settings import Settings
 
@@ -200,6 +202,20 @@
         )
 
 
+def encode_caller_refusal(reason: Reason, headers: list[tuple[bytes, bytes]]) -> bytes:
+    """Encode the answer to a request that is refused before it reaches the application.
+
+    Args:
+        reason: Reason of the refusal.
+        headers: Header fields of the request that have arrived.
+    """
+    has_key = any(name == KEY_HEADER for name, _ in headers)
+    outcome: Outcome = "may-have-run" if has_key and is_temporary(reason) else "not-run"
+    answer = make_error_answer(0, outcome, reason.value)
+    extra = f"{OUTCOME_HEADER.decode()}: {outcome}\r\n"
+    return encode_refusal(reason, headers, answer.body, extra)
+
+
 def _reject_temporarily(headers: dict[bytes, bytes], reason: str, retry_after_s: float) -> Answer:
     """Reject a request temporarily, before its idempotency key (if it has one) was looked up.
 
--- a/src/foxtrestle/settings.py
+++ b/src/foxtrestle/settings.py
@@ -72,6 +72,14 @@
     """Seconds for which a stopping daemon waits for requests in flight."""
     max_body_bytes: Annotated[int, Meta(ge=1024, le=1 << 28)] = 4 << 20
     """Maximum size of a request or answer body, bytes."""
+    max_header_bytes: Annotated[int, Meta(ge=1024, le=1 << 20)] = 64 << 10
+    """Maximum size of the header fields of a request, bytes."""
+    header_timeout_s: Seconds = 5.0
+    """Seconds within which a caller sends the header fields of a request."""
+    idle_timeout_s: Seconds = 15.0
+    """Seconds for which a caller may keep a connection without a request."""
+    memory_mb: Annotated[int, Meta(ge=0)] = 0
+    """Memory that the daemon may use, MB; 0 for the memory of the machine."""
     max_requests: Annotated[int, Meta(ge=1, le=100_000)] = 512
     """Maximum number of callers' requests at once, waiting or in flight."""
 
--- a/src/foxtrestle/upstream.py
+++ b/src/foxtrestle/upstream.py
@@ -95,6 +95,8 @@
         unpooled: aiohttp.ClientSession,
         max_body_bytes: int,
         clock: Callable[[], float] = time.monotonic,
+        reserve: Callable[[int], bool] = lambda size: True,
+        release: Callable[[int], None] = lambda size: None,
     ) -> None:
         """Create a client.
 
@@ -105,7 +107,11 @@
                 a request twice.
             max_body_bytes: Maximum size of an answer's body, bytes.
             clock: Monotonic clock, seconds.
+            reserve: Reserves memory for a part of an answer, bytes; False if there is none.
+            release: Gives reserved memory back, bytes.
         """
+        self._reserve = reserve
+        self._release = release
         self._pooled = pooled
         self._unpooled = unpooled
         self._max_body_bytes = max_body_bytes
@@ -152,11 +158,18 @@
             reason = f"the runner refused: {response.headers[REFUSED_HEADER]}"
             return make_error_answer(503, "not-run", reason, retry_after_s=0.5)
         body = bytearray()
-        async for chunk in response.content.iter_chunked(64 * 1024):
-            body += chunk
-            if len(body) > self._max_body_bytes:
-                response.close()
-                return make_error_answer(502, "ran", "the runner's answer is too large")
+        try:
+            async for chunk in response.content.iter_chunked(64 * 1024):
+                if len(body) + len(chunk) > self._max_body_bytes:
+                    response.close()
+                    return make_error_answer(502, "ran", "the runner's answer is too large")
+                if not self._reserve(len(chunk)):
+                    response.close()
+                    return make_error_answer(502, "ran", "no memory for the runner's answer")
+                body += chunk
+        finally:
+            # From here on the answer counts as unsent bytes of the caller's connection.
+            self._release(len(body))
         headers = [
             Header(name.lower(), value)
             for name, value in response.headers.items()
