Count TLS connections from their first byte, with small buffers

Callers: connections that began no handshake took a daemon's descriptors, and each TLS connection 282 KB, 256 KiB of it a buffer that asyncio fills at once. Cause: a connection was known to its listener only after its handshake. Now it counts from the first byte, a handshake has 10 s, and the buffer holds one record.

--- a/src/foxtrestle/listener.py
+++ b/src/foxtrestle/listener.py
@@ -12,6 +12,7 @@
 
 from foxtrestle.listening.limits import ACCEPTED_AT_ONCE, LISTEN_BACKLOG, SOCKET_BUFFER_BYTES
 from foxtrestle.listening.protocol import BoundedHttpProtocol
+from foxtrestle.listening.tls import TlsHandshake, create_tls_context
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
@@ -53,7 +54,7 @@
     """
     config = uvicorn.Config(
         app,
-        http=_choose_protocol(policy),
+        http=_choose_protocol(policy, certificate, key),
         ws="none",
         interface="asgi3",
         lifespan="off",
@@ -65,8 +66,8 @@
         timeout_graceful_shutdown=max(1, round(stop_limit_s)),
         timeout_keep_alive=30,
         backlog=ACCEPTED_AT_ONCE,
-        ssl_certfile=certificate or None,
-        ssl_keyfile=key or None,
+        ssl_certfile=certificate or None if policy is None else None,
+        ssl_keyfile=key or None if policy is None else None,
     )
     if policy is not None:
         _limit_socket_buffers(sockets)
@@ -85,9 +86,13 @@
         await task
 
 
-def _choose_protocol(policy: ListenerPolicy | None) -> Any:
+def _choose_protocol(policy: ListenerPolicy | None, certificate: str, key: str) -> Any:
     """Return what creates the protocol of a new connection."""
-    return "httptools" if policy is None else partial(BoundedHttpProtocol, policy)
+    if policy is None:
+        return "httptools"
+    if not certificate:
+        return partial(BoundedHttpProtocol, policy)
+    return partial(TlsHandshake, policy, create_tls_context(certificate, key))
 
 
 def _limit_socket_buffers(sockets: list[socket.socket]) -> None:
