Limit connections to the peer port that have sent no hello

Callers: connections without a token took a daemon's descriptors. Cause: each had 5 s for its hello, and their number was not limited. Now at most 128 wait for it, the oldest is closed for a new one, and reads are limited to 8 KiB ahead. Refused hellos are counted and logged; before, they were swallowed.

--- a/src/foxtrestle/daemon.py
+++ b/src/foxtrestle/daemon.py
@@ -444,7 +444,10 @@
     daemon = Daemon(settings)
     async with AsyncExitStack() as stack:
         await daemon.connect(stack)
-        server = PeerServer(daemon._identity, daemon.timeline.clock, daemon.handle)
+        peers = daemon.admission.add_listener("peers", 0)
+        server = PeerServer(
+            daemon._identity, daemon.timeline.clock, daemon.handle, peers.note_refusal
+        )
         await server.start(bind(settings.address, settings.peer_port))
         stack.push_async_callback(server.close)
         stack.push_async_callback(_leave, daemon)
--- a/src/foxtrestle/peers.py
+++ b/src/foxtrestle/peers.py
@@ -5,6 +5,7 @@
 import asyncio
 import hmac
 import itertools
+import socket as sockets
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack, suppress
 from typing import TYPE_CHECKING, Any, Final
@@ -12,6 +13,7 @@
 import msgspec
 
 from foxtrestle.errors import FoxtrestleError
+from foxtrestle.listening.refusals import Reason
 from foxtrestle.messages import (
     MAX_FRAME_BYTES,
     Envelope,
@@ -30,6 +32,12 @@
 """Seconds to wait for a connection."""
 HELLO_TIMEOUT_S: Final = 5.0
 """Seconds within which the hello message of a new connection must arrive."""
+MAX_UNIDENTIFIED: Final = 128
+"""Maximum number of connections whose peer has not sent its token yet."""
+READ_LIMIT_BYTES: Final = 8192
+"""Size of the read buffer at which reading pauses, bytes; a larger frame is still read whole."""
+RECEIVE_BUFFER_BYTES: Final = 32 * 1024
+"""Size of the kernel's receive buffer of a connection, bytes."""
 MAX_HELLO_BYTES: Final = 4096
 """Maximum size of the first frame, bytes; nothing larger is read before the token is checked."""
 
@@ -60,20 +68,34 @@
     """Accepts connections from peers and passes their messages to a handler."""
 
     def __init__(
-        self, identity: DaemonIdentity, clock: HybridLogicalClock, handler: Handler
+        self,
+        identity: DaemonIdentity,
+        clock: HybridLogicalClock,
+        handler: Handler,
+        note_refusal: Callable[[Reason, str], None] = lambda reason, peer: None,
     ) -> None:
-        """Create a server that is not yet listening."""
+        """Create a server that is not yet listening.
+
+        Args:
+            identity: Identity of this daemon.
+            clock: Clock that advances to the time of each message.
+            handler: Called with each message.
+            note_refusal: Called with the reason and the address of a refused connection.
+        """
         self.bytes_read = 0
         """Bytes read from peers."""
         self._identity = identity
         self._clock = clock
         self._handler = handler
+        self._note_refusal = note_refusal
         self._tasks: set[asyncio.Task[None]] = set()
+        self._unidentified: dict[asyncio.StreamWriter, None] = {}
         self._server: asyncio.Server | None = None
 
     async def start(self, bound: socket.socket) -> None:
         """Listen on a bound socket."""
-        self._server = await asyncio.start_server(self._serve, sock=bound)
+        bound.setsockopt(sockets.SOL_SOCKET, sockets.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._server = await asyncio.start_server(self._serve, sock=bound, limit=READ_LIMIT_BYTES)
 
     async def close(self) -> None:
         """Stop listening and close every connection."""
@@ -88,21 +110,34 @@
         assert task is not None
         self._tasks.add(task)
         replies: set[asyncio.Task[None]] = set()
+        self._limit_unidentified(writer)
         try:
             sender = await self._receive_hello(reader)
+            self._unidentified.pop(writer, None)
             while True:
                 envelope = await self._read(reader, MAX_FRAME_BYTES)
                 reply = asyncio.create_task(self._reply(sender, envelope, writer))
                 replies.add(reply)
                 reply.add_done_callback(replies.discard)
-        except (OSError, EOFError, MessageError, TimeoutError, asyncio.CancelledError):
-            pass
+        except (OSError, EOFError, MessageError, TimeoutError, asyncio.CancelledError) as error:
+            if writer in self._unidentified and not isinstance(error, asyncio.CancelledError):
+                self._note_refusal(Reason.HANDSHAKE_FAILED, _name_peer(writer))
         finally:
             self._tasks.discard(task)
+            self._unidentified.pop(writer, None)
             for reply in replies:
                 reply.cancel()
             writer.close()
 
+    def _limit_unidentified(self, writer: asyncio.StreamWriter) -> None:
+        """Close the oldest connection that has not sent its hello if there are too many."""
+        self._unidentified[writer] = None
+        if len(self._unidentified) > MAX_UNIDENTIFIED:
+            oldest = next(iter(self._unidentified))
+            del self._unidentified[oldest]
+            self._note_refusal(Reason.NO_CONNECTIONS, _name_peer(oldest))
+            oldest.transport.abort()
+
     async def _receive_hello(self, reader: asyncio.StreamReader) -> str:
         async with asyncio.timeout(HELLO_TIMEOUT_S):
             hello = (await self._read(reader, MAX_HELLO_BYTES)).message
@@ -280,6 +315,11 @@
         self._links.clear()
 
 
+def _name_peer(writer: asyncio.StreamWriter) -> str:
+    peer = writer.get_extra_info("peername")
+    return f"{peer[0]}:{peer[1]}" if peer else ""
+
+
 async def _read_envelope(reader: asyncio.StreamReader, limit: int) -> tuple[Envelope, int]:
     prefix = await reader.readexactly(4)
     size = int.from_bytes(prefix, "little")
