Limit the size of a job

Cause: only the length of a job's text was checked. Now a job has at most 1,000 steps and 20,000 tasks over all steps and repetitions, and numbers from 0 to 2^48; beyond that it is refused with 400 and the place. A body nested too deeply is malformed.

--- a/src/foxtrestle/platform/http.py
+++ b/src/foxtrestle/platform/http.py
@@ -125,7 +125,7 @@
     """
     try:
         return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise MalformedMessage(str(error), step=step, peer=peer) from error
 
 
--- a/src/foxtrestle/platform/jobs.py
+++ b/src/foxtrestle/platform/jobs.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from foxtrestle.platform.http import decode
+from foxtrestle.scheduling.job_limits import find_excess
 from foxtrestle.scheduling.model import JobSpec, JobState, Shape, Step, TaskKey
 
 MAX_TEXT_BYTES = 4000
@@ -65,13 +66,17 @@
             raise InvalidJob(f"steps[{number}].count: at least 1")
         if any(not 0 <= dependency < number for dependency in step.dependsOn):
             raise InvalidJob(f"steps[{number}].dependsOn: only earlier steps")
-    return JobSpec(
+    spec = JobSpec(
         text=job.spec,
         steps=tuple(_to_step(step) for step in job.steps),
         repeat_count=job.repeatCount,
         first_due_ms=int(job.firstRunMs),
         interval_ms=int(job.intervalMs),
     )
+    excess = find_excess(spec)
+    if excess:
+        raise InvalidJob(excess)
+    return spec
 
 
 def _to_step(step: _Step) -> Step:
