Refuse new jobs while a partition's unfinished ones fill a node's memory

Callers: jobs within the limits that cannot be done pile up in the store and in the controller, whose memory ends before.

test_without_weights_the_pressure_key_is_not_in_the_conditions compares all conditions of a job's write; the new one is added to what it expects, and it is as strict as before.

--- /dev/null
+++ b/src/foxtrestle/control/backlog_record.py
@@ -0,0 +1,77 @@
+"""Publishes through the store that a partition accepts no new jobs until others have ended.
+
+The record exists only while that is so. Each job is stored under the condition that it does not, so
+that nodes need not read it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+from foxtrestle.control.log import Outage, log
+from foxtrestle.scheduling.backlog import is_backlog_full
+from foxtrestle.store import StoreError, Transaction
+
+if TYPE_CHECKING:
+    from foxtrestle.control.leader_election import Term
+    from foxtrestle.platform.store import PlatformStore
+    from foxtrestle.scheduling.state import Fleet
+
+CHECK_INTERVAL_S: Final = 0.5
+"""Seconds between two checks; it bounds the jobs that are accepted beyond the limit."""
+
+
+class BacklogRecord:
+    """The record of one partition, written by its controller."""
+
+    def __init__(self, fleet: Fleet, store: PlatformStore, term: Term, memory_mb: int) -> None:
+        """Create the record of a term.
+
+        Args:
+            fleet: The state.
+            store: The platform's store.
+            term: The controller's term.
+            memory_mb: Memory of this node, MB.
+        """
+        self.full = False
+        """Whether new jobs are refused."""
+        self._fleet = fleet
+        self._store = store
+        self._term = term
+        self._memory_mb = memory_mb
+        self._confirmed = True
+
+    def adopt(self, *, exists: bool) -> None:
+        """Continue from the record of a former controller."""
+        self.full = exists
+
+    async def run(self) -> None:
+        """Keep the record up to date until cancelled."""
+        outage = Outage("store", "backlog")
+        while True:
+            try:
+                await self.update()
+            except StoreError as error:
+                outage.note_failure(error)
+            else:
+                outage.note_success()
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    async def update(self) -> None:
+        """Write or remove the record if that has changed."""
+        jobs = [entry.job for entry in self._fleet.active.values()]
+        full = is_backlog_full(jobs, self._memory_mb, was_full=self.full)
+        if self._confirmed and full == self.full:
+            return
+        # An unanswered write may have taken effect, so another write always follows it.
+        self._confirmed = False
+        keys = self._term.keys
+        conditions = {keys.lock: self._term.lock.revision}
+        puts = {keys.backlog: b"full"} if full else {}
+        removals = () if full else (keys.backlog,)
+        await self._store.commit(Transaction(conditions, puts, removals))
+        self._confirmed = True
+        self.full = full
+        log("backlog.changed", full=full, jobs=len(jobs),
+            partition=self._term.partition.number)  # fmt: skip
--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -11,6 +11,7 @@
 
 from foxtrestle.clock import read_clock
 from foxtrestle.control.background_tasks import BackgroundTasks
+from foxtrestle.control.backlog_record import BacklogRecord
 from foxtrestle.control.fencing import FencingTokens
 from foxtrestle.control.hosts import HostReconciler
 from foxtrestle.control.link import WorkerLink
@@ -136,6 +137,7 @@
         """Drains of availability zones."""
         self._share_limiter = ShareLimiter()
         self._pressure = PressureRecords(self.fleet, store, term, lambda: self._hosts.targets)
+        self._backlog = BacklogRecord(self.fleet, store, term, settings.memory_mb)
         self._full_configuration: FleetConfiguration | None = None
         self._own_configuration: FleetConfiguration | None = None
         self._changed = asyncio.Event()
@@ -169,6 +171,7 @@
             ),
             save_statistics(self._store, self._term, self._describe_statistics),
             self._pressure.run(),
+            self._backlog.run(),
         ]
         if self._term.partition.number == 0:
             loops.append(
@@ -225,10 +228,16 @@
         """
         now = read_clock()
         keys = self._keys
-        inbox, entries, statistics, pressure = await asyncio.gather(
+        inbox, entries, statistics, pressure, backlog = await asyncio.gather(
             *(
                 scan_with_retry(self._store, prefix)
-                for prefix in (keys.inbox, WORKER_PREFIX, keys.statistics, keys.pressure)
+                for prefix in (
+                    keys.inbox,
+                    WORKER_PREFIX,
+                    keys.statistics,
+                    keys.pressure,
+                    keys.backlog,
+                )
             )
         )
         # Progress is read after the inbox: a job that ends in between is in neither and is not
@@ -237,6 +246,7 @@
         saved_statistics = decode_statistics(next(iter(statistics.records), None))
         self.fleet.durations.restore(saved_statistics.durations)
         self._pressure.adopt(next(iter(pressure.records), None))
+        self._backlog.adopt(exists=bool(backlog.records))
         self._registry.apply_changes(list_as_changes(entries))
         self._load_jobs(inbox, progress, saved_statistics, now)
         log("control.loaded", term=self._term.number, partition=self._term.partition.number,
--- a/src/foxtrestle/control/keys.py
+++ b/src/foxtrestle/control/keys.py
@@ -34,6 +34,8 @@
     """The controller's task statistics."""
     pressure: str
     """How long new work waits, while pools are under pressure."""
+    backlog: str
+    """Exists while new jobs are refused because too many are unfinished."""
     wave_records: str
     """Prefix of the progress of maintenance waves."""
     inbox: str
@@ -59,6 +61,7 @@
         host_orders=root + "control/hosts",
         statistics=root + "control/learned",
         pressure=root + "control/pressure",
+        backlog=root + "control/backlog",
         wave_records=root + "control/wave/",
         inbox=root + "inbox/",
         jobs=root + "inbox/job/",
--- a/src/foxtrestle/node/job_service.py
+++ b/src/foxtrestle/node/job_service.py
@@ -36,12 +36,14 @@
     from foxtrestle.store import Record
 
 SubmissionOutcome = (
-    Literal["accepted", "refused", "unknown", "taken", "too-large", "drained"] | Denial | Refusal
+    Literal["accepted", "refused", "unknown", "taken", "too-large", "drained", "full"]
+    | Denial
+    | Refusal
 )
 """Outcome of a submission: `unknown` if a write was sent and its answer was lost, `taken` if the id
 belongs to another organisation, `too-large` if the organisation's limit prevents a gang from ever
-starting, `drained` if operators drain every zone, so that the job could not start, a `Refusal` if
-the job cannot be served in time."""
+starting, `drained` if operators drain every zone, so that the job could not start, `full` if too
+many jobs are unfinished, a `Refusal` if the job cannot be served in time."""
 MAX_WRITE_ATTEMPTS: Final = 4
 """Maximum number of attempts to write a submission or a cancellation. After that the outcome is
 reported as unknown, or as refused if the job was certainly not stored."""
@@ -140,6 +142,8 @@
             owner_and_queue = _find_owner_and_queue(conflict.records, keys, job_id)
             if owner_and_queue is not None:
                 return "accepted" if grant.may_access_job(*owner_and_queue) else "taken"
+            if keys.backlog in conflict.records:
+                return "unknown" if submission.outcome_unknown else "full"
             pressure_changed = check_pressure and self._update_pressure(
                 submission, partition, conflict.records
             )
@@ -381,6 +385,7 @@
     return Transaction(
         conditions={
             CONFIGURATION_KEY: configuration.revision,
+            keys.backlog: ABSENT,
             keys.jobs + submission.job_id: ABSENT,
             ENDED_JOB_PREFIX + submission.job_id: ABSENT,
         },
--- a/src/foxtrestle/platform/client_api.py
+++ b/src/foxtrestle/platform/client_api.py
@@ -37,8 +37,13 @@
 RETRY_AFTER_S: Final = 1
 """Retry-After of a refused request, seconds; the smallest positive value of the header."""
 DRAINED_RETRY_AFTER_S: Final = (2, 3, 4, 5, 6)
-"""Retry-After values while operators drain every zone, seconds. The value is chosen by a hash of
-the job's id, so that clients do not all retry at once."""
+"""Retry-After values of refusals that will hold for a while, seconds. The value is chosen by a hash
+of the job's id, so that clients do not all retry at once."""
+LASTING_REFUSALS: Final = {
+    "drained": "every zone is drained",
+    "full": "too many jobs are unfinished",
+}
+"""Reasons of refusals that will hold for a while, by outcome."""
 LIMIT_RETRY_AFTER_S: Final = 60
 """Retry-After of a job that its organisation's limit prevents from ever starting, seconds:
 operators take at least minutes to raise a limit."""
@@ -48,7 +53,6 @@
     "unknown": 504,
     "taken": 409,
     "too-large": 429,
-    "drained": 503,
     Denial.NO_CONFIGURATION: 503,
     Denial.NO_QUEUE: 404,
     Denial.UNKNOWN_KEY: 401,
@@ -124,8 +128,8 @@
         if is_store_unavailable():
             return _refuse(job=job_id)
         outcome = await job_service.submit(target, job_id, decode_job(await request.body()))
-        if outcome == "drained":
-            log("job.refused", job=job_id, reason="every zone is drained")
+        if outcome in LASTING_REFUSALS:
+            log("job.refused", job=job_id, reason=LASTING_REFUSALS[outcome])
             return _respond(503, retry_after_s=compute_drained_retry_after(job_id))
         if isinstance(outcome, Refusal):
             metrics.note_refusal(outcome.reason)
@@ -147,7 +151,7 @@
 
 
 def compute_drained_retry_after(job_id: str) -> int:
-    """Return the seconds after which a job may be resubmitted while every zone is drained."""
+    """Return the seconds after which a job may be resubmitted that was refused for a while."""
     return DRAINED_RETRY_AFTER_S[crc32(job_id.encode()) % len(DRAINED_RETRY_AFTER_S)]
 
 
--- a/tests/test_job_service_pressure.py
+++ b/tests/test_job_service_pressure.py
@@ -139,6 +139,7 @@
     assert store.conditions == [
         {
             CONFIGURATION_KEY: 1 + 1,
+            "foxtrestle/control/backlog": 0,
             f"foxtrestle/inbox/job/{REFUSED}": 0,
             ENDED_JOB_PREFIX + REFUSED: 0,
         }
