Bound the log lines that clients cause

Callers: with a slow reader of the log, 4,096 lines with the paths of requests were kept, whatever their length; a flood of denied requests wrote each of 48,127 lines in 20 s; warnings of libraries blocked on standard error. Now texts of clients are cut at 400 characters, the buffer holds 4 MiB, 50 lines a second of request.denied and job.malformed are written with a count of the others, and warnings of libraries are structured lines, one a second of each. tests/test_log_bounds.py fails without this.

--- a/src/foxtrestle/control/log.py
+++ b/src/foxtrestle/control/log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import sys
 from collections import deque
@@ -20,6 +21,14 @@
 
 BUFFER_LINES: Final = 4096
 """Lines buffered while the reader of standard output is slow; more are counted and dropped."""
+BUFFER_BYTES: Final = 4 << 20
+"""Maximum size of these lines, bytes."""
+LIBRARY_INTERVAL_S: Final = 1.0
+"""Minimum seconds between two lines of one library's logger."""
+CLIENT_LINES_PER_S: Final = 50
+"""Maximum lines a second of one event that clients cause at no cost to themselves."""
+MAX_TEXT: Final = 400
+"""Maximum length of a text that a client or a library has determined, characters."""
 
 
 class LogWriter:
@@ -31,16 +40,19 @@
         """Lines dropped because the buffer was full."""
         self._descriptor = sys.stdout.fileno() if descriptor is None else descriptor
         self._lines: deque[bytes] = deque()
+        self._size = 0
         self._reported = 0
         self._encoder = msgspec.json.Encoder(enc_hook=str)
         os.set_blocking(self._descriptor, False)
 
     def __call__(self, message: Mapping[str, Any]) -> None:
         """Write one message, or buffer it."""
-        if len(self._lines) >= BUFFER_LINES:
+        if len(self._lines) >= BUFFER_LINES or self._size >= BUFFER_BYTES:
             self.dropped += 1
             return
-        self._lines.append(self._encoder.encode(message) + b"\n")
+        line = self._encoder.encode(message) + b"\n"
+        self._lines.append(line)
+        self._size += len(line)
         self.flush()
 
     def flush(self) -> None:
@@ -55,7 +67,9 @@
                 # The reader has closed the pipe; the remaining lines are lost.
                 self.dropped += len(self._lines)
                 self._lines.clear()
+                self._size = 0
                 return
+            self._size -= written
             if written < len(line):
                 self._lines[0] = line[written:]
                 return
@@ -75,6 +89,65 @@
     return writer
 
 
+class _LibraryLog(logging.Handler):
+    """Passes warnings of libraries on as structured lines, at most one a second and logger."""
+
+    def __init__(self) -> None:
+        """Create a handler for warnings and errors."""
+        super().__init__(logging.WARNING)
+        self._written_at: dict[str, float] = {}
+        self._left_out = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write the line of a record, or count it."""
+        now = read_clock()
+        if now - self._written_at.get(record.name, -LIBRARY_INTERVAL_S) < LIBRARY_INTERVAL_S:
+            self._left_out += 1
+            return
+        self._written_at[record.name] = now
+        error = record.exc_info[1] if record.exc_info else None
+        log("library.warning", library=record.name, reason=shorten(record.getMessage()),
+            error=shorten(repr(error)) if error else "", left_out=self._left_out)  # fmt: skip
+        self._left_out = 0
+
+
+def log_libraries() -> None:
+    """Write warnings of libraries as structured lines, instead of to standard error, which blocks.
+
+    Clients can cause such warnings, for instance by opening more connections than are accepted.
+    """
+    logging.getLogger().addHandler(_LibraryLog())
+
+
+class LineBudget:
+    """Bounds the lines of an event that clients cause at no cost to themselves."""
+
+    def __init__(self, per_s: int = CLIENT_LINES_PER_S) -> None:
+        """Create a budget; lines beyond it are counted in the first line after them."""
+        self._per_s = per_s
+        self._began_at = read_clock()
+        self._written = 0
+        self._left_out = 0
+
+    def log(self, event: str, **fields: Any) -> None:
+        """Write a line, unless there were too many in this second."""
+        now = read_clock()
+        if now - self._began_at >= 1.0:
+            self._began_at = now
+            self._written = 0
+        if self._written >= self._per_s:
+            self._left_out += 1
+            return
+        self._written += 1
+        left_out, self._left_out = self._left_out, 0
+        log(event, **fields, **({"left_out": left_out} if left_out else {}))
+
+
+def shorten(text: str) -> str:
+    """Shorten a text that a client or a library has determined."""
+    return text if len(text) <= MAX_TEXT else text[:MAX_TEXT] + "..."
+
+
 def stop_logging(destination: Any) -> None:
     """Stop sending messages to a destination."""
     remove_destination(destination)
--- a/src/foxtrestle/daemon.py
+++ b/src/foxtrestle/daemon.py
@@ -18,6 +18,7 @@
 from returns.result import Failure
 
 from foxtrestle.configuration import Configuration
+from foxtrestle.control.log import log_libraries
 from foxtrestle.dispatch import Dispatcher
 from foxtrestle.errors import FoxtrestleError
 from foxtrestle.events import HybridLogicalClock, Timeline
@@ -560,6 +561,7 @@
             print(f"{path}: {fault}", file=sys.stderr)
         sys.exit(2)
     eliot.to_file(sys.stdout)
+    log_libraries()
     asyncio.run(_run(result.unwrap()))
 
 
--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -16,7 +16,7 @@
 from foxtrestle.control.host_accounts import read_host_gauges
 from foxtrestle.control.layout import Layout
 from foxtrestle.control.leader_election import LeaderElection, compute_election_delay
-from foxtrestle.control.log import log, start_logging
+from foxtrestle.control.log import log, log_libraries, start_logging
 from foxtrestle.control.node_metrics import NodeMetrics
 from foxtrestle.listener import bind, listen
 from foxtrestle.listening.admission import Admission
@@ -336,6 +336,7 @@
         return 2
     settings = result.unwrap()
     start_logging(settings.name)
+    log_libraries()
     gc.freeze()
     asyncio.run(_run(settings))
     return 0
--- a/src/foxtrestle/platform/client_api.py
+++ b/src/foxtrestle/platform/client_api.py
@@ -10,7 +10,7 @@
 from starlette.routing import Route
 
 from foxtrestle.clock import read_clock
-from foxtrestle.control.log import log
+from foxtrestle.control.log import LineBudget, log, shorten
 from foxtrestle.control.node_metrics import CONTENT_TYPE
 from foxtrestle.platform.http import MalformedMessage
 from foxtrestle.platform.jobs import (
@@ -77,6 +77,7 @@
         is_store_unavailable: Returns whether the store counts as unavailable to this node.
         metrics: Counts the requests.
     """
+    denied, malformed = LineBudget(), LineBudget()
 
     async def handle_counted(request: Request) -> Response:
         started_at = read_clock()
@@ -88,14 +89,14 @@
         target = read_target(request.headers, request.url.path)
         grant = operators.authorise(target)
         if isinstance(grant, Denial):
-            log("request.denied", reason=grant.value, path=target.path,
+            denied.log("request.denied", reason=grant.value, path=shorten(target.path),
                 key=abbreviate_digest(target.key))  # fmt: skip
             return _respond(STATUSES[grant])
         job_id = target.path.removeprefix(grant.queue.prefix)
         try:
             return await answer(request, target, grant, job_id)
         except (MalformedMessage, InvalidJob) as error:
-            log("job.malformed", job=job_id, reason=str(error))
+            malformed.log("job.malformed", job=shorten(job_id), reason=shorten(str(error)))
             return Response(str(error), status_code=400)
         except OutcomeUnknown as error:
             log("request.unanswered", job=job_id, method=request.method, reason=error.reason)
