--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -6,7 +6,7 @@
 import sys
 from typing import Final
 
-NAMES: Final = ("fleets", "jobs", "requests", "decisions", "capacity", "drill")
+NAMES: Final = ("fleets", "jobs", "requests", "decisions", "capacity", "drill", "listeners")
 COMPARE: Final = "compare"
 """Bench that is not included in `all`, because it plays whole days of the users' deployments."""
 
