Soak: clients that do not behave, drawn by seed, and the nodes' memory

Groups of up to 40 clients send a random node what no client within the limits sends, read nothing and keep their connections for seconds, beside signals, restarts and changes. Their choices have a generator of their own, so that a seed's other choices stay. A node that runs at the end must never have held more than the 300 MB of its settings.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,6 +19,7 @@
 from foxtrestle.scheduling.model import Shape, TaskKey
 from foxtrestle.standins.site import Site
 from soak.invariant_monitor import DRAIN_S, JOB_TEXT_PREFIX, InvariantMonitor, ZoneDrain
+from soak.misbehaving_clients import MisbehavingClients
 from soak.ports import find_free_port
 from soak.proxy import Proxy
 
@@ -31,6 +32,8 @@
 SETTLE_S: Final = 45.0
 """Seconds after the last fault within which every accepted job must end: a lease after a takeover
 lasts 13 s, and jobs that waited during the faults need capacity."""
+MEMORY_MB: Final = 300
+"""Memory of a node's machine, MB, as its settings say."""
 CONFIGURATION: Final[dict[str, Any]] = {
     "version": 1,
     "routes": [
@@ -70,6 +73,7 @@
             f'nodeName = "{name}"\nzone = "z"\n'
             f'[listenAddrs]\nfront = "127.0.0.1:{self.client_port}"\nready = "127.0.0.1:{ready}"\n'
             f'[platform]\naddress = "{store_proxy.address}"\n'
+            f"[limits]\nmemoryMb = {MEMORY_MB}\n"
             f'[cloudApi]\naddress = "{hosts_address}"\n'
             f"[bounds]\nevacuateMs = {DRAIN_S * 1000:.0f}\n[zones]\n"
             + "".join(f'{zone} = "r"\n' for zone in ZONES)
@@ -100,6 +104,14 @@
                 env={**os.environ, "FOXTRESTLE_SETTINGS": str(self._settings)},
             )
 
+    def read_peak_memory_mb(self) -> int:
+        """Return the most memory that the running process has held, MB; 0 if none runs."""
+        if self._process is None or self._process.returncode is not None:
+            return 0
+        status = Path(f"/proc/{self._process.pid}/status").read_text(encoding="ascii")
+        peaks = [line.split()[1] for line in status.splitlines() if line.startswith("VmHWM:")]
+        return int(peaks[0]) // 1024 if peaks else 0
+
     def send(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process if it is still running."""
         if self._process is not None and self._process.returncode is None:
@@ -129,6 +141,7 @@
         """Checks of the invariants."""
         self.nodes: list[NodeProcess] = []
         """The nodes."""
+        self._seed = seed
         self._seconds = seconds
         self._folder = folder
         self._tasks: set[asyncio.Task[None]] = set()
@@ -162,9 +175,14 @@
             stack.callback(restarts.cancel)
             drains = asyncio.create_task(self._drain_zones())
             stack.callback(drains.cancel)
+            clients = MisbehavingClients(self._seed, [node.client_port for node in self.nodes])
+            misbehaving = asyncio.create_task(clients.run())
+            stack.callback(misbehaving.cancel)
             await self._run_workload(session)
+            misbehaving.cancel()
             states = await self._settle(session)
             self.monitor.finish(states)
+            self._check_memory()
         counts = (
             f"{self._job_count} jobs, {len(self.monitor.accepted)} accepted, "
             f"{self._fault_count} faults"
@@ -172,6 +190,13 @@
         print(f"{counts}, {len(self.monitor.violations)} violations", flush=True)
         return self.monitor.violations
 
+    def _check_memory(self) -> None:
+        """Check that no node that runs at the end has ever held more than its machine has."""
+        for node in self.nodes:
+            peak_mb = node.read_peak_memory_mb()
+            if peak_mb > MEMORY_MB:
+                self.monitor.violations.append(f"{node.name} held {peak_mb} of {MEMORY_MB} MB")
+
     async def _terminate_node(self, node: NodeProcess) -> None:
         node.soak_ended = True
         node.send(signal.SIGCONT)
