--- a/tests/crowd_processes.py
+++ b/tests/crowd_processes.py
@@ -17,6 +17,7 @@
 from foxtrestle.standins.hosts import FakeFleet, make_hosts
 from foxtrestle.standins.keyvalue import KeyValueEngine
 from foxtrestle.standins.site import Site
+from soak.mixed_daemons import CONFIGURATION_TEXT
 from soak.ports import find_free_port
 from tests.test_node import CONFIGURATION
 
@@ -38,21 +39,6 @@
 DATA: Final = Path(__file__).parent / "data"
 ADMIN_TOKEN: Final = "operator-token"
 CALLER_TOKEN: Final = "caller-token"
-FLEET: Final = """
-[[teams]]
-name = "team-a"
-level = 50
-quota_cores = 64
-[[pools]]
-name = "p"
-team = "team-a"
-hosts = 4
-max_unavailable = 2
-[[services]]
-name = "s"
-pool = "p"
-port = {port}
-"""
 SUBNET: Final = 150
 """Third octet of the loopback addresses on which the stand-in hosts listen."""
 
@@ -205,7 +191,7 @@
         """Return whether the daemon has taken the fleet file."""
         status, _ = await call(
             "POST", f"{self._scheme}://{self.admin}/v1/apply",
-            data=FLEET.format(port=self.service).encode(),
+            data=CONFIGURATION_TEXT.format(port=self.service).encode(),
             headers={"Authorization": f"Bearer {ADMIN_TOKEN}"},
         )  # fmt: skip
         return status == 200
