--- a/src/foxtrestle/control/backlog_record.py
+++ b/src/foxtrestle/control/backlog_record.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Final
 
-from foxtrestle.control.log import Outage, log
+from foxtrestle.control.log import log
+from foxtrestle.control.record_updates import keep_updated
 from foxtrestle.scheduling.backlog import is_backlog_full
-from foxtrestle.store import StoreError, Transaction
+from foxtrestle.store import Transaction
 
 if TYPE_CHECKING:
     from foxtrestle.control.leader_election import Term
@@ -48,15 +48,7 @@
 
     async def run(self) -> None:
         """Keep the record up to date until cancelled."""
-        outage = Outage("store", "backlog")
-        while True:
-            try:
-                await self.update()
-            except StoreError as error:
-                outage.note_failure(error)
-            else:
-                outage.note_success()
-            await asyncio.sleep(CHECK_INTERVAL_S)
+        await keep_updated(self.update, "backlog", CHECK_INTERVAL_S)
 
     async def update(self) -> None:
         """Write or remove the record if that has changed."""
--- a/src/foxtrestle/control/pressure_records.py
+++ b/src/foxtrestle/control/pressure_records.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 
 from foxtrestle.clock import read_clock
-from foxtrestle.control.log import Outage, log
+from foxtrestle.control.log import log
+from foxtrestle.control.record_updates import keep_updated
 from foxtrestle.scheduling.pool_needs import compute_mean_host
 from foxtrestle.scheduling.pressure import RATE_WINDOW_S, Pressure, SubmittedWork, measure_pressure
-from foxtrestle.store import StoreError, Transaction
+from foxtrestle.store import Transaction
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -81,15 +81,7 @@
 
     async def run(self) -> None:
         """Keep the record up to date until cancelled."""
-        outage = Outage("store", "pressure")
-        while True:
-            try:
-                await self.update()
-            except StoreError as error:
-                outage.note_failure(error)
-            else:
-                outage.note_success()
-            await asyncio.sleep(UPDATE_INTERVAL_S)
+        await keep_updated(self.update, "pressure", UPDATE_INTERVAL_S)
 
     async def update(self) -> None:
         """Write the record if the pressure has changed, or remove it if there is none."""
