--- a/benches/listeners.py
+++ b/benches/listeners.py
@@ -20,7 +20,8 @@
 from benches.report import print_figure
 from foxtrestle.listening.admission import Admission
 from foxtrestle.listening.limits import ProcessLimits
-from foxtrestle.listening.protocol import BoundedHttpProtocol, ListenerPolicy
+from foxtrestle.listening.policy import ListenerPolicy
+from foxtrestle.listening.protocol import BoundedHttpProtocol
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/foxtrestle/daemon.py
+++ b/src/foxtrestle/daemon.py
@@ -41,7 +41,7 @@
     read_descriptor_limit,
     read_machine_memory_mb,
 )
-from foxtrestle.listening.protocol import ListenerPolicy
+from foxtrestle.listening.policy import ListenerPolicy
 from foxtrestle.membership import Membership
 from foxtrestle.messages import (
     Claim,
--- a/src/foxtrestle/listener.py
+++ b/src/foxtrestle/listener.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
 
-    from foxtrestle.listening.protocol import ListenerPolicy
+    from foxtrestle.listening.policy import ListenerPolicy
 
 
 class _Server(uvicorn.Server):
--- a/src/foxtrestle/listening/protocol.py
+++ b/src/foxtrestle/listening/protocol.py
@@ -11,76 +11,28 @@
 
 import asyncio
 import urllib.parse
-from enum import Enum
-from typing import TYPE_CHECKING, Any, Final
+from typing import Any, Final
 
 import httptools
-import msgspec
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 from uvicorn.protocols.utils import get_local_addr, get_remote_addr, is_ssl
 
 from foxtrestle.listening.framing import find_slice_end, read_body_framing
 from foxtrestle.listening.limits import (
-    ANSWER_TIMEOUT_S,
-    BODY_TIMEOUT_S,
-    SMALL_BUFFER_BYTES,
-    TIMEOUT_SLACK,
-    TURN_TIMEOUT_S,
     ConnectionUse,
-    RequestLimits,
     compute_held_bytes,
     compute_request_bytes,
 )
-from foxtrestle.listening.refusals import Reason, encode_refusal
-
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from foxtrestle.listening.admission import ListenerAdmission
+from foxtrestle.listening.policy import ListenerPolicy, name_peer
+from foxtrestle.listening.refusals import Reason
+from foxtrestle.listening.stages import RECEIVING, TIMEOUT_REASONS, Stage, find_time_limit
 
 CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
-LINGER_S: Final = 1.0
-"""Seconds for which bytes are discarded after a refusal: closing a connection with unread bytes
-resets it, and the client would not see why it was refused."""
 LINGER_BYTES: Final = 64 * 1024
 """Maximum number of bytes discarded after a refusal."""
 
 
-class Stage(Enum):
-    """What a connection is doing."""
-
-    IDLE = "waits for a request"
-    HEAD = "receives the head of a request"
-    BODY = "receives the body of a request"
-    QUEUED = "has a complete request that waits for its turn"
-    PROCESSING = "processes a request"
-    ANSWERED = "waits for the client to read an answer"
-    CLOSING = "discards bytes before it closes"
-
-
-RECEIVING: Final = frozenset({Stage.IDLE, Stage.HEAD, Stage.BODY})
-"""Stages in which bytes are given to the parser."""
-
-
-class ListenerPolicy(msgspec.Struct, frozen=True):
-    """What the connections of one listener have in common."""
-
-    admission: ListenerAdmission
-    """Admission of the connections."""
-    read_limits: Callable[[], RequestLimits] = RequestLimits
-    """Returns the limits of a request in force."""
-    encode_refusal: Callable[[Reason, list[tuple[bytes, bytes]]], bytes] = encode_refusal
-    """Encodes the answer to a refused request, given the header fields that have arrived."""
-    buffer_bytes: int = SMALL_BUFFER_BYTES
-    """Size of the kernel's receive and send buffers of a connection, bytes."""
-
-
-def name_peer(address: tuple[str, int] | None) -> str:
-    """Return the name of a client in log lines; empty if its address is not known."""
-    return f"{address[0]}:{address[1]}" if address else ""
-
-
 class _AnswerFlow(FlowControl):
     """Flow control that leaves reading to the protocol, and never holds up an answer.
 
@@ -402,14 +354,7 @@
             return
         self._cancel_timer()
         self._timed_stage = self._stage
-        seconds = {
-            Stage.IDLE: TIMEOUT_SLACK * self._limits.idle_timeout_s,
-            Stage.HEAD: TIMEOUT_SLACK * self._limits.header_timeout_s,
-            Stage.BODY: BODY_TIMEOUT_S,
-            Stage.QUEUED: TURN_TIMEOUT_S,
-            Stage.ANSWERED: ANSWER_TIMEOUT_S,
-            Stage.CLOSING: LINGER_S,
-        }.get(self._stage)
+        seconds = find_time_limit(self._stage, self._limits)
         if seconds is not None:
             self._timer = self.loop.call_later(seconds, self._end_stage)
 
@@ -420,18 +365,15 @@
 
     def _end_stage(self) -> None:
         """Act on a time limit that has passed."""
+        reason = TIMEOUT_REASONS.get(self._stage)
         if self._stage is Stage.IDLE:
             self.transport.close()
-        elif self._stage is Stage.HEAD:
-            self._refuse(Reason.HEAD_TOO_SLOW)
-        elif self._stage is Stage.BODY:
-            self._refuse(Reason.BODY_TOO_SLOW)
-        elif self._stage is Stage.QUEUED:
-            self._refuse(Reason.NO_TURN)
+        elif reason is None:
+            self.transport.abort()
         elif self._stage is Stage.ANSWERED:
-            self.evict(Reason.ANSWER_UNREAD)
+            self.evict(reason)
         else:
-            self.transport.abort()
+            self._refuse(reason)
 
     # Refusing.
 
--- a/src/foxtrestle/listening/tls.py
+++ b/src/foxtrestle/listening/tls.py
@@ -10,17 +10,16 @@
 from uvicorn.protocols.utils import get_remote_addr
 
 from foxtrestle.listening.limits import HANDSHAKE_TIMEOUT_S
-from foxtrestle.listening.protocol import (
-    LINGER_S,
-    BoundedHttpProtocol,
-    ListenerPolicy,
-    name_peer,
-)
+from foxtrestle.listening.policy import name_peer
+from foxtrestle.listening.protocol import BoundedHttpProtocol
 from foxtrestle.listening.refusals import Reason
+from foxtrestle.listening.stages import LINGER_S
 
 if TYPE_CHECKING:
     from uvicorn.server import ServerState
 
+    from foxtrestle.listening.policy import ListenerPolicy
+
 TLS_BUFFER_BYTES: Final = 17 * 1024
 """Size of the buffer of encrypted bytes of a connection, bytes: one record of TLS and its frame."""
 
--- a/src/foxtrestle/node/process.py
+++ b/src/foxtrestle/node/process.py
@@ -25,7 +25,7 @@
     plan_process_limits,
     read_descriptor_limit,
 )
-from foxtrestle.listening.protocol import ListenerPolicy
+from foxtrestle.listening.policy import ListenerPolicy
 from foxtrestle.node.drained_zones import DrainedZones
 from foxtrestle.node.job_service import JobService
 from foxtrestle.node.loop_lag import measure_loop_lag
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -22,7 +22,7 @@
     compute_request_bytes,
     plan_process_limits,
 )
-from foxtrestle.listening.protocol import ListenerPolicy
+from foxtrestle.listening.policy import ListenerPolicy
 from foxtrestle.listening.refusals import Reason, RefusalCounts, encode_refusal
 from foxtrestle.proxy import encode_caller_refusal
 from tests.test_node import wait_for
@@ -401,7 +401,7 @@
 async def test_request_without_a_turn_is_refused_and_has_not_run(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("foxtrestle.listening.protocol.TURN_TIMEOUT_S", 0.05)
+    monkeypatch.setattr("foxtrestle.listening.stages.TURN_TIMEOUT_S", 0.05)
     async with serve(max_requests=1) as server:
         server.app.hold = asyncio.Event()
         first = asyncio.create_task(server.send(b"GET /1 HTTP/1.1\r\n\r\n", until=b"GET /1"))
