Begin no TLS handshake on a connection that is closed already

It held the state of TLS for the 10 s of a handshake that nobody takes part in, uncounted, as many as clients open in that time. test_tls_connection_that_is_closed_for_another_begins_no_handshake: 5 handshakes begun before, none now.

--- a/src/foxtrestle/listening/tls.py
+++ b/src/foxtrestle/listening/tls.py
@@ -97,6 +97,9 @@
 
     async def _run_handshake(self) -> None:
         """Complete the handshake and hand the connection over; a failure closes it."""
+        if self._transport.is_closing():
+            # Closed for another connection; a handshake would last until its time is over.
+            return
         self._transport.set_write_buffer_limits(high=1, low=0)
         protocol = BoundedHttpProtocol(self._policy, socket=self._transport, **self._options)
         try:
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager, suppress
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 import pytest
@@ -31,6 +32,7 @@
     from collections.abc import AsyncIterator
 
 MB = 1 << 20
+DATA = Path(__file__).parent / "data"
 HEAD = b"POST /%d HTTP/1.1\r\nHost: h\r\n"
 
 
@@ -441,3 +443,33 @@
         asyncio.get_running_loop().call_later(0.2, server.app.hold.set)
     assert (await first).endswith(b"GET /1 ")
     assert await idle == b""
+
+
+async def test_tls_connection_that_is_closed_for_another_begins_no_handshake(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    begun = 0
+    loop = asyncio.get_running_loop()
+    start_tls = loop.start_tls
+
+    async def count(*arguments: Any, **options: Any) -> Any:
+        nonlocal begun
+        begun += 1
+        return await start_tls(*arguments, **options)
+
+    monkeypatch.setattr(loop, "start_tls", count)
+    admission = Admission(ProcessLimits(1, MB))
+    policy = ListenerPolicy(admission.add_listener("callers", 1))
+    bound = bind("127.0.0.1", 0)
+    certificate, key = str(DATA / "certificate.pem"), str(DATA / "key.pem")
+    async with listen(Echo(), [bound], policy=policy, certificate=certificate, key=key):
+        # The only connection has a request in process, so each new one is closed at once.
+        kept = FakeConnection()
+        admission.listeners[0].add(kept)
+        admission.listeners[0].set_busy(kept)
+        for _ in range(5):
+            reader, writer = await asyncio.open_connection("127.0.0.1", bound.getsockname()[1])
+            with suppress(ConnectionResetError):
+                assert await reader.read() == b""
+            writer.close()
+    assert begun == 0
