--- a/review/7/case.py
+++ b/review/7/case.py
@@ -5,12 +5,13 @@
 import time
 from pathlib import Path
 
-from deployment import CONFIGURATION, Record, deploy, finish
-from foxtrestle.scheduling.model import Shape
-from foxtrestle.standins.site import Site
+from deployment import CONFIGURATION, Record, deploy, finish, play
 from pending import PendingCheck
 from starlette.responses import Response
 
+from foxtrestle.scheduling.model import Shape
+from foxtrestle.standins.site import Site
+
 RUNNERS = 8
 SICK_S = 6.5
 SMALL = [{"count": 1, "cpu": 3000, "memMb": 500, "estimatedMs": 300}]
@@ -67,9 +68,7 @@
             site.sick = set(free)
             record.add(f"runner {free[0]}, one of {RUNNERS}, is sick from now on")
         began = time.monotonic()
-        await asyncio.gather(
-            *(check.submit(nodes[n % 3], f"b{n:015x}", SMALL) for n in range(8))
-        )
+        await asyncio.gather(*(check.submit(nodes[n % 3], f"b{n:015x}", SMALL) for n in range(8)))
         while time.monotonic() < began + SICK_S - 0.1:
             await asyncio.gather(*(check.ask(node) for node in nodes))
             await asyncio.sleep(0.1)
@@ -87,4 +86,4 @@
         finish(0, record, f"held: {check.asked} answers")
 
 
-asyncio.run(main())
+play(main())
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -5,10 +5,11 @@
 import time
 from pathlib import Path
 
-from deployment import CONFIGURATION, Record, deploy, finish
+from deployment import CONFIGURATION, Record, deploy, finish, play
+from pending import PendingCheck
+
 from foxtrestle.scheduling.model import Shape
 from foxtrestle.standins.site import Site
-from pending import PendingCheck
 
 RUNNERS = 8
 LATE_S = 5.0
@@ -91,4 +92,4 @@
         finish(0, record, f"held: {check.asked} answers")
 
 
-asyncio.run(main())
+play(main())
--- a/review/kit-2/deployment.py
+++ b/review/kit-2/deployment.py
@@ -14,16 +14,22 @@
 import sys
 import tempfile
 import time
+import traceback
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
 ROOT = Path(__file__).resolve().parents[2]
 RUN = ["python3", "src/foxtrestled_node.py"]  # command of deploy/system.toml
 HOST = "jobs.example"
 PREFIX = "/q/"
+STARTED: list[Node] = []
+"""All nodes that this process has started."""
 
 
 def find_free_port() -> int:
@@ -76,6 +82,7 @@
             self.process = await asyncio.create_subprocess_exec(
                 *RUN, cwd=ROOT, env=env, stdout=log, stderr=log
             )
+        STARTED.append(self)
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process if it still runs."""
@@ -254,9 +261,27 @@
 }  # fmt: skip
 
 
+def end_process(code: int) -> None:
+    """Kill all nodes and exit at once; the stand-ins' open calls need not end."""
+    for node in STARTED:
+        node.send(signal.SIGCONT)
+        node.send(signal.SIGKILL)
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
+
+
 def finish(code: int, record: Record, verdict: str) -> None:
-    """Note the verdict and exit at once; the stand-ins' open calls need not end."""
+    """Note the verdict and exit: 1 if the rule was broken, 0 if it held, 2 if the case did not run."""
     record.add(verdict)
     print(verdict, flush=True)
-    sys.stdout.flush()
-    os._exit(code)
+    end_process(code)
+
+
+def play(case: Coroutine[Any, Any, None]) -> None:
+    """Run a case, which ends with `finish`; any other end counts as not run."""
+    try:
+        asyncio.run(case)
+    except BaseException:
+        traceback.print_exc()
+    end_process(2)
--- a/review/kit-2/traffic.py
+++ b/review/kit-2/traffic.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from deployment import CONFIGURATION, Record, deploy, finish
+
 from foxtrestle.scheduling.model import Shape, TaskKey
 from foxtrestle.standins.site import Site
 
@@ -125,7 +126,9 @@
         for worker in site.list_workers():
             for key, run_number, at in worker.starts:
                 if int(key.job, 16) < 1 << 60:
-                    record.add(f"worker {worker.info.id} started {key} run {run_number} at {at:.0f}")
+                    record.add(
+                        f"worker {worker.info.id} started {key} run {run_number} at {at:.0f}"
+                    )
         for node in deployment.nodes:
             record.add(
                 f"{node.name}: controllers begun {node.count_logged('control.acquired')}, "
