--- a/review/kit-2/deployment.py
+++ b/review/kit-2/deployment.py
@@ -261,6 +261,10 @@
 }  # fmt: skip
 
 
+BROKEN = 11
+"""Exit code of a case that broke its rule; `run.sh` turns it into 1."""
+
+
 def end_process(code: int) -> None:
     """Kill all nodes and exit at once; the stand-ins' open calls need not end."""
     for node in STARTED:
@@ -272,10 +276,16 @@
 
 
 def finish(code: int, record: Record, verdict: str) -> None:
-    """Note the verdict and exit: 1 if the rule was broken, 0 if it held, 2 if the case did not run."""
+    """Note the verdict and exit.
+
+    Args:
+        code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+        record: Record of the case.
+        verdict: One line that says why.
+    """
     record.add(verdict)
     print(verdict, flush=True)
-    end_process(code)
+    end_process(BROKEN if code == 1 else code)
 
 
 def play(case: Coroutine[Any, Any, None]) -> None:
