Tests: give no test the log lines of earlier ones

What was seen: test_a_zone_without_power_causes_no_hand_over at times (KNOWN-RED.txt), and once today test_no_hand_over_with_a_single_zone_in_the_settings, found a line zone.apart that should not be there.

Cause: eliot keeps the lines that are logged before there is a destination, and hands them to the first one. If that was the fixture of these tests, it got the lines of tests that had run before in the same process; which tests those are depends on how xdist divides them. The product logged nothing wrong.

Evidence: after test_new_tasks_start_in_all_zones in a new process, both tests failed, each time. The fixture now drops what it gets at once.

--- a/tests/test_zone_hand_over.py
+++ b/tests/test_zone_hand_over.py
@@ -52,6 +52,8 @@
     """Return the log lines written during the test."""
     logged: list[dict[str, Any]] = []
     add_destinations(logged.append)
+    # The first destination of a process gets the lines of earlier tests as well.
+    logged.clear()
     yield logged
     remove_destination(logged.append)
 
