Run a task nowhere else while a start of it may still be carried out

A start had no answer, its second copy was answered; the worker crashed, the task was started elsewhere 0.9 s later; the worker's next incarnation, under the same id, carried the first copy out before any call.

Cause: a token fences a call off only once a later call has reached the same incarnation. The next one has seen none, so it carries out whatever was meant for the former one, up to 12 s after it was sent. The controller forgot that a start had no answer as soon as its second copy had one; so did the next controller.

Mend, for all these ways (scheduling/unsettled_starts): - From sending to its answer, a start counts as unsettled, and after that too if any copy had no answer. Until it is settled, the task starts on that worker only: a run there ends with its incarnation. All other tasks, those of the same step too, go on, and nothing is reserved or ordered for the waiting one. - It is settled by another worker id on the host; or 12 s after it was sent, once the worker, the host list or the longest lease shows that no run of it is at work unseen. - Ends of such a task are processed and recorded at once, as before, but not acknowledged to the worker until 12 s have passed, since an acknowledged end stands for good. Ends before it are acknowledged. - Progress records carry the unsettled starts, and when each run was placed. What an earlier controller placed in the last 30 s counts as unsettled until its worker lists it. - A start whose worker could not be identified first was never sent (NotSent), so it is not unsettled.

Stops and changes of pace name a run number that is never used again, so a late one changes nothing.

tests/test_crashes.py: its simulated controller settles starts in each round, as the real one does; its checks are as they were.

--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -16,7 +16,7 @@
 from foxtrestle.control.link import WorkerLink
 from foxtrestle.control.log import log
 from foxtrestle.control.node_metrics import NodeMetrics
-from foxtrestle.control.orders import Orders
+from foxtrestle.control.orders import Orders, compute_lapse
 from foxtrestle.control.policy_prefetch import PolicyPrefetcher
 from foxtrestle.control.prefix_watch import list_as_changes, scan_with_retry, watch_prefix
 from foxtrestle.control.pressure_records import PressureRecords
@@ -51,6 +51,7 @@
 from foxtrestle.scheduling.share_limits import ShareLimiter, justifies_scale_up, spread_arrivals
 from foxtrestle.scheduling.state import Fleet
 from foxtrestle.scheduling.task_placement import choose_placements
+from foxtrestle.scheduling.unsettled_starts import remove_settled
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -103,6 +104,9 @@
         self._worker_client = workers
         self._operators = operators
         self._started_at = read_clock()
+        unsettled = self.fleet.unsettled_starts
+        unsettled.takeover_at = self._started_at
+        unsettled.longest_lease_s = compute_lapse(0.0, settings.operating_limits.max_lease_s)
         self._tokens = FencingTokens(store, term)
         self._progress_writer = ProgressWriter(store, self.fleet, term, self._metrics)
         self._registry = WorkerRegistry(
@@ -453,6 +457,7 @@
         if self._progress_writer.unavailable_since or not self._term.is_valid():
             # A start must be recorded before it is sent, which is not possible now.
             return
+        self._remove_settled_starts(now)
         self._release_excess(now)
         at_limit = self.fleet.organisations_at_limit
         current = self._operators.is_current()
@@ -464,6 +469,12 @@
         self.zone_drains.decide(now)
         self._hosts.decide(now)
 
+    def _remove_settled_starts(self, now: float) -> None:
+        for key, worker, age_s in remove_settled(self.fleet, now):
+            log("start.settled", job=key.job, rep=key.repetition, step=key.step, index=key.number,
+                worker=worker, age_s=round(age_s, 3))  # fmt: skip
+            self._metrics.note_settlement(age_s)
+
     def _release_excess(self, now: float) -> None:
         waiting = [entry for entry in self.fleet.active.values() if entry.excess and entry.ready]
         fleet = self.fleet
@@ -520,6 +531,7 @@
             if not entry.placed:
                 self._metrics.note_organisation(entry.job.owner, "started")
             run = place_run(self.fleet, task, worker, placement.run, now)
+            run.placed_ms = int(time.time() * 1000)
             starts.append((task, run, worker))
             log("run.placed", job=placement.job, rep=task.key.repetition, step=task.key.step,
                 index=task.key.number, run=run.number, worker=worker.info.id,
--- a/src/foxtrestle/control/fencing.py
+++ b/src/foxtrestle/control/fencing.py
@@ -4,7 +4,8 @@
 starts without state and accepts any token until it has seen a higher one. Each unanswered call
 therefore raises its worker's token at once, and any later call fences off the unanswered one,
 whether it reaches the same incarnation or the next. Raising a token needs no write, so fencing also
-works while the store is unavailable.
+works while the store is unavailable. What the next incarnation carries out before its first call
+cannot be fenced off: see `scheduling.unsettled_starts`.
 """
 
 from __future__ import annotations
--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -20,6 +20,7 @@
 from foxtrestle.scheduling.losses import LossReason
 from foxtrestle.scheduling.pacing import choose_paces
 from foxtrestle.scheduling.runs import drop_run, reconcile_runs, record_end, requeue
+from foxtrestle.scheduling.unsettled_starts import find_withheld_end
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -50,6 +51,8 @@
 others, so it does not count as complete."""
 MAX_LOGGED_ENDS: Final = 20
 """Maximum number of ends that one log line lists."""
+POLL_S: Final = 0.1
+"""Seconds between calls while the worker would answer each of them at once."""
 STOP_RETRY_S: Final = 1.0
 """Seconds after which a stop that was answered but had no effect is sent again."""
 
@@ -169,6 +172,18 @@
                 await asyncio.sleep(RETRY_S)
             else:
                 await self._process_report(report, sent_at, acknowledged)
+                if self._would_answer_at_once():
+                    await asyncio.sleep(POLL_S)
+
+    def _would_answer_at_once(self) -> bool:
+        """Return whether the next call would change nothing and wait for nothing.
+
+        A worker that lists an end does not wait for another one.
+        """
+        worker = self._worker
+        if worker.acknowledgeable_end > worker.discarded_end:
+            return False
+        return worker.withheld_end > 0
 
     async def _renew_lease(self, sent_at: float, acknowledged: int, token: int) -> WorkerReport:
         worker = self._worker
@@ -182,8 +197,10 @@
         # A waiting renewal is in flight for long enough to reach the worker's next incarnation,
         # which would discard ends that it has not reported. If the last answer is too old for
         # acknowledging ends, they are acknowledged after the next answer.
-        ack_pending = worker.recorded_end > worker.discarded_end
-        wait_ms = int(wait_s * 1000) if may_wait and answered_recently and not ack_pending else 0
+        ack_pending = worker.acknowledgeable_end > worker.discarded_end
+        # A worker that lists an end answers at once, so a renewal has nothing to wait for.
+        may_wait = may_wait and answered_recently and not ack_pending and not worker.withheld_end
+        wait_ms = int(wait_s * 1000) if may_wait else 0
         expires_ms = None
         if worker.runs_known and sent_at - worker.last_answer_at < MAX_UNANSWERED_S:
             # The lease expires by the worker's clock. By this node's clock, it has certainly
@@ -233,6 +250,7 @@
         worker.record_answer(now, waited_s=now - sent_at)
         worker.clock_offset_ms = report.clock_ms - now * 1000
         stops = self._process_ends(report, now)
+        self._update_withheld_end(report, now)
         unwanted = reconcile_runs(self._fleet, worker, report.running, now)
         stops += [stop for stop in unwanted if self._is_stop_due(stop, now)]
         if len(report.ends) < MAX_ENDS:
@@ -265,6 +283,14 @@
                 failed_jobs=sorted(worker.failed_jobs))  # fmt: skip
         return stops
 
+    def _update_withheld_end(self, report: WorkerReport, now: float) -> None:
+        worker = self._worker
+        withheld = find_withheld_end(self._fleet, worker, report.ends, now)
+        if bool(withheld) != bool(worker.withheld_end):
+            log("ends.withheld" if withheld else "ends.released", worker=worker.info.id,
+                end=withheld or worker.withheld_end, listed=len(report.ends))  # fmt: skip
+        worker.withheld_end = withheld
+
     def _mark_runs_known(self, now: float) -> None:
         """Mark the worker's runs as completely known, at its first complete report in this term."""
         worker = self._worker
--- a/src/foxtrestle/control/node_metrics.py
+++ b/src/foxtrestle/control/node_metrics.py
@@ -35,6 +35,9 @@
         self._starts = self._histogram("start_wait_seconds", "Waits of tasks for a worker.")
         self._jobs = self._histogram("job_seconds", "Jobs from the controller's view.")
         self._rounds = self._histogram("round_seconds", "Rounds of a controller's decisions.")
+        self._settlements = self._histogram(
+            "unsettled_start_seconds", "Ages at which starts without an answer were settled."
+        )
         self._lags = self._histogram("loop_lag_seconds", "Lags of the event loop.")
         self._ends = Counter("foxtrestle_run_ends", "Ends of runs.", registry=self._registry)
         self._losses = Counter(
@@ -83,6 +86,10 @@
         """Count a scheduling round."""
         self._rounds.add({}, seconds)
 
+    def note_settlement(self, seconds: float) -> None:
+        """Count a start without an answer that can not be carried out any more."""
+        self._settlements.add({}, seconds)
+
     def note_lag(self, seconds: float) -> None:
         """Count a sample of the event loop's lag."""
         self._lags.add({}, seconds)
--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+from functools import partial
 from operator import attrgetter
 from typing import TYPE_CHECKING, Final
 
@@ -10,17 +12,13 @@
 from foxtrestle.clock import read_clock
 from foxtrestle.control.background_tasks import BackgroundTasks
 from foxtrestle.control.log import log
-from foxtrestle.platform.http import (
-    CallError,
-    MalformedMessage,
-    NoResponse,
-    is_connection_lost,
-)
+from foxtrestle.platform.http import CallError, is_connection_lost, may_be_carried_out
 from foxtrestle.platform.workers import IncarnationChanged, IncarnationMismatch, OrderRefused
 from foxtrestle.scheduling.checks import DRAINED, ZONES_UNKNOWN, check_send
 from foxtrestle.scheduling.losses import LossReason
 from foxtrestle.scheduling.model import StartOrder
 from foxtrestle.scheduling.runs import begin_job, drop_run, requeue
+from foxtrestle.scheduling.unsettled_starts import note_answered, note_sent
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -135,38 +133,62 @@
             run.sent_at = run.sent_at or now
             token = self.get_token(worker)
             order = msgspec.structs.replace(order, token=token)
+            settle = self._begin_attempt(task, worker, now)
             try:
                 await self._client.start(
                     target, order, compute_expiry_ms(worker, now), CALL_TIMEOUT_S
                 )
             except OrderRefused as refusal:
+                settle()
                 if self._handle_refusal(task, run, worker, refusal, token, sent=sent):
                     return
             except IncarnationMismatch:
+                settle()
                 self._release_worker(worker, LossReason.ADDRESS_REUSED)
                 return
             except IncarnationChanged:
+                settle()
                 log("start.withheld", job=task.key.job, step=task.key.step, index=task.key.number,
                     run=run.number, worker=worker.info.id, reason="another life",
                     sent=sent)  # fmt: skip
                 break
-            except (NoResponse, MalformedMessage) as error:
-                sent = True
-                if is_connection_lost(error):
-                    # The next answer may come from another incarnation, and then shows a crash.
-                    worker.record_unanswered_call(read_clock(), connection_lost=True)
-                self.note_unanswered(worker, token, error)
-                log("start.unanswered", job=task.key.job, worker=worker.info.id, token=token,
-                    reason=error.reason)  # fmt: skip
             except CallError as error:
-                log("start.failed", job=task.key.job, worker=worker.info.id, reason=error.reason)
+                self._handle_failed_start(task, run, worker, token, error)
+                if may_be_carried_out(error):
+                    sent = True
+                    continue
+                settle()
+                run.sent_at = run.sent_at if sent else 0.0
             else:
+                settle()
                 self._confirm(run)
                 worker.last_alive_at = run.confirmed_at
                 begin_job(self._fleet, entry, run.confirmed_at)
                 return
         await self._settle_failed_start(task, run, worker, sent=sent)
 
+    def _begin_attempt(self, task: Task, worker: Worker, now: float) -> Callable[[], None]:
+        """Note that a start is about to be sent; return what to call once its outcome is known."""
+        former = task.unsettled_starts.get(worker.info.id)
+        note_sent(self._fleet, task, worker, now, time.time() * 1000)
+        return partial(note_answered, self._fleet, task, worker, former)
+
+    def _handle_failed_start(
+        self, task: Task, run: Run, worker: Worker, token: int, error: CallError
+    ) -> None:
+        """Handle a start that has no readable answer."""
+        if is_connection_lost(error):
+            # The next answer may come from another incarnation, and then shows a crash.
+            worker.record_unanswered_call(read_clock(), connection_lost=True)
+        self.note_unanswered(worker, token, error)
+        event = "start.failed"
+        if may_be_carried_out(error):
+            event = "start.unanswered"
+            # The next controller has to know of it.
+            self._fleet.mark_dirty(task.key.job)
+        log(event, job=task.key.job, step=task.key.step, index=task.key.number, run=run.number,
+            worker=worker.info.id, token=token, reason=error.reason)  # fmt: skip
+
     async def _cancel_start(self, task: Task, run: Run, worker: Worker, *, sent: bool) -> None:
         """Settle an unanswered start whose zone has been drained."""
         if not sent:
@@ -204,7 +226,7 @@
             token: Token that the call carried.
             error: Why there is no readable answer.
         """
-        if isinstance(error, NoResponse | MalformedMessage) and self.get_token(worker) <= token:
+        if may_be_carried_out(error) and self.get_token(worker) <= token:
             worker.token = self._tokens.raise_above(token)
 
     def handle_fenced_call(self, worker: Worker, token: int) -> bool:
--- a/src/foxtrestle/explain.py
+++ b/src/foxtrestle/explain.py
@@ -76,6 +76,9 @@
     "start.withheld": "step {step} task {index}: run {run} on {worker} was not sent: {reason}",
     "start.refused": "step {step} task {index}: {worker} refused run {run}: {reason}",
     "start.unanswered": "a start on {worker} had no answer ({reason})",
+    "start.settled": "step {step} task {index}: a start on {worker} had no answer and can not be"
+    " carried out any more after {age_s} s",
+    "ends.withheld": "ends of {worker} are not acknowledged from number {end} on",
     "worker.silent": "worker {worker} stopped answering ({reason})",
     "worker.other-life": "worker {worker} started again; it was heard {heard_s} s before",
     "worker.released": "what ran on worker {worker} was given up: {reason}",
--- a/src/foxtrestle/platform/http.py
+++ b/src/foxtrestle/platform/http.py
@@ -49,8 +49,20 @@
     """A call that may only use an open connection, while there was none; it was not sent."""
 
 
+class NotSent(CallError):
+    """A call that was not sent, because another call that had to come first failed."""
+
+    def __init__(self, cause: CallError) -> None:
+        """Create an error from that of the other call."""
+        super().__init__(f"not sent: {cause.reason}", step=cause.step, peer=cause.peer)
+        self.cause = cause
+        """Error of the other call."""
+
+
 def is_connection_lost(error: CallError) -> bool:
     """Return whether a connection broke during a call; the peer was running until then."""
+    if isinstance(error, NotSent):
+        return is_connection_lost(error.cause)
     return isinstance(error, NoResponse) and not isinstance(error, ResponseTimeout)
 
 
@@ -58,6 +70,11 @@
     """A message or record that does not have the form documented by the platform."""
 
 
+def may_be_carried_out(error: FoxtrestleError) -> bool:
+    """Return whether a failed call may have been, or may yet be, carried out."""
+    return isinstance(error, NoResponse | MalformedMessage)
+
+
 class Reply(msgspec.Struct, frozen=True):
     """HTTP response."""
 
--- a/src/foxtrestle/platform/workers.py
+++ b/src/foxtrestle/platform/workers.py
@@ -20,6 +20,7 @@
     CallError,
     MalformedMessage,
     NoOpenConnection,
+    NotSent,
     Reply,
     call,
     decode,
@@ -282,6 +283,7 @@
 
         Raises:
             IncarnationChanged: Another incarnation answers; the call was not sent.
+            NotSent: The incarnation could not be identified.
         """
         intended_ms = worker.incarnation_started_ms
         for _ in range(MAX_IDENTIFICATIONS):
@@ -289,7 +291,10 @@
             if self._incarnations.is_at(worker.address, intended_ms):
                 with suppress(NoOpenConnection):
                     return await self._post(worker, path, body, timeout_s, open_only=True)
-            report = await self._look(worker, body["fencingToken"], timeout_s)
+            try:
+                report = await self._look(worker, body["fencingToken"], timeout_s)
+            except CallError as error:
+                raise NotSent(error) from error
             if not is_same(report.incarnation_started_ms, intended_ms):
                 raise IncarnationChanged(report, step=f"workers.{path}", peer=worker.id)
         # The worker keeps no connections open. It has just answered as the intended incarnation.
--- a/src/foxtrestle/scheduling/checks.py
+++ b/src/foxtrestle/scheduling/checks.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Final
 
 from foxtrestle.scheduling.crashes import MAX_CRASHES
+from foxtrestle.scheduling.unsettled_starts import may_start_on
 
 if TYPE_CHECKING:
     from foxtrestle.scheduling.hosts import HostView
@@ -31,6 +32,7 @@
     violations = {
         "unasked": entry.ended,
         "twice": task.done or (bool(task.runs) and not step.speculative),
+        "unsettled": not may_start_on(task, worker.info.id),
         "attempts": not step.lasting and task.failures >= entry.job.max_attempts,
         "crashes": task.given_up or task.crashes >= MAX_CRASHES,
         "order": not all(_is_step_done(fleet, task, number) for number in step.depends_on),
--- a/src/foxtrestle/scheduling/host_requirements.py
+++ b/src/foxtrestle/scheduling/host_requirements.py
@@ -16,6 +16,7 @@
 from foxtrestle.scheduling.load import compute_dominant_share
 from foxtrestle.scheduling.model import Shape, Step
 from foxtrestle.scheduling.share_limits import justifies_scale_up
+from foxtrestle.scheduling.unsettled_starts import is_restricted
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -81,7 +82,7 @@
             ):
                 continue
             waits = [now - task.waiting_since for key, task in entry.ready.items()
-                     if key.step == number]  # fmt: skip
+                     if key.step == number and not is_restricted(task)]  # fmt: skip
             if waits:
                 pool_requirements.append(HostRequirement(pool, step, 1, max(waits)))
     requirements = [
@@ -143,6 +144,8 @@
     (`FORCED_MOVE_AFTER_S`) out of a pool that needs the host.
     """
     if task.key in entry.ready:
+        if is_restricted(task):
+            return -1.0
         return now - task.waiting_since
     for run in task.runs.values() if task.step.lasting else ():
         worker = fleet.workers.get(run.worker)
--- a/src/foxtrestle/scheduling/incarnations.py
+++ b/src/foxtrestle/scheduling/incarnations.py
@@ -58,10 +58,11 @@
     its call, because the answer may have waited for a frozen or busy node, or on its way. For the
     same reason, a call with an acknowledgement must not wait at the worker.
     """
-    if worker.recorded_end <= worker.discarded_end or worker.contact_loss is not None:
+    acknowledgeable = worker.acknowledgeable_end
+    if acknowledgeable <= worker.discarded_end or worker.contact_loss is not None:
         return 0
     called_at = worker.last_answer_at - worker.last_answer_wait_s
-    return worker.recorded_end if now - called_at <= FRESH_ANSWER_S else 0
+    return acknowledgeable if now - called_at <= FRESH_ANSWER_S else 0
 
 
 def begin_next_incarnation(
--- a/src/foxtrestle/scheduling/jobs.py
+++ b/src/foxtrestle/scheduling/jobs.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from foxtrestle.scheduling.model import Job, JobState, Step, TaskKey
+    from foxtrestle.scheduling.unsettled_starts import UnsettledStart
 
 RUN_CHART: Final = load_chart("run")
 """State chart of a run."""
@@ -24,6 +25,7 @@
         "pace",
         "percent",
         "placed_at",
+        "placed_ms",
         "progressed_at",
         "sending",
         "sent_at",
@@ -44,6 +46,8 @@
         """State in the chart `run`."""
         self.placed_at = placed_at
         """Monotonic time of the placement decision, seconds."""
+        self.placed_ms = 0
+        """Wall-clock time of the placement decision, milliseconds; 0 if unknown."""
         self.confirmed_at = 0.0
         """Monotonic time at which the worker first confirmed the run, or answered the stop of a run
         that is being stopped, seconds; 0 before."""
@@ -95,6 +99,7 @@
         "starts",
         "step",
         "suspected_crashes",
+        "unsettled_starts",
         "waiting_since",
     )
 
@@ -126,6 +131,9 @@
         """Newest checkpoint."""
         self.runs: dict[int, Run] = {}
         """Runs that may be active, by number; more than one only for speculative steps."""
+        self.unsettled_starts: dict[str, UnsettledStart] = {}
+        """Starts that had no answer and may still be carried out by the next incarnation of their
+        worker, by worker id."""
         self.waiting_since = now
         """Monotonic time since which the task has been waiting for a start, seconds."""
 
--- a/src/foxtrestle/scheduling/pool_needs.py
+++ b/src/foxtrestle/scheduling/pool_needs.py
@@ -11,6 +11,7 @@
 from foxtrestle.scheduling.load import PoolLoad, compute_load_deviation
 from foxtrestle.scheduling.model import Shape
 from foxtrestle.scheduling.share_limits import justifies_scale_up
+from foxtrestle.scheduling.unsettled_starts import is_restricted
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -181,6 +182,9 @@
             continue
         pool = entry.job.pool
         for task in entry.ready.values():
+            if is_restricted(task):
+                # It waits for one worker, so a further host would not help.
+                continue
             over_s = now - task.waiting_since - EXTRA_HOST_WAIT_S
             if over_s <= 0:
                 continue
--- a/src/foxtrestle/scheduling/progress.py
+++ b/src/foxtrestle/scheduling/progress.py
@@ -9,6 +9,7 @@
 from foxtrestle.scheduling.jobs import Run, Task
 from foxtrestle.scheduling.model import Job, JobState, TaskKey
 from foxtrestle.scheduling.runs import attach_run, release_steps
+from foxtrestle.scheduling.unsettled_starts import assume_unsettled, restore_start
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -50,6 +51,11 @@
     """Greatest age of a run of the task at a crash, seconds."""
     given_up: bool = False
     """Whether the task is never started again, because it crashes workers."""
+    unsettled_starts: list[tuple[str, str, int]] = []
+    """Starts without an answer: worker id, host and wall-clock time at which it was last sent,
+    milliseconds."""
+    placed_ms: list[int] = []
+    """Wall-clock time of the placement of each of `runs`, milliseconds; 0 if unknown."""
 
 
 class Progress(msgspec.Struct, frozen=True):
@@ -111,9 +117,21 @@
         task.probation,
         task.crash_age_s,
         task.given_up,
+        _list_unsettled_starts(task),
+        [run.placed_ms for run in task.runs.values()],
     )
 
 
+def _list_unsettled_starts(task: Task) -> list[tuple[str, str, int]]:
+    """List the starts without an answer; for the assumed ones, the run itself is in the record."""
+    running_on = {run.worker for run in task.runs.values()}
+    return [
+        (worker, start.host, start.sent_ms)
+        for worker, start in task.unsettled_starts.items()
+        if not (start.assumed and worker in running_on)
+    ]
+
+
 def restore(
     fleet: Fleet,
     entry: JobEntry,
@@ -144,10 +162,10 @@
         for key, task in entry.tasks.items():
             record = records.pop((key.repetition, key.step, key.number), None)
             if record is not None:
-                _restore_task(entry, task, record, now, find_worker)
+                _restore_task(fleet, entry, task, record, wall_ms, now, find_worker)
     # The remaining records are of steps that are not due by this node's clock, or of an ended job.
     for record in records.values():
-        _restore_unreleased(entry, record, now, find_worker)
+        _restore_unreleased(fleet, entry, record, wall_ms, now, find_worker)
     entry.state = progress.state
     if entry.ended:
         entry.ready.clear()
@@ -155,9 +173,11 @@
 
 
 def _restore_task(
+    fleet: Fleet,
     entry: JobEntry,
     task: Task,
     record: TaskRecord,
+    wall_ms: float,
     now: float,
     find_worker: FindWorker,
 ) -> None:
@@ -175,22 +195,33 @@
         task.done = True
         entry.open_tasks[record.repetition, record.step] -= 1
         entry.ready.pop(task.key, None)
-    for number, worker_id, host in record.runs:
+    for worker_id, host, sent_ms in record.unsettled_starts:
+        restore_start(fleet, task, worker_id, host, sent_ms, wall_ms, now)
+    unknown_ms = [0] * (len(record.runs) - len(record.placed_ms))
+    placed_ms = [*record.placed_ms, *unknown_ms]
+    for (number, worker_id, host), run_placed_ms in zip(record.runs, placed_ms, strict=False):
         worker = find_worker(worker_id, host)
         run = Run(number, worker_id, host, now)
+        run.placed_ms = run_placed_ms
         run.sending = False
-        # The earlier controller may or may not have sent the start.
+        # The earlier controller may or may not have sent the start, and had an answer or none.
         run.sent_at = now
+        assume_unsettled(fleet, task, run, wall_ms, now)
         attach_run(task, run, worker)
         entry.ready.pop(task.key, None)
 
 
 def _restore_unreleased(
-    entry: JobEntry, record: TaskRecord, now: float, find_worker: FindWorker
+    fleet: Fleet,
+    entry: JobEntry,
+    record: TaskRecord,
+    wall_ms: float,
+    now: float,
+    find_worker: FindWorker,
 ) -> None:
     key = TaskKey(entry.job.id, record.repetition, record.step, record.number)
     task = Task(key, entry.job.spec.steps[record.step], now)
     entry.tasks[key] = task
     entry.released.add((record.repetition, record.step))
     entry.open_tasks.setdefault((record.repetition, record.step), task.step.count)
-    _restore_task(entry, task, record, now, find_worker)
+    _restore_task(fleet, entry, task, record, wall_ms, now, find_worker)
--- a/src/foxtrestle/scheduling/reservations.py
+++ b/src/foxtrestle/scheduling/reservations.py
@@ -16,6 +16,7 @@
 from foxtrestle.scheduling.eligibility import has_capacity_for, is_usable
 from foxtrestle.scheduling.host_requirements import find_smallest_capacity
 from foxtrestle.scheduling.share_limits import justifies_scale_up
+from foxtrestle.scheduling.unsettled_starts import is_restricted
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -142,8 +143,12 @@
         if not justifies_scale_up(fleet, entry, constrained=True):
             continue
         oldest: dict[StepKey, _Candidate] = {}
+        restricted = {key[:3] for key, task in entry.ready.items() if is_restricted(task)}
         for key, task in entry.ready.items():
             step_key = key[:3]
+            if is_restricted(task) or (task.step.gang and step_key in restricted):
+                # It waits for one worker, and a gang waits for each of its members.
+                continue
             if not task.step.gang and has_capacity_for(task.step, (), smallest):
                 continue
             earlier = oldest.get(step_key)
--- a/src/foxtrestle/scheduling/runs.py
+++ b/src/foxtrestle/scheduling/runs.py
@@ -9,6 +9,7 @@
 from foxtrestle.scheduling.crashes import LostRun, describe_loss, note_crash, update_probation
 from foxtrestle.scheduling.jobs import Run, Task
 from foxtrestle.scheduling.model import TaskKey
+from foxtrestle.scheduling.unsettled_starts import note_listed
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
@@ -140,6 +141,7 @@
     if task_and_run is None or task_and_run[1].worker != worker.info.id:
         return StopOrder(worker.info.id, listed.key, listed.run)
     task, run = task_and_run
+    note_listed(fleet, task, worker.info.id)
     begin_job(fleet, fleet.jobs[listed.key.job], now)
     if run.state != "stopping" and (task.done or fleet.jobs[listed.key.job].ended):
         return StopOrder(worker.info.id, listed.key, listed.run)
@@ -170,6 +172,7 @@
     if entry is None or task is None:
         return []
     run = task.runs.get(end.run)
+    note_listed(fleet, task, worker.info.id)
     begin_job(fleet, entry, now)
     drop_run(task, end.run, worker)
     fleet.mark_dirty(end.key.job)
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from foxtrestle.scheduling.durations import Durations
+from foxtrestle.scheduling.unsettled_starts import UnsettledStarts
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -46,7 +47,7 @@
 class Fleet:
     """The complete state of a controller."""
 
-    def __init__(self, term: int) -> None:
+    def __init__(self, term: int) -> None:  # noqa: PLR0915 - two statements for each attribute
         """Create the empty state of a new controller."""
         self.term = term
         """Number of this controller's term, which is also its first fencing token."""
@@ -78,6 +79,8 @@
         """Planned moves and maintenance, by host name."""
         self.unsettled_orders: dict[str, UnsettledOrder] = {}
         """Orders that had no answer and may still be carried out, by host name."""
+        self.unsettled_starts = UnsettledStarts()
+        """Starts that had no answer and may still be carried out by a worker's next incarnation."""
         self.tickets: dict[tuple[str, int, int], dict[str, tuple[str, float]]] = {}
         """Tickets of the policy service by step and worker, each with the monotonic time at which
         it expires; an empty ticket means that the worker may not run the step."""
--- a/src/foxtrestle/scheduling/task_placement.py
+++ b/src/foxtrestle/scheduling/task_placement.py
@@ -19,6 +19,7 @@
 from foxtrestle.scheduling.pool_needs import compute_mean_host
 from foxtrestle.scheduling.quotas import Quotas, measure_usage
 from foxtrestle.scheduling.share_limits import EXCESS_FILL_LIMIT
+from foxtrestle.scheduling.unsettled_starts import is_restricted, may_start_on
 from foxtrestle.scheduling.urgency import order_jobs
 
 if TYPE_CHECKING:
@@ -162,6 +163,9 @@
             unplaceable_steps.add(key.step)
             continue
         candidate = _find_place(task, candidates, candidates.all, allow)
+        if candidate is None and is_restricted(task):
+            # The step's other tasks may have any worker.
+            continue
         if candidate is None:
             unplaceable_steps.add(key.step)
             may_reserve = task.step.lasting or task.probation
@@ -249,6 +253,7 @@
         if (
             info.id in avoided
             or info.id in running_on
+            or not may_start_on(task, info.id)
             or not candidate.may_join(task, candidates.now)
         ):
             return False
--- a/src/foxtrestle/scheduling/workers.py
+++ b/src/foxtrestle/scheduling/workers.py
@@ -63,6 +63,7 @@
         "token",
         "unknown_runs",
         "used",
+        "withheld_end",
     )
 
     def __init__(self, info: WorkerInfo, revision: int, now: float) -> None:
@@ -134,10 +135,12 @@
         """Monotonic clock of the worker minus that of the controller, as of the last answer,
         milliseconds."""
         self.recorded_end = 0
-        """Number of the newest end that is recorded in the store."""
+        """Number of the newest end that is recorded in the store, see `acknowledgeable_end`."""
         self.discarded_end = 0
         """Number of the newest end that the worker has discarded: a call that acknowledged it was
         answered."""
+        self.withheld_end = 0
+        """Number of the first listed end that must not be acknowledged yet; 0 if there is none."""
         self.failed_jobs: set[str] = set()
         """Jobs with a failed run on the worker since its last successful run, without those whose
         tasks are at fault."""
@@ -176,6 +179,13 @@
             self.info, incarnation_started_ms=self.incarnation_started_ms
         )
 
+    @property
+    def acknowledgeable_end(self) -> int:
+        """Number of the newest end that may be acknowledged."""
+        if not self.withheld_end:
+            return self.recorded_end
+        return min(self.recorded_end, self.withheld_end - 1)
+
     def expect_new_incarnation(self) -> None:
         """Have the next call use a new fencing token, as another incarnation will receive it."""
         self.fenced = False
--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -65,7 +65,8 @@
         self.unpowered_zones: set[str] = set()
         """Zones whose workers do not answer and do not write their entries."""
         self.late_start_share = 0.0
-        """Fraction of starts that get no response and are executed later."""
+        """Fraction of starts that get no response and are executed later, by the incarnation that
+        is running then; one that has not been called yet accepts any token."""
         self.late_start_delay_s = 0.5
         """Delay of a start that is executed later, seconds."""
         self.long_poll_delay_s = 0.0
@@ -483,12 +484,8 @@
             return Route(f"/-/{path}", serve, methods=["POST"])
 
         async def start(body: dict[str, Any]) -> dict[str, Any]:
-            incarnation = worker.incarnation
-
             def start_run() -> None:
-                if worker.down or (worker.incarnation != incarnation and not worker.highest_token):
-                    # The new incarnation has received no fencing token yet, and cannot reject a
-                    # late start that was meant for the former one.
+                if worker.down:
                     return
                 worker.start(
                     parse_task(body["task"]),
@@ -501,9 +498,7 @@
             if self._rng.random() < self.faults.late_start_share:
                 late_start = (worker.info.id, parse_task(body["task"]), body["runId"])
                 self.late_starts.add(late_start)
-                task = asyncio.create_task(self._execute_late(start_run))
-                self._background_tasks.add(task)
-                await asyncio.sleep(3600)
+                await self._execute_late("start", start_run, self.faults.late_start_delay_s)
             start_run()
             if parse_task(body["task"]) in self.faults.crashing_tasks:
                 self._background_tasks.add(asyncio.create_task(self._crash_after_start(worker)))
@@ -514,24 +509,7 @@
             return {}
 
         async def hold(body: dict[str, Any]) -> dict[str, Any]:
-            report = worker.renew_lease(
-                body["fencingToken"], body["lastSeen"], body.get("expiresMs")
-            )
-            deadline = time.monotonic() + body.get("waitMs", 0) / 1000
-            while not report.ends and time.monotonic() < deadline and not worker.terminated:
-                await asyncio.sleep(POLL_S)
-                report = worker.report()
-            return {
-                "born": report.incarnation_started_ms,
-                "running": [
-                    [format_task(task.key), task.run, task.checkpoint, task.percent, task.usage]
-                    for task in report.running
-                ],
-                "endTime": [
-                    [end.number, format_task(end.key), end.run, end.kind, end.checkpoint]
-                    for end in report.ends
-                ],
-            }
+            return await self._hold(worker, body)
 
         async def report_health(request: Request) -> Response:
             self.calls["health"] += 1
@@ -561,12 +539,37 @@
         unresponsive = worker.info.id in faults.unresponsive_workers
         return worker.down or unresponsive or worker.info.zone in faults.unpowered_zones
 
-    async def _execute_late(self, start_run: Callable[[], None]) -> None:
-        await asyncio.sleep(self.faults.late_start_delay_s)
-        try:
-            start_run()
-        except OrderRejected:
-            self.calls["late start refused"] += 1
+    async def _hold(self, worker: SimulatedWorker, body: dict[str, Any]) -> dict[str, Any]:
+        """Carry out the renewal of a worker's lease."""
+        report = worker.renew_lease(body["fencingToken"], body["lastSeen"], body.get("expiresMs"))
+        deadline = time.monotonic() + body.get("waitMs", 0) / 1000
+        while not report.ends and time.monotonic() < deadline and not worker.terminated:
+            await asyncio.sleep(POLL_S)
+            report = worker.report()
+        return {
+            "born": report.incarnation_started_ms,
+            "running": [
+                [format_task(task.key), task.run, task.checkpoint, task.percent, task.usage]
+                for task in report.running
+            ],
+            "endTime": [
+                [end.number, format_task(end.key), end.run, end.kind, end.checkpoint]
+                for end in report.ends
+            ],
+        }
+
+    async def _execute_late(self, kind: str, execute: Callable[[], None], delay_s: float) -> None:
+        """Execute a call later, and never answer it."""
+
+        async def execute_late() -> None:
+            await asyncio.sleep(delay_s)
+            try:
+                execute()
+            except OrderRejected:
+                self.calls[f"late {kind} refused"] += 1
+
+        self._background_tasks.add(asyncio.create_task(execute_late()))
+        await asyncio.sleep(3600)
 
     def _build_hosts(self) -> Starlette:
         async def list_hosts(request: Request) -> Response:
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import msgspec
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
@@ -32,6 +33,13 @@
 )
 from foxtrestle.scheduling.state import Fleet
 from foxtrestle.scheduling.task_placement import choose_placements
+from foxtrestle.scheduling.unsettled_orders import MAX_ORDER_DELAY_S
+from foxtrestle.scheduling.unsettled_starts import (
+    find_withheld_end,
+    note_answered,
+    note_sent,
+    remove_settled,
+)
 from foxtrestle.standins.worker import MAX_LEASE_MS, OrderRejected, SimulatedWorker
 from tests.properties import scale
 from tests.scheduling_fakes import make_configuration, make_job
@@ -55,8 +63,9 @@
         self.recorded: dict[str, bytes] = {}
         self.jobs: dict[str, JobEntry] = {}
         self.cancelled: set[str] = set()
-        # Starts that were not answered and may still be executed.
-        self.late: list[tuple[str, TaskKey, int, int, float]] = []
+        # Starts that were not answered and may still be executed; the last field is the time at
+        # which they were sent.
+        self.late: list[tuple[str, TaskKey, int, int, float, float]] = []
         self.unreachable: set[str] = set()
         self.workers: dict[str, SimulatedWorker] = {}
         self.max_ends: dict[str, int] = {}
@@ -133,6 +142,7 @@
         for entry in list(self.fleet.active.values()):
             release_steps(entry, 0.0, self.now)
         placed = []
+        remove_settled(self.fleet, self.now)
         for placement in choose_placements(self.fleet, self.now):
             for task, worker in placement.members:
                 placed.append((task, place_run(self.fleet, task, worker, placement.run, self.now)))
@@ -141,22 +151,29 @@
             worker = self.fleet.workers[run.worker]
             worker.lease_expires_at = max(worker.lease_expires_at, compute_lapse(self.now))
             run.sent_at = self.now
+            former = task.unsettled_starts.get(run.worker)
+            note_sent(self.fleet, task, worker, self.now, 0.0)
+            self.fleet.mark_dirty(task.key.job)
             token = self._get_token(run.worker)
             expires_ms = (self.now + WORKER_LEASE_S) * 1000 + worker.clock_offset_ms
             if number in lost:
                 if late:
-                    self.late.append((run.worker, task.key, run.number, token, expires_ms))
+                    self.late.append(
+                        (run.worker, task.key, run.number, token, expires_ms, self.now)
+                    )
                 self._raise_token(run.worker)
                 continue
             if run.worker in self.unreachable:
                 self._raise_token(run.worker)
                 continue
+            note_answered(self.fleet, task, worker, former)
             try:
                 self.workers[run.worker].start(task.key, run.number, token, expires_ms)
             except OrderRejected:
                 continue
             run.apply_event("confirm")
             run.confirmed_at = self.now
+        self._record()
 
     @rule(name=st.sampled_from(WORKERS))
     def hold(self, name: str) -> None:
@@ -190,6 +207,7 @@
                     if stop.worker not in self.unreachable:
                         other = self._get_token(stop.worker)
                         self.workers[stop.worker].stop(stop.key, stop.run, other)
+        worker.withheld_end = find_withheld_end(self.fleet, worker, report.ends, self.now)
         listed = {(one.key, one.run) for one in report.running}
         stops = reconcile_runs(self.fleet, worker, report.running, self.now)
         for (key, number), run in list(worker.runs.items()):
@@ -243,6 +261,7 @@
     def take_over(self) -> None:
         self.term += 1
         self.fleet = Fleet(self.term)
+        self.fleet.unsettled_starts.takeover_at = self.now
         self._set_up_fleet()
         for name, entry in self.jobs.items():
             record = self.recorded.get(name)
@@ -344,12 +363,41 @@
             self.carry_out_late()
         self.no_task_runs_twice()
 
+    @rule(name=st.sampled_from(WORKERS), ended=st.booleans(), taken_over=st.booleans())
+    def restart_before_a_late_start(self, name: str, ended: bool, taken_over: bool) -> None:
+        """The next incarnation gets the late copy of a start before any call.
+
+        The task has ended on the former incarnation or was lost with it, and then may have been
+        placed elsewhere, by this controller or the next one.
+        """
+        self.unreachable = set()
+        self.hold_all(1)
+        self.submit(3, 1, faulty=False)
+        self.place({0, 1, 2}, late=True)
+        self.hold_all(2)
+        self.place(set(), late=False)
+        if ended:
+            self.wait(2.0)
+            self.hold_all(3)
+        if taken_over:
+            self.take_over()
+            self.hold_all(1)
+        # The controller learns of the restart from the host list, and calls the worker later.
+        self.restart(name, told=False)
+        release_worker(self.fleet, self.fleet.workers[name], self.now, crashed=True)
+        self.fleet.workers[name].runs_known = False
+        self._record()
+        self.place(set(), late=False)
+        while self.late:
+            self.carry_out_late()
+            self.no_task_runs_twice()
+        self.nothing_starts_after_its_end_was_noted()
+
     @precondition(lambda self: self.late)
     @rule()
     def carry_out_late(self) -> None:
-        name, key, number, token, expires_ms = self.late.pop(0)
-        if not self.workers[name].highest_token:
-            # A new incarnation may execute it until it has been called; nothing can prevent that.
+        name, key, number, token, expires_ms, sent_at = self.late.pop(0)
+        if self.now - sent_at > MAX_ORDER_DELAY_S:
             return
         try:
             self.workers[name].start(key, number, token, expires_ms)
@@ -431,5 +479,17 @@
     assert not any(worker.running for worker in machine.workers.values())
 
 
+@pytest.mark.parametrize("ended", [False, True])
+@pytest.mark.parametrize("taken_over", [False, True])
+def test_a_late_start_that_the_next_incarnation_gets_first_starts_no_second_run(
+    *, ended: bool, taken_over: bool
+) -> None:
+    """Guards against two runs of a task, and against a run after an acknowledged end."""
+    for name in WORKERS:
+        machine = ControlMachine()
+        machine.begin()
+        machine.restart_before_a_late_start(name, ended, taken_over)
+
+
 TestControl = ControlMachine.TestCase
 TestControl.settings = settings(max_examples=scale(120), stateful_step_count=40, deadline=None)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -35,6 +35,7 @@
 )
 from foxtrestle.scheduling.state import Fleet
 from foxtrestle.scheduling.task_placement import choose_placements
+from foxtrestle.scheduling.unsettled_starts import remove_settled
 from tests.properties import scale
 from tests.scheduling_fakes import (
     NOW,
@@ -89,6 +90,7 @@
                 self._detect_crash(worker)
             else:
                 self._work(worker)
+        remove_settled(self.fleet, self.now)
         for placement in choose_placements(self.fleet, self.now):
             for task, worker in placement.members:
                 assert not check_start(self.fleet, task, worker)
