Give an incarnation that may lack ends no task that could be completed there

A worker left the acknowledgement of 20 ends unanswered and crashed; its next incarnation carried it out before any call, discarded its own first 20 ends as they came, and the runs that it then did not list were started again.

An unanswered call, here an acknowledgement, is carried out by the worker's next incarnation before its first call. Waiting does not help, since its effect stays, and no call shows it: only an end that is listed does, as all later ones have higher numbers.

Mend (scheduling/unsettled_acknowledgements): from sending to an answer of the same incarnation, an acknowledgement counts as unsettled, and the controller saves those with its statistics for the next one. An incarnation that began up to 12 s (with the clocks' difference 30 s) after one, and is another than the one that it was meant for, may lack ends. Its lease is not extended; once any earlier one has lapsed, it gets one run at a time under a lease of 50 ms, too short to complete a task. When such a run is listed as lapsed, the worker lists all further ends and gets everything again; if not, the task is placed again, and the next run shows more. Gangs and other workers' tasks prefer other workers.

Weighed: to stop such a run takes up to 900 ms, in which it might be completed; to repeat no run of such a worker would lose tasks.

The state machine loses acknowledgements and restarts workers now.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,7 +11,7 @@
 import time
 from contextlib import AsyncExitStack, suppress
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any, Final, Literal, TypeAlias
 
 import aiohttp
 import cyclopts
@@ -29,6 +29,8 @@
 NODES: Final = 3
 HOSTS: Final = 8
 ZONES: Final = ("z0", "z1", "z2")
+LateCall: TypeAlias = Literal["start", "acknowledgement"]
+"""Kind of a call that is executed later."""
 SETTLE_S: Final = 45.0
 """Seconds after the last fault within which every accepted job must end: a lease after a takeover
 lasts 13 s, and jobs that waited during the faults need capacity."""
@@ -126,8 +128,11 @@
 class Soak:
     """State of one run."""
 
-    def __init__(self, seed: int, seconds: float, folder: Path) -> None:
+    def __init__(
+        self, seed: int, seconds: float, folder: Path, late_call: LateCall = "start"
+    ) -> None:
         """Create a soak that has not started."""
+        self._late_call = late_call
         self.seed = seed
         """Seed of the run."""
         self.rng = random.Random(seed)
@@ -301,7 +306,7 @@
             self._kill_node, self._kill_node, self._pause_node, self._pause_node,
             self._restart_node, self._disturb_store_connection, self._disturb_store_connection,
             self._silence_connections, self._take_store_down, self._lose_write_responses,
-            self._delay_starts,
+            self._delay_calls,
             self._compact_history, self._revoke_lock, self._silence_worker, self._crash_worker,
             self._begin_wave, self._change_configuration,
         ]  # fmt: skip
@@ -354,11 +359,13 @@
         await asyncio.sleep(self.rng.uniform(1.0, 4.0))
         self.site.faults.lost_write_share = 0.0
 
-    async def _delay_starts(self) -> None:
-        self.site.faults.late_start_share = 0.3
-        self.site.faults.late_start_delay_s = self.rng.uniform(0.5, 6.0)
+    async def _delay_calls(self) -> None:
+        """Leave some calls unanswered; the worker, or its next incarnation, executes them later."""
+        faults = self.site.faults
+        setattr(faults, f"late_{self._late_call}_share", 0.3)
+        setattr(faults, f"late_{self._late_call}_delay_s", self.rng.uniform(0.5, 6.0))
         await asyncio.sleep(self.rng.uniform(1.0, 4.0))
-        self.site.faults.late_start_share = 0.0
+        setattr(faults, f"late_{self._late_call}_share", 0.0)
 
     async def _compact_history(self) -> None:
         self.site.engine.compact()
@@ -436,18 +443,25 @@
 
 
 @app.default
-def main(*, seed: int = 1, seconds: float = 30.0, logs: Path | None = None) -> None:
+def main(
+    *,
+    seed: int = 1,
+    seconds: float = 30.0,
+    logs: Path | None = None,
+    late_call: LateCall = "start",
+) -> None:
     """Run one soak.
 
     Args:
         seed: Seed of all choices.
         seconds: How long faults are injected.
         logs: Folder for the nodes' logs; a temporary one if not given.
+        late_call: Kind of the calls that workers leave unanswered and execute later.
     """
     with tempfile.TemporaryDirectory() as temporary:
         folder = logs or Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
-        violations = asyncio.run(Soak(seed, seconds, folder).run())
+        violations = asyncio.run(Soak(seed, seconds, folder, late_call).run())
     sys.exit(1 if violations else 0)
 
 
--- a/src/foxtrestle/control/controller.py
+++ b/src/foxtrestle/control/controller.py
@@ -33,6 +33,7 @@
 from foxtrestle.control.zone_drains import ZoneDrains
 from foxtrestle.control.zone_watch import ZoneWatch
 from foxtrestle.platform.workers import WORKER_PREFIX
+from foxtrestle.scheduling import unsettled_acknowledgements
 from foxtrestle.scheduling.checks import check_send, check_start
 from foxtrestle.scheduling.draining import set_drained_zones, update_drained_zones
 from foxtrestle.scheduling.hosts import is_worker_overdue
@@ -199,7 +200,8 @@
 
     def _describe_statistics(self) -> StatisticsRecord:
         shares = self._share_limiter.build_record(self.fleet.active.values())
-        return StatisticsRecord(self.fleet.durations.build_record(), shares)
+        acknowledgements = dict(self.fleet.unsettled_acknowledgements)
+        return StatisticsRecord(self.fleet.durations.build_record(), shares, acknowledgements)
 
     async def _close(self, tasks: list[asyncio.Task[None]]) -> None:
         everything = [
@@ -255,6 +257,9 @@
         statistics_record = next(iter(statistics.records), None)
         saved_statistics = decode_statistics(statistics_record)
         self.fleet.durations.restore(saved_statistics.durations)
+        self.fleet.unsettled_acknowledgements = unsettled_acknowledgements.restore(
+            saved_statistics.acknowledgements, now
+        )
         self._statistics.adopt(statistics_record)
         companion_records = {record.key: record for record in companions.records}
         self._pressure.adopt(
@@ -470,6 +475,7 @@
         self._hosts.decide(now)
 
     def _remove_settled_starts(self, now: float) -> None:
+        unsettled_acknowledgements.remove_settled(self.fleet, now)
         for key, worker, age_s in remove_settled(self.fleet, now):
             log("start.settled", job=key.job, rep=key.repetition, step=key.step, index=key.number,
                 worker=worker, age_s=round(age_s, 3))  # fmt: skip
--- a/src/foxtrestle/control/fencing.py
+++ b/src/foxtrestle/control/fencing.py
@@ -5,7 +5,7 @@
 therefore raises its worker's token at once, and any later call fences off the unanswered one,
 whether it reaches the same incarnation or the next. Raising a token needs no write, so fencing also
 works while the store is unavailable. What the next incarnation carries out before its first call
-cannot be fenced off: see `scheduling.unsettled_starts`.
+cannot be fenced off: see `scheduling.unsettled_starts` and `scheduling.unsettled_acknowledgements`.
 """
 
 from __future__ import annotations
--- a/src/foxtrestle/control/link.py
+++ b/src/foxtrestle/control/link.py
@@ -6,13 +6,15 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING, Final
 
 from foxtrestle.clock import read_clock
 from foxtrestle.control.background_tasks import BackgroundTasks
 from foxtrestle.control.log import log
 from foxtrestle.control.orders import WORKER_LEASE_S, compute_expiry_ms, compute_lapse
-from foxtrestle.platform.http import CallError, is_connection_lost
+from foxtrestle.errors import FoxtrestleError
+from foxtrestle.platform.http import CallError, is_connection_lost, may_be_carried_out
 from foxtrestle.platform.workers import IncarnationChanged, IncarnationMismatch, OrderRefused
 from foxtrestle.scheduling.crashes import PROBATION_S
 from foxtrestle.scheduling.eligibility import RENEWAL_WAIT_S, is_suspect
@@ -20,10 +22,16 @@
 from foxtrestle.scheduling.losses import LossReason
 from foxtrestle.scheduling.pacing import choose_paces
 from foxtrestle.scheduling.runs import drop_run, reconcile_runs, record_end, requeue
+from foxtrestle.scheduling.unsettled_acknowledgements import (
+    note_answered,
+    note_end_listed,
+    note_first_report,
+    note_sent,
+)
 from foxtrestle.scheduling.unsettled_starts import find_withheld_end
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from foxtrestle.control.fencing import FencingTokens
     from foxtrestle.control.leader_election import Term
@@ -178,12 +186,12 @@
     def _would_answer_at_once(self) -> bool:
         """Return whether the next call would change nothing and wait for nothing.
 
-        A worker that lists an end does not wait for another one.
+        A worker that lists an end does not wait for another one, and none waits without a lease.
         """
         worker = self._worker
         if worker.acknowledgeable_end > worker.discarded_end:
             return False
-        return worker.withheld_end > 0
+        return worker.withheld_end > 0 or worker.may_lack_ends
 
     async def _renew_lease(self, sent_at: float, acknowledged: int, token: int) -> WorkerReport:
         worker = self._worker
@@ -202,18 +210,35 @@
         may_wait = may_wait and answered_recently and not ack_pending and not worker.withheld_end
         wait_ms = int(wait_s * 1000) if may_wait else 0
         expires_ms = None
-        if worker.runs_known and sent_at - worker.last_answer_at < MAX_UNANSWERED_S:
+        may_extend = worker.runs_known and not worker.may_lack_ends
+        if may_extend and sent_at - worker.last_answer_at < MAX_UNANSWERED_S:
             # The lease expires by the worker's clock. By this node's clock, it has certainly
             # lapsed only later, by the possible drift of the worker's clock and a margin.
             expires_ms = compute_expiry_ms(worker, sent_at)
             worker.lease_expires_at = max(worker.lease_expires_at, compute_lapse(sent_at))
-        return await self._client.renew_lease(
+        call = self._client.renew_lease(
             worker.target,
             token,
             acknowledged,
             expires_ms=expires_ms,
             wait_ms=wait_ms,
         )
+        return await (self._acknowledge(call) if acknowledged else call)
+
+    async def _acknowledge(self, call: Awaitable[WorkerReport]) -> WorkerReport:
+        """Make a call that acknowledges ends; it is unsettled until its incarnation answers."""
+        worker = self._worker
+        former = self._fleet.unsettled_acknowledgements.get(worker.info.id)
+        note_sent(self._fleet, worker, read_clock(), time.time() * 1000)
+        try:
+            report = await call
+        except FoxtrestleError as error:
+            if not may_be_carried_out(error):
+                note_answered(self._fleet, worker, former)
+            raise
+        if not is_other_incarnation(worker, report):
+            note_answered(self._fleet, worker, former)
+        return report
 
     def _note_unanswered(self, error: CallError) -> bool:
         """Note that a renewal was not answered; release the worker once its lease has lapsed.
@@ -226,7 +251,9 @@
         if worker.contact_loss is None:
             worker.record_unanswered_call(now, connection_lost=is_connection_lost(error))
             log("worker.silent", worker=worker.info.id, runs=len(worker.runs), reason=error.reason)
-        if worker.lease_expires_at and now > worker.lease_expires_at:
+        # A worker that may lack ends has no lease on purpose.
+        may_lapse = bool(worker.runs) or worker.entry_gone or not worker.may_lack_ends
+        if may_lapse and worker.lease_expires_at and now > worker.lease_expires_at:
             self._release_worker(worker, LossReason.LAPSED)
             return worker.entry_gone
         return False
@@ -249,6 +276,8 @@
             log("worker.answers", worker=worker.info.id)
         worker.record_answer(now, waited_s=now - sent_at)
         worker.clock_offset_ms = report.clock_ms - now * 1000
+        if report.ends:
+            self._note_end_listed(report)
         stops = self._process_ends(report, now)
         self._update_withheld_end(report, now)
         unwanted = reconcile_runs(self._fleet, worker, report.running, now)
@@ -283,6 +312,14 @@
                 failed_jobs=sorted(worker.failed_jobs))  # fmt: skip
         return stops
 
+    def _note_end_listed(self, report: WorkerReport) -> None:
+        worker = self._worker
+        if worker.may_lack_ends:
+            log("ends.complete", worker=worker.info.id, ends=list_end_numbers(report))
+            worker.full_until = 0.0
+            self._wake()
+        note_end_listed(self._fleet, worker)
+
     def _update_withheld_end(self, report: WorkerReport, now: float) -> None:
         worker = self._worker
         withheld = find_withheld_end(self._fleet, worker, report.ends, now)
@@ -301,7 +338,9 @@
         lease_s = self._max_lease_s if worker.may_hold_long_lease else WORKER_LEASE_S
         worker.lease_expires_at = compute_lapse(now, lease_s)
         worker.may_hold_long_lease = False
-        log("worker.known", worker=worker.info.id, runs=len(worker.runs))
+        note_first_report(self._fleet, worker)
+        log("worker.known", worker=worker.info.id, runs=len(worker.runs),
+            may_lack_ends=worker.may_lack_ends)  # fmt: skip
         self._wake()
 
     def _is_stop_due(self, stop: StopOrder, now: float) -> bool:
--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -46,6 +46,8 @@
 safe."""
 ATTEMPTS: Final = 3
 """Attempts to send an order before its worker counts as unreachable."""
+TRIAL_LEASE_S: Final = 0.05
+"""Seconds for which a worker that may lack ends may have a run, too short to complete a task."""
 FULL_PAUSE_S: Final = 0.3
 """Seconds for which a worker that refused a start for lack of capacity gets no new tasks."""
 
@@ -55,9 +57,9 @@
     return sent_at + lease_s * CLOCK_DRIFT + LAPSE_MARGIN_S
 
 
-def compute_expiry_ms(worker: Worker, now: float) -> int:
+def compute_expiry_ms(worker: Worker, now: float, lease_s: float = WORKER_LEASE_S) -> int:
     """Return the end of a lease that is extended now, by the worker's clock."""
-    return int(now * 1000 + worker.clock_offset_ms + WORKER_LEASE_S * 1000)
+    return int(now * 1000 + worker.clock_offset_ms + lease_s * 1000)
 
 
 def _is_wanted(task: Task, run: Run) -> bool:
@@ -129,14 +131,15 @@
                 await self._cancel_start(task, run, worker, sent=sent)
                 return
             now = read_clock()
-            worker.lease_expires_at = max(worker.lease_expires_at, compute_lapse(now))
+            lease_s = TRIAL_LEASE_S if worker.may_lack_ends else WORKER_LEASE_S
+            worker.lease_expires_at = max(worker.lease_expires_at, compute_lapse(now, lease_s))
             run.sent_at = run.sent_at or now
             token = self.get_token(worker)
             order = msgspec.structs.replace(order, token=token)
             settle = self._begin_attempt(task, worker, now)
             try:
                 await self._client.start(
-                    target, order, compute_expiry_ms(worker, now), CALL_TIMEOUT_S
+                    target, order, compute_expiry_ms(worker, now, lease_s), CALL_TIMEOUT_S
                 )
             except OrderRefused as refusal:
                 settle()
--- a/src/foxtrestle/control/statistics_record.py
+++ b/src/foxtrestle/control/statistics_record.py
@@ -1,4 +1,4 @@
-"""Task statistics stored for the next controller, which would otherwise start without any."""
+"""What a controller has learned of tasks and workers, stored for the next one."""
 
 from __future__ import annotations
 
@@ -11,6 +11,9 @@
 from foxtrestle.control.stored import decode_json, decode_or_skip
 from foxtrestle.scheduling.durations import DurationEstimate  # noqa: TC001 - msgspec reads annotations
 from foxtrestle.scheduling.share_limits import SharesRecord
+from foxtrestle.scheduling.unsettled_acknowledgements import (
+    UnsettledAcknowledgement,  # noqa: TC001 - msgspec reads annotations
+)
 from foxtrestle.store import StoreError
 
 if TYPE_CHECKING:
@@ -24,12 +27,14 @@
 
 
 class StatisticsRecord(msgspec.Struct, frozen=True):
-    """Statistics as stored."""
+    """What a controller has learned, as stored."""
 
     durations: dict[str, DurationEstimate] = {}
     """How long tasks take, by queue."""
     shares: SharesRecord = SharesRecord()
     """State of the organisations that have excess jobs, that is jobs beyond their share."""
+    acknowledgements: dict[str, UnsettledAcknowledgement] = {}
+    """Acknowledgements of ends that had no answer, by worker id."""
 
 
 def decode_statistics(record: Record | None) -> StatisticsRecord:
--- a/src/foxtrestle/explain.py
+++ b/src/foxtrestle/explain.py
@@ -79,6 +79,7 @@
     "start.settled": "step {step} task {index}: a start on {worker} had no answer and can not be"
     " carried out any more after {age_s} s",
     "ends.withheld": "ends of {worker} are not acknowledged from number {end} on",
+    "ends.complete": "{worker} lists its ends, so it can get all tasks again",
     "worker.silent": "worker {worker} stopped answering ({reason})",
     "worker.other-life": "worker {worker} started again; it was heard {heard_s} s before",
     "worker.released": "what ran on worker {worker} was given up: {reason}",
--- a/src/foxtrestle/scheduling/candidates.py
+++ b/src/foxtrestle/scheduling/candidates.py
@@ -16,6 +16,7 @@
 from foxtrestle.scheduling.eligibility import is_less_suitable, is_suspect
 from foxtrestle.scheduling.model import Shape
 from foxtrestle.scheduling.topology_spread import ZoneRackCounts
+from foxtrestle.scheduling.unsettled_acknowledgements import may_try
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator, Sequence
@@ -111,6 +112,8 @@
         a worker with a run that started less than `FRESH_S` ago: that run might cause a crash which
         would be attributed to the task.
         """
+        if self.worker.may_lack_ends and (self.busy or not may_try(task, now)):
+            return False
         if self.reserved_for not in {None, task.key[:3]}:
             return False
         if self.probation_job:
--- a/src/foxtrestle/scheduling/eligibility.py
+++ b/src/foxtrestle/scheduling/eligibility.py
@@ -61,6 +61,8 @@
     """The worker reports that it is about to leave."""
     FULL = "full"
     """The worker has just refused a run for lack of capacity."""
+    MAY_LACK_ENDS = "may lack ends"
+    """The worker may discard ends without listing them, and its lease may not have lapsed yet."""
     SILENT = "silent"
     """The worker has not answered for `ANSWER_OVERDUE_S`."""
     SUSPECT = "suspect"
@@ -89,6 +91,8 @@
         return Ineligibility.LEAVING
     if now < worker.full_until:
         return Ineligibility.FULL
+    if worker.may_lack_ends and now <= worker.lease_expires_at:
+        return Ineligibility.MAY_LACK_ENDS
     if now - worker.last_answer_at >= ANSWER_OVERDUE_S:
         return Ineligibility.SILENT
     if is_suspect(worker) and now - worker.failed_at < SUSPECT_S:
@@ -104,9 +108,10 @@
 def is_less_suitable(worker: Worker) -> bool:
     """Return whether other workers are preferred.
 
-    The worker is still warming up, according to its entry, or a late order may end its runs.
+    The worker is still warming up, according to its entry, a late order may end its runs, or its
+    lease is about to lapse because it may lack ends.
     """
-    return worker.info.warmup_left_s > 0 or worker.may_be_ordered_away
+    return worker.info.warmup_left_s > 0 or worker.may_be_ordered_away or worker.may_lack_ends
 
 
 def is_suspect(worker: Worker) -> bool:
--- a/src/foxtrestle/scheduling/state.py
+++ b/src/foxtrestle/scheduling/state.py
@@ -14,6 +14,7 @@
     from foxtrestle.scheduling.jobs import JobEntry, Run, Task
     from foxtrestle.scheduling.model import FleetConfiguration, HostInfo, TaskKey, Wave
     from foxtrestle.scheduling.reservations import HostReservation
+    from foxtrestle.scheduling.unsettled_acknowledgements import UnsettledAcknowledgement
     from foxtrestle.scheduling.unsettled_orders import UnsettledOrder
     from foxtrestle.scheduling.workers import Worker
 
@@ -81,6 +82,9 @@
         """Orders that had no answer and may still be carried out, by host name."""
         self.unsettled_starts = UnsettledStarts()
         """Starts that had no answer and may still be carried out by a worker's next incarnation."""
+        self.unsettled_acknowledgements: dict[str, UnsettledAcknowledgement] = {}
+        """Acknowledgements of ends that had no answer and may still be carried out by a worker's
+        next incarnation, by worker id."""
         self.tickets: dict[tuple[str, int, int], dict[str, tuple[str, float]]] = {}
         """Tickets of the policy service by step and worker, each with the monotonic time at which
         it expires; an empty ticket means that the worker may not run the step."""
--- a/src/foxtrestle/scheduling/workers.py
+++ b/src/foxtrestle/scheduling/workers.py
@@ -52,6 +52,7 @@
         "lease_expires_at",
         "may_be_ordered_away",
         "may_hold_long_lease",
+        "may_lack_ends",
         "probation_runs",
         "recorded_end",
         "revision",
@@ -139,6 +140,9 @@
         self.discarded_end = 0
         """Number of the newest end that the worker has discarded: a call that acknowledged it was
         answered."""
+        self.may_lack_ends = False
+        """Whether the worker may discard its first ends without listing them; see
+        `unsettled_acknowledgements`."""
         self.withheld_end = 0
         """Number of the first listed end that must not be acknowledged yet; 0 if there is none."""
         self.failed_jobs: set[str] = set()
--- a/src/foxtrestle/standins/site.py
+++ b/src/foxtrestle/standins/site.py
@@ -32,7 +32,7 @@
     from starlette.requests import Request
     from uvicorn import Server
 
-    from foxtrestle.scheduling.model import EndKind
+    from foxtrestle.scheduling.model import EndKind, WorkerReport
     from foxtrestle.store import Record
 
 LOOPBACK: Final = "127.0.0.1"
@@ -69,6 +69,11 @@
         is running then; one that has not been called yet accepts any token."""
         self.late_start_delay_s = 0.5
         """Delay of a start that is executed later, seconds."""
+        self.late_acknowledgement_share = 0.0
+        """Fraction of lease renewals with an acknowledgement that get no response and are executed
+        later, as late starts are."""
+        self.late_acknowledgement_delay_s = 0.5
+        """Delay of a lease renewal that is executed later, seconds."""
         self.long_poll_delay_s = 0.0
         """Seconds that a long-polling lease renewal takes to reach its worker; the incarnation that
         is running by then receives it."""
@@ -171,6 +176,8 @@
         self._last_start_ms = 0
         self.late_starts: set[tuple[str, TaskKey, int]] = set()
         """Starts that are executed late, as worker id, task and run."""
+        self.late_acknowledgements: set[str] = set()
+        """Ids of the workers that have executed, or will execute, an acknowledgement late."""
         self._background_tasks: set[asyncio.Task[None]] = set()
 
     # Operators.
@@ -541,7 +548,21 @@
 
     async def _hold(self, worker: SimulatedWorker, body: dict[str, Any]) -> dict[str, Any]:
         """Carry out the renewal of a worker's lease."""
-        report = worker.renew_lease(body["fencingToken"], body["lastSeen"], body.get("expiresMs"))
+
+        def renew_lease() -> WorkerReport:
+            return worker.renew_lease(body["fencingToken"], body["lastSeen"], body.get("expiresMs"))
+
+        def renew_lease_late() -> None:
+            if not worker.down:
+                renew_lease()
+
+        share = self.faults.late_acknowledgement_share
+        if share and body["lastSeen"] and self._rng.random() < share:
+            self.late_acknowledgements.add(worker.info.id)
+            await self._execute_late(
+                "acknowledgement", renew_lease_late, self.faults.late_acknowledgement_delay_s
+            )
+        report = renew_lease()
         deadline = time.monotonic() + body.get("waitMs", 0) / 1000
         while not report.ends and time.monotonic() < deadline and not worker.terminated:
             await asyncio.sleep(POLL_S)
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -12,7 +12,13 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from foxtrestle.control.orders import CLOCK_DRIFT, WORKER_LEASE_S, compute_lapse
+from foxtrestle.control.orders import (
+    CLOCK_DRIFT,
+    TRIAL_LEASE_S,
+    WORKER_LEASE_S,
+    compute_lapse,
+)
+from foxtrestle.scheduling import unsettled_acknowledgements
 from foxtrestle.scheduling.incarnations import (
     FRESH_ANSWER_S,
     begin_next_incarnation,
@@ -66,6 +72,9 @@
         # Starts that were not answered and may still be executed; the last field is the time at
         # which they were sent.
         self.late: list[tuple[str, TaskKey, int, int, float, float]] = []
+        # Acknowledgements that were not answered and may still be executed: worker, token, number
+        # and time.
+        self.late_acknowledgements: list[tuple[str, int, int, float]] = []
         self.unreachable: set[str] = set()
         self.workers: dict[str, SimulatedWorker] = {}
         self.max_ends: dict[str, int] = {}
@@ -143,6 +152,7 @@
             release_steps(entry, 0.0, self.now)
         placed = []
         remove_settled(self.fleet, self.now)
+        unsettled_acknowledgements.remove_settled(self.fleet, self.now)
         for placement in choose_placements(self.fleet, self.now):
             for task, worker in placement.members:
                 placed.append((task, place_run(self.fleet, task, worker, placement.run, self.now)))
@@ -155,7 +165,8 @@
             note_sent(self.fleet, task, worker, self.now, 0.0)
             self.fleet.mark_dirty(task.key.job)
             token = self._get_token(run.worker)
-            expires_ms = (self.now + WORKER_LEASE_S) * 1000 + worker.clock_offset_ms
+            lease_s = TRIAL_LEASE_S if worker.may_lack_ends else WORKER_LEASE_S
+            expires_ms = (self.now + lease_s) * 1000 + worker.clock_offset_ms
             if number in lost:
                 if late:
                     self.late.append(
@@ -175,8 +186,8 @@
             run.confirmed_at = self.now
         self._record()
 
-    @rule(name=st.sampled_from(WORKERS))
-    def hold(self, name: str) -> None:
+    @rule(name=st.sampled_from(WORKERS), lost=st.booleans())
+    def hold(self, name: str, lost: bool = False) -> None:
         worker = self.fleet.workers[name]
         if name in self.unreachable:
             if worker.lease_expires_at and self.now > worker.lease_expires_at:
@@ -184,11 +195,20 @@
                 self._record()
             return
         expires_ms = None
-        if worker.runs_known:
+        if worker.runs_known and not worker.may_lack_ends:
             expires_ms = (self.now + WORKER_LEASE_S) * 1000 + worker.clock_offset_ms
             worker.lease_expires_at = max(worker.lease_expires_at, compute_lapse(self.now))
         token = self._get_token(name)
         acknowledged = choose_end_acknowledgement(worker, self.now)
+        former = self.fleet.unsettled_acknowledgements.get(name)
+        if acknowledged:
+            unsettled_acknowledgements.note_sent(self.fleet, worker, self.now, 0.0)
+        if acknowledged and lost:
+            self.late_acknowledgements.append((name, token, acknowledged, self.now))
+            self._raise_token(name)
+            return
+        if acknowledged:
+            unsettled_acknowledgements.note_answered(self.fleet, worker, former)
         report = self.workers[name].renew_lease(token, acknowledged, expires_ms)
         if is_other_incarnation(worker, report):
             begin_next_incarnation(self.fleet, worker, report, self.now, self.now, crashed=True)
@@ -200,6 +220,8 @@
         worker.incarnation_started_ms = report.incarnation_started_ms
         worker.clock_offset_ms = report.clock_ms - self.now * 1000
         worker.last_answer_at = self.now
+        if report.ends:
+            unsettled_acknowledgements.note_end_listed(self.fleet, worker)
         for one in report.ends:
             if one.number > worker.seen_end:
                 worker.seen_end = one.number
@@ -223,6 +245,8 @@
         for stop in stops:
             self.workers[name].stop(stop.key, stop.run, token)
         self._check_cancelled(name)
+        if not worker.runs_known:
+            unsettled_acknowledgements.note_first_report(self.fleet, worker)
         worker.runs_known = True
         self._record()
         worker.recorded_end = worker.seen_end
@@ -260,8 +284,10 @@
     @rule()
     def take_over(self) -> None:
         self.term += 1
+        acknowledgements = self.fleet.unsettled_acknowledgements
         self.fleet = Fleet(self.term)
         self.fleet.unsettled_starts.takeover_at = self.now
+        self.fleet.unsettled_acknowledgements = dict(acknowledgements)
         self._set_up_fleet()
         for name, entry in self.jobs.items():
             record = self.recorded.get(name)
@@ -393,6 +419,42 @@
             self.no_task_runs_twice()
         self.nothing_starts_after_its_end_was_noted()
 
+    @rule(name=st.sampled_from(WORKERS), count=st.integers(1, 4), taken_over=st.booleans())
+    def restart_before_a_late_acknowledgement(
+        self, name: str, count: int, taken_over: bool
+    ) -> None:
+        """The next incarnation gets a late acknowledgement before any call, and then tasks."""
+        self.unreachable = set()
+        self.hold_all(1)
+        self.submit(4, 1, faulty=False)
+        self.place(set(), late=False)
+        self.wait(2.0)
+        self.hold(name)
+        self.wait(0.05)
+        self.hold(name, lost=True)
+        self.restart(name, told=False)
+        while self.late_acknowledgements:
+            self.carry_out_late_acknowledgement()
+        if taken_over:
+            self.take_over()
+        self.hold_all(2)
+        self.submit(count, 1, faulty=False)
+        for _ in range(8):
+            self.place(set(), late=False)
+            self.wait(2.0)
+            self.hold_all(2)
+
+    @precondition(lambda self: self.late_acknowledgements)
+    @rule()
+    def carry_out_late_acknowledgement(self) -> None:
+        name, token, number, sent_at = self.late_acknowledgements.pop(0)
+        if self.now - sent_at > MAX_ORDER_DELAY_S:
+            return
+        try:
+            self.workers[name].renew_lease(token, number, None)
+        except OrderRejected:
+            return
+
     @precondition(lambda self: self.late)
     @rule()
     def carry_out_late(self) -> None:
@@ -491,5 +553,25 @@
         machine.restart_before_a_late_start(name, ended, taken_over)
 
 
+@pytest.mark.parametrize("taken_over", [False, True])
+@pytest.mark.parametrize("count", [1, 2, 3, 4])
+def test_no_end_of_an_incarnation_is_missed_that_discards_its_first_ends(
+    count: int, *, taken_over: bool
+) -> None:
+    """Guards against starting a task again that ended without its end being listed."""
+    for name in WORKERS:
+        machine = ControlMachine()
+        machine.begin()
+        machine.restart_before_a_late_acknowledgement(name, count, taken_over)
+        machine.nothing_starts_after_its_end_was_noted()
+        done = [
+            end.key
+            for worker in machine.workers.values()
+            for end in worker.ended_runs
+            if end.kind == "done"
+        ]
+        assert len(done) == len(set(done)), "no task is done twice"
+
+
 TestControl = ControlMachine.TestCase
 TestControl.settings = settings(max_examples=scale(120), stateful_step_count=40, deadline=None)
--- a/tests/test_unanswered_calls.py
+++ b/tests/test_unanswered_calls.py
@@ -49,9 +49,11 @@
         self.tokens: list[int] = []
         self.before_answer: Any = None
         self.checkpoints: list[str] = []
+        self.expiries: list[int] = []
 
     async def start(self, info: Any, order: Any, expires_ms: int, timeout_s: float) -> int:
         self.checkpoints.append(order.checkpoint)
+        self.expiries.append(expires_ms)
         return self._answer(order.token)
 
     async def stop(self, info: Any, key: Any, run: int, token: int, timeout_s: float) -> int:
