Let a long-running task wait 5 s at most for a worker that was not heard since

The task's worker crashed for good 2 s before the controller was killed. Its run had been placed 28 s earlier, so the next controller assumed that its start might have had no answer, and the task waited for that worker for the longest time.

Mend: a controller records within half a second that a start had no answer, so only runs that were placed in the last 8 s before a takeover are assumed to be unsettled, not 30 s. And a start tells whether its worker has answered another call since: if not, it most likely went with the worker.

Weighed: the same for all tasks would give up the case of a worker that leaves a start unanswered and crashes at once. For long-running ones that case stays open; it takes a call that is carried out after more than 5 s by a worker that answered nothing after it.

--- a/src/foxtrestle/control/orders.py
+++ b/src/foxtrestle/control/orders.py
@@ -142,7 +142,7 @@
                     target, order, compute_expiry_ms(worker, now, lease_s), CALL_TIMEOUT_S
                 )
             except OrderRefused as refusal:
-                settle()
+                settle(heard=True)
                 if self._handle_refusal(task, run, worker, refusal, token, sent=sent):
                     return
             except IncarnationMismatch:
@@ -163,14 +163,14 @@
                 settle()
                 run.sent_at = run.sent_at if sent else 0.0
             else:
-                settle()
+                settle(heard=True)
                 self._confirm(run)
                 worker.last_alive_at = run.confirmed_at
                 begin_job(self._fleet, entry, run.confirmed_at)
                 return
         await self._settle_failed_start(task, run, worker, sent=sent)
 
-    def _begin_attempt(self, task: Task, worker: Worker, now: float) -> Callable[[], None]:
+    def _begin_attempt(self, task: Task, worker: Worker, now: float) -> Callable[..., None]:
         """Note that a start is about to be sent; return what to call once its outcome is known."""
         former = task.unsettled_starts.get(worker.info.id)
         note_sent(self._fleet, task, worker, now, time.time() * 1000)
--- a/src/foxtrestle/scheduling/progress.py
+++ b/src/foxtrestle/scheduling/progress.py
@@ -51,9 +51,9 @@
     """Greatest age of a run of the task at a crash, seconds."""
     given_up: bool = False
     """Whether the task is never started again, because it crashes workers."""
-    unsettled_starts: list[tuple[str, str, int]] = []
-    """Starts without an answer: worker id, host and wall-clock time at which it was last sent,
-    milliseconds."""
+    unsettled_starts: list[tuple[str, str, int, bool]] = []
+    """Starts without an answer: worker id, host, wall-clock time at which it was last sent,
+    milliseconds, and whether the worker has answered another call since."""
     placed_ms: list[int] = []
     """Wall-clock time of the placement of each of `runs`, milliseconds; 0 if unknown."""
 
@@ -122,11 +122,11 @@
     )
 
 
-def _list_unsettled_starts(task: Task) -> list[tuple[str, str, int]]:
+def _list_unsettled_starts(task: Task) -> list[tuple[str, str, int, bool]]:
     """List the starts without an answer; for the assumed ones, the run itself is in the record."""
     running_on = {run.worker for run in task.runs.values()}
     return [
-        (worker, start.host, start.sent_ms)
+        (worker, start.host, start.sent_ms, start.heard)
         for worker, start in task.unsettled_starts.items()
         if not (start.assumed and worker in running_on)
     ]
@@ -195,8 +195,8 @@
         task.done = True
         entry.open_tasks[record.repetition, record.step] -= 1
         entry.ready.pop(task.key, None)
-    for worker_id, host, sent_ms in record.unsettled_starts:
-        restore_start(fleet, task, worker_id, host, sent_ms, wall_ms, now)
+    for worker_id, host, sent_ms, heard in record.unsettled_starts:
+        restore_start(fleet, task, worker_id, host, sent_ms, wall_ms, now, heard=heard)
     unknown_ms = [0] * (len(record.runs) - len(record.placed_ms))
     placed_ms = [*record.placed_ms, *unknown_ms]
     for (number, worker_id, host), run_placed_ms in zip(record.runs, placed_ms, strict=False):
--- a/src/foxtrestle/scheduling/unsettled_starts.py
+++ b/src/foxtrestle/scheduling/unsettled_starts.py
@@ -27,6 +27,15 @@
 
 MAX_CLOCK_DIFFERENCE_S: Final = 18.0
 """Seconds by which the wall clocks of two nodes may differ."""
+RECENT_S: Final = 8.0
+"""Seconds before a takeover within which a run was placed if the earlier controller cannot have
+recorded that its start had no answer; includes the time without a controller."""
+HEARD_AFTER_S: Final = 0.1
+"""Seconds after a start from which answers of its worker show that the worker was still there; an
+answer from before may arrive until then."""
+MAX_LASTING_WAIT_S: Final = 5.0
+"""Seconds for which a long-running task waits for a worker that has not been heard since its start;
+the platform allows it to be away for little longer."""
 MAX_WITHHELD_ENDS: Final = 300
 """Number of ends in a report from which all are acknowledged. A report lists 500 at most, and the
 ends beyond that number would not be known."""
@@ -41,6 +50,11 @@
     """Monotonic time at which the start was last known to be under way, seconds."""
     sent_ms: int
     """Wall-clock time of the same moment, milliseconds; 0 if unknown."""
+    started_ms: int = 0
+    """Wall-clock time at which the worker's incarnation began, milliseconds; 0 if unknown."""
+    heard: bool = False
+    """Whether that incarnation has answered another call since. If not, it may have crashed, and
+    the start has most likely gone with it."""
     assumed: bool = False
     """Whether an earlier controller placed the run, and may have had an answer."""
 
@@ -68,12 +82,20 @@
 
 def note_sent(fleet: Fleet, task: Task, worker: Worker, now: float, wall_ms: float) -> None:
     """Note that a start is about to be sent; it counts as unsettled until `note_answered`."""
-    start = UnsettledStart(worker.info.host, now, int(wall_ms))
+    started_ms = worker.incarnation_started_ms
+    start = UnsettledStart(worker.info.host, now, int(wall_ms), started_ms)
     task.unsettled_starts[worker.info.id] = start
     fleet.unsettled_starts.by_task[task.key] = task.unsettled_starts
 
 
-def note_answered(fleet: Fleet, task: Task, worker: Worker, former: UnsettledStart | None) -> None:
+def note_answered(
+    fleet: Fleet,
+    task: Task,
+    worker: Worker,
+    former: UnsettledStart | None,
+    *,
+    heard: bool = False,
+) -> None:
     """Note that an attempt to send a start was answered, or certainly not carried out.
 
     Args:
@@ -81,9 +103,11 @@
         task: The task.
         worker: Worker that the start was sent to.
         former: The worker's unsettled start from before this attempt, which remains.
+        heard: Whether the worker has answered.
     """
     if former is not None:
-        task.unsettled_starts[worker.info.id] = former
+        heard = heard or former.heard
+        task.unsettled_starts[worker.info.id] = msgspec.structs.replace(former, heard=heard)
         return
     _remove(fleet, task, worker.info.id)
 
@@ -98,7 +122,7 @@
         wall_ms: Wall-clock time of the takeover, milliseconds.
         now: Monotonic time of the takeover, seconds.
     """
-    if _is_too_old(run.placed_ms, wall_ms):
+    if wall_ms - run.placed_ms > RECENT_S * 1000:
         return
     start = UnsettledStart(run.host, now, int(wall_ms), assumed=True)
     task.unsettled_starts.setdefault(run.worker, start)
@@ -145,8 +169,13 @@
     hosts_in_use = _find_hosts_in_use(fleet)
     removed = []
     for key, starts in list(by_task.items()):
+        lasting = _is_lasting(fleet, key)
         for worker_id, start in list(starts.items()):
-            if _is_settled(fleet, worker_id, start, hosts_in_use, now):
+            if not start.heard and _is_heard(fleet, worker_id, start):
+                starts[worker_id] = msgspec.structs.replace(start, heard=True)
+                continue
+            gone = lasting and not start.heard and now > start.sent_at + MAX_LASTING_WAIT_S
+            if gone or _is_settled(fleet, worker_id, start, hosts_in_use, now):
                 del starts[worker_id]
                 removed.append((key, worker_id, now - start.sent_at))
         if not starts:
@@ -154,6 +183,19 @@
     return removed
 
 
+def _is_lasting(fleet: Fleet, key: TaskKey) -> bool:
+    entry = fleet.jobs.get(key.job)
+    return entry is not None and entry.job.spec.steps[key.step].lasting
+
+
+def _is_heard(fleet: Fleet, worker_id: str, start: UnsettledStart) -> bool:
+    """Return whether the incarnation that a start was sent to has answered another call since."""
+    worker = fleet.workers.get(worker_id)
+    if worker is None or worker.incarnation_started_ms != start.started_ms:
+        return False
+    return worker.last_reached_at > start.sent_at + HEARD_AFTER_S
+
+
 def _find_hosts_in_use(fleet: Fleet) -> dict[str, Worker]:
     """Return the worker that has answered last, by host."""
     newest: dict[str, Worker] = {}
@@ -179,7 +221,7 @@
         return successor.last_answer_at > start.sent_at
     if now <= start.ends_at:
         return False
-    return not _may_be_active_unseen(fleet, worker_id, start, now)
+    return not start.heard or not _may_be_active_unseen(fleet, worker_id, start, now)
 
 
 def _may_be_active_unseen(fleet: Fleet, worker_id: str, start: UnsettledStart, now: float) -> bool:
@@ -228,6 +270,8 @@
     sent_ms: int,
     wall_ms: float,
     now: float,
+    *,
+    heard: bool,
 ) -> None:
     """Restore an earlier controller's unsettled start, unless it is too old.
 
@@ -242,10 +286,11 @@
             unknown.
         wall_ms: Wall-clock time of the takeover, milliseconds.
         now: Monotonic time of the takeover, seconds.
+        heard: Whether the worker had answered another call since.
     """
     if _is_too_old(sent_ms, wall_ms):
         return
-    task.unsettled_starts[worker] = UnsettledStart(host, now, sent_ms)
+    task.unsettled_starts[worker] = UnsettledStart(host, now, sent_ms, heard=heard)
     fleet.unsettled_starts.by_task[task.key] = task.unsettled_starts
 
 
